--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+PYTHON ?= python3.11
+VENV ?= .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: setup demo test lint bench clean
+
+$(STAMP): requirements.txt requirements-dev.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -r requirements-dev.txt
+	$(BIN)/pip install --quiet --no-build-isolation --no-deps -e . || $(BIN)/pip install --quiet --no-deps -e .
+	touch $(STAMP)
+
+setup: $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python -m bench.demo
+
+test: $(STAMP)
+	$(BIN)/python -m pytest
+
+lint: $(STAMP)
+	$(BIN)/black --check --quiet src tests bench
+	$(BIN)/ruff check --quiet src tests bench
+
+bench: $(STAMP)
+	$(BIN)/python -m bench.run
+
+clean:
+	rm -rf $(VENV) build
--- /dev/null
+++ b/src/finchway/_settings.py
@@ -0,0 +1,249 @@
+"""The settings of `finchwayd`: flags, each with a `FINCHWAY_*` environment variable.
+
+A flag wins over its variable. All findings are collected with their place and reported together.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+import os
+from collections.abc import Mapping
+from pathlib import Path
+
+from absl import flags
+from msgspec import Struct
+
+from finchway.exceptions import Finding, SettingsError
+
+ENTRY = "entry"
+CONTROL = "control"
+_ROLES = (ENTRY, CONTROL)
+_LEVELS = ("debug", "info", "warning", "error")
+_PREFIX = "FINCHWAY_"
+
+
+class Settings(Struct, frozen=True, kw_only=True):
+    """The checked settings of one process; empty addresses belong to roles it does not have."""
+
+    instance: str
+    roles: tuple[str, ...]
+    zone: str
+    entry_address: str
+    api_address: str
+    peer_address: str
+    control_peers: tuple[str, ...]
+    data_folder: Path | None
+    platform_address: str
+    keys_file: Path | None
+    tls_certificate: Path | None
+    tls_key: Path | None
+    log_level: str
+    log_json: bool
+    isolated_after_s: float
+    lease_s: float
+    heartbeat_s: float
+    loan_s: float
+    clock_margin_s: float
+    election_s: float
+    drain_limit_s: float
+
+
+class _Flag(Struct, frozen=True):
+    name: str
+    default: str
+    help: str
+
+
+_FLAGS = (
+    _Flag("instance", "", "Name of this instance, such as e1. Required."),
+    _Flag("roles", "entry,control", "Roles of this process: entry, control, or both."),
+    _Flag("zone", "", "Availability zone that this instance lies in. Required for entries."),
+    _Flag("entry_address", "", "IP:port where callers are served. Required for entries."),
+    _Flag("api_address", "", "IP:port of the resource API. Required for control."),
+    _Flag("peer_address", "", "IP:port for finchway's other processes. Required."),
+    _Flag("control_peers", "", "Peer addresses of the control replicas, separated by commas."),
+    _Flag("data_folder", "", "Folder of the control replica's files. Required for control."),
+    _Flag("platform_address", "", "IP:port of the platform's list of instances, if there is one."),
+    _Flag("keys_file", "", "CURVE key pair of the deployment; encrypts links between processes."),
+    _Flag("tls_certificate", "", "PEM file with the certificate for callers and operators."),
+    _Flag("tls_key", "", "PEM file with the private key of the certificate."),
+    _Flag("log_level", "info", "One of debug, info, warning, error."),
+    _Flag("log_json", "true", "Log lines as JSON objects: true or false."),
+    _Flag("isolated_after_s", "10", "Seconds without control and fellows until an entry stops."),
+    _Flag("lease_s", "3", "Seconds for which a heartbeat confirms an entry."),
+    _Flag("heartbeat_s", "0.2", "Seconds between an entry's heartbeats."),
+    _Flag("loan_s", "2", "Seconds for which slots are lent."),
+    _Flag("clock_margin_s", "1", "Margin in seconds for clocks that run at different speeds."),
+    _Flag("election_s", "1", "Shortest election time of the replicated log in seconds."),
+    _Flag("drain_limit_s", "120", "Longest planned stop in seconds, whatever is in flight."),
+)
+
+
+def define_flags(values: flags.FlagValues) -> None:
+    """Define the flags of `finchwayd`."""
+    for flag in _FLAGS:
+        variable = _PREFIX + flag.name.upper()
+        text = f"{flag.help} Environment: {variable}. Default: {flag.default or 'none'}."
+        flags.DEFINE_string(flag.name, None, text, flag_values=values)
+
+
+def read_settings(values: flags.FlagValues, environment: Mapping[str, str]) -> Settings:
+    """Combine flags, environment and defaults, and check them.
+
+    Raises `SettingsError` with every finding and the flag or variable that it comes from.
+    """
+    return _Reader(values, environment).read()
+
+
+class _Reader:
+    """Reads settings one by one and collects what is wrong with them."""
+
+    def __init__(self, values: flags.FlagValues, environment: Mapping[str, str]) -> None:
+        self._findings: list[Finding] = []
+        self._raw: dict[str, str] = {}
+        self._places: dict[str, str] = {}
+        for flag in _FLAGS:
+            given = values[flag.name].value
+            variable = _PREFIX + flag.name.upper()
+            self._places[flag.name] = f"--{flag.name}"
+            if given is not None:
+                self._raw[flag.name] = given
+            elif variable in environment:
+                self._raw[flag.name] = environment[variable]
+                self._places[flag.name] = variable
+            else:
+                self._raw[flag.name] = flag.default
+        known = {_PREFIX + flag.name.upper() for flag in _FLAGS}
+        for variable in sorted(set(environment) - known):
+            if variable.startswith(_PREFIX):
+                self._findings.append(Finding(variable, "no such setting", "see finchwayd --help"))
+
+    def read(self) -> Settings:
+        roles = self._roles()
+        entry, control = ENTRY in roles, CONTROL in roles
+        settings = Settings(
+            instance=self._name("instance"),
+            roles=roles,
+            zone=self._name("zone", required=entry),
+            entry_address=self._address("entry_address", required=entry),
+            api_address=self._address("api_address", required=control),
+            peer_address=self._address("peer_address", required=True),
+            control_peers=self._peers(required=not control),
+            data_folder=self._folder(required=control),
+            platform_address=self._address("platform_address"),
+            keys_file=self._file("keys_file"),
+            tls_certificate=self._file("tls_certificate"),
+            tls_key=self._file("tls_key"),
+            log_level=self._choice("log_level", _LEVELS),
+            log_json=self._choice("log_json", ("true", "false")) == "true",
+            isolated_after_s=self._seconds("isolated_after_s", 0.0),
+            lease_s=self._seconds("lease_s", 0.1),
+            heartbeat_s=self._seconds("heartbeat_s", 0.02),
+            loan_s=self._seconds("loan_s", 0.1),
+            clock_margin_s=self._seconds("clock_margin_s", 0.0),
+            election_s=self._seconds("election_s", 0.1),
+            drain_limit_s=self._seconds("drain_limit_s", 0.0),
+        )
+        self._check_together(settings)
+        if self._findings:
+            raise SettingsError(self._findings, "settings")
+        return settings
+
+    def _check_together(self, settings: Settings) -> None:
+        if settings.lease_s < 3 * settings.heartbeat_s:
+            problem = f"{settings.lease_s:g} s is shorter than three heartbeats"
+            self._add("lease_s", problem, f"at least {3 * settings.heartbeat_s:g}")
+        if (settings.tls_certificate is None) != (settings.tls_key is None):
+            self._add("tls_certificate", "certificate and key are given together or not at all")
+
+    def _add(self, name: str, problem: str, hint: str = "") -> None:
+        self._findings.append(Finding(self._places[name], problem, hint))
+
+    def _roles(self) -> tuple[str, ...]:
+        roles = tuple(part.strip() for part in self._raw["roles"].split(",") if part.strip())
+        for role in roles:
+            if role not in _ROLES:
+                self._add("roles", f"unknown role {role!r}", "entry, control, or both")
+        if not roles:
+            self._add("roles", "at least one role is needed", "entry, control, or both")
+        return roles
+
+    def _name(self, name: str, required: bool = True) -> str:
+        value = self._raw[name]
+        if not value and required:
+            self._add(name, "is required")
+        elif value and not all(
+            c.isalnum() and c.islower() or c.isdigit() or c in ".-" for c in value
+        ):
+            self._add(name, f"{value!r} is not a name", "lower-case letters, digits, . and -")
+        return value
+
+    def _address(self, name: str, required: bool = False) -> str:
+        value = self._raw[name]
+        if not value:
+            if required:
+                self._add(name, "is required", "IP:port")
+            return ""
+        problem = check_address(value)
+        if problem:
+            self._add(name, problem, "IP:port, names of hosts are not resolved")
+        return value
+
+    def _peers(self, required: bool) -> tuple[str, ...]:
+        peers = tuple(p.strip() for p in self._raw["control_peers"].split(",") if p.strip())
+        for index, peer in enumerate(peers):
+            problem = check_address(peer)
+            if problem:
+                place = f"{self._places['control_peers']}[{index}]"
+                self._findings.append(Finding(place, problem, "IP:port"))
+        if required and not peers:
+            self._add("control_peers", "is required for a process without the control role")
+        return peers
+
+    def _folder(self, required: bool) -> Path | None:
+        value = self._raw["data_folder"]
+        if not value:
+            if required:
+                self._add("data_folder", "is required for control")
+            return None
+        path = Path(value)
+        if path.exists() and not path.is_dir():
+            self._add("data_folder", f"{value} is not a folder")
+        return path
+
+    def _file(self, name: str) -> Path | None:
+        value = self._raw[name]
+        if not value:
+            return None
+        path = Path(value)
+        if not os.access(path, os.R_OK):
+            self._add(name, f"{value} cannot be read")
+        return path
+
+    def _choice(self, name: str, choices: tuple[str, ...]) -> str:
+        value = self._raw[name].lower()
+        if value not in choices:
+            self._add(name, f"{value!r} is not known", f"one of {', '.join(choices)}")
+        return value
+
+    def _seconds(self, name: str, least: float) -> float:
+        try:
+            value = float(self._raw[name])
+        except ValueError:
+            self._add(name, f"{self._raw[name]!r} is not a number of seconds")
+            return 1.0
+        if not least <= value <= 86_400:
+            self._add(name, f"{value:g} is out of range", f"from {least:g} to 86400")
+        return value
+
+
+def check_address(value: str) -> str:
+    """Return what is wrong with an `IP:port`; empty if nothing is."""
+    host, _, port = value.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        return f"{value!r} has no IP number"
+    if not port.isdigit() or not 0 < int(port) < 65_536:
+        return f"{value!r} has no port from 1 to 65535"
+    return ""
--- /dev/null
+++ b/src/finchway/cli/_commands.py
@@ -0,0 +1,365 @@
+"""The commands of `finchway`, one function each.
+
+A command takes its arguments and the options that it declares; it returns nothing and raises an
+error of `finchway.exceptions`, whose `exit_code` the tool exits with.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import secrets
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from absl import flags
+
+from finchway._settings import check_address
+from finchway.cli._client import ApiClient
+from finchway.cli._output import Printer, event_line, resource_row, status_text
+from finchway.control import bootstrap as start_cluster
+from finchway.exceptions import (
+    FinchwayError,
+    Finding,
+    InputError,
+    NotFoundError,
+    ResourceError,
+    UnavailableError,
+)
+from finchway.resources import OPERATOR_KINDS, parse_document
+from finchway.transport import make_keys
+
+_POLL_S = 0.2
+_APPLY_ORDER = {kind: index for index, kind in enumerate(OPERATOR_KINDS)}
+_HEADINGS = ["NAME", "GENERATION", "REVISION", "STATUS", "SPEC"]
+
+
+class Context:
+    """What every command is given: the API, the printer and the options."""
+
+    def __init__(self, options: flags.FlagValues) -> None:
+        self._options = options
+        self.printer = Printer(options["output"].value == "json")
+
+    @property
+    def api(self) -> ApiClient:
+        """A client of the resource API."""
+        addresses = [a.strip() for a in self._options["api"].value.split(",") if a.strip()]
+        findings = [
+            Finding(f"--api[{index}]", problem)
+            for index, address in enumerate(addresses)
+            if (problem := check_address(address))
+        ]
+        if not addresses:
+            findings = [Finding("--api", "is required", "IP:port of a control process")]
+        if findings:
+            raise InputError(findings, "options")
+        return ApiClient(addresses, self.option("credential"), self.option("ca_file"))
+
+    def option(self, name: str) -> Any:
+        """Return the value of an option."""
+        return self._options[name].value
+
+
+def apply(context: Context, arguments: list[str]) -> None:
+    """Accept the resources of YAML or JSON files: apply -f FILE [FILE...]."""
+    paths = [*context.option("file"), *arguments]
+    if not paths:
+        raise _usage("apply -f FILE [FILE...]")
+    drafts, findings = [], []
+    for path in paths:
+        try:
+            drafts += parse_document(_read_documents(path), path)
+        except ResourceError as error:
+            findings += error.findings
+    if findings:
+        raise ResourceError(findings, "files")
+    api = context.api
+    revision = 0
+    for draft in sorted(drafts, key=lambda d: _APPLY_ORDER[d.kind]):
+        answer = api.put(draft.kind, draft.name, msgspec.to_builtins(draft.spec))
+        revision = max(revision, answer["revision"])
+        what = f"{draft.kind}/{draft.name}"
+        text = f"{what} generation {answer['generation']} revision {answer['revision']}"
+        context.printer.line({"resource": what, **_numbers(answer)}, text)
+    if context.option("wait"):
+        _wait_in_force(context, api, revision)
+
+
+def get(context: Context, arguments: list[str]) -> None:
+    """List resources, or print one: get KIND [NAME]."""
+    if not 1 <= len(arguments) <= 2:
+        raise _usage("get KIND [NAME]")
+    if len(arguments) == 2:
+        resource = context.api.get(*arguments)
+        context.printer.table(resource, _HEADINGS, [resource_row(resource)])
+        return
+    listed = context.api.list(arguments[0])
+    context.printer.table(listed, _HEADINGS, [resource_row(item) for item in listed["items"]])
+
+
+def describe(context: Context, arguments: list[str]) -> None:
+    """Print everything about a resource: describe KIND NAME."""
+    if len(arguments) != 2:
+        raise _usage("describe KIND NAME")
+    context.printer.value(context.api.get(*arguments))
+
+
+def delete(context: Context, arguments: list[str]) -> None:
+    """Delete a resource: delete KIND NAME [--expected GENERATION]."""
+    if len(arguments) != 2:
+        raise _usage("delete KIND NAME")
+    answer = context.api.delete(*arguments, expected=context.option("expected"))
+    text = f"{'/'.join(arguments)} deleted at revision {answer['revision']}"
+    context.printer.line(_numbers(answer), text)
+    if context.option("wait"):
+        _wait_in_force(context, context.api, answer["revision"])
+
+
+def watch(context: Context, arguments: list[str]) -> None:
+    """Follow accepted configuration and produced state: watch [KIND] [--since REVISION]."""
+    if len(arguments) > 1:
+        raise _usage("watch [KIND]")
+    kind = arguments[0] if arguments else ""
+    api = context.api
+    since = context.option("since")
+    if since is None:
+        since = api.list(kind or "service")["revision"]
+    for line in api.watch(since, kind):
+        if "resource" in line:
+            resource = line["resource"]
+            what = f"{resource['kind']}/{resource['name']}"
+            status = status_text(resource.get("status"))
+            text = f"{line['revision']:>6} {line['operation']:<6} {what} {status}"
+            context.printer.line(line, text)
+
+
+def drain(context: Context, arguments: list[str]) -> None:
+    """Drain upstream/IP:PORT, zone/NAME, region/NAME or instance/NAME: drain TARGET [--wait]."""
+    if len(arguments) != 1:
+        raise _usage("drain TARGET")
+    api = context.api
+    name = drain_name(arguments[0])
+    answer = api.put("drain", name, {"target": arguments[0]})
+    context.printer.line(_numbers(answer), f"drain/{name} accepted at {answer['revision']}")
+    if context.option("wait"):
+        _wait_done(context, api, "drain", name)
+
+
+def undrain(context: Context, arguments: list[str]) -> None:
+    """End a drain: undrain TARGET [--wait]."""
+    if len(arguments) != 1:
+        raise _usage("undrain TARGET")
+    delete(context, ["drain", drain_name(arguments[0])])
+
+
+def move(context: Context, arguments: list[str]) -> None:
+    """Move a service's callers between regions: move SERVICE SOURCE TARGET [--percent N]."""
+    if len(arguments) != 3:
+        raise _usage("move SERVICE SOURCE TARGET [--percent N] [--step N] [--interval S]")
+    service, source, target = arguments
+    spec = {
+        "service": service,
+        "source": source,
+        "target": target,
+        "goal_percent": context.option("percent"),
+        "step_percent": context.option("step"),
+        "interval_s": context.option("interval"),
+    }
+    api = context.api
+    name = f"{service}.{source}.{target}"
+    answer = api.put("move", name, spec)
+    context.printer.line(_numbers(answer), f"move/{name} accepted at {answer['revision']}")
+    if context.option("wait"):
+        _wait_done(context, api, "move", name)
+
+
+def status(context: Context, arguments: list[str]) -> None:
+    """Show which entries have which revision in force, and the control replicas."""
+    entries = context.api.read("/v1/entries")
+    replicas = context.api.read("/v1/replicas")
+    if context.printer.as_json:
+        context.printer.value({"entries": entries, "replicas": replicas})
+        return
+    print(f"revision {entries['revision']}, in force at {_in_force(entries)}")
+    rows = [
+        [e["instance"], e["state"], str(e["revision"]), str(e["in_flight"]), e["peer"]]
+        for e in entries["entries"]
+    ]
+    context.printer.table(entries, ["ENTRY", "STATE", "REVISION", "IN FLIGHT", "PEER"], rows)
+    print()
+    _print_replicas(context, replicas)
+
+
+def events(context: Context, arguments: list[str]) -> None:
+    """Print the time line of all processes: events [--follow]."""
+    api = context.api
+    after = ""
+    while True:
+        answer = api.read("/v1/events", {"after": after})
+        after = msgspec.json.encode(answer["after"]).decode()
+        for event in answer["events"]:
+            context.printer.line(event, event_line(event))
+        for peer in answer["unreachable"]:
+            print(f"finchway: no events from {peer}", file=sys.stderr)
+        if not answer["events"]:
+            if not context.option("follow"):
+                return
+            time.sleep(1.0)
+
+
+def replica(context: Context, arguments: list[str]) -> None:
+    """Show or change the control replicas: replica list | add NAME | remove NAME | replace NAME."""
+    match arguments:
+        case ["list"]:
+            _print_replicas(context, context.api.read("/v1/replicas"))
+        case ["add" | "remove" as what, name]:
+            _print_replicas(context, context.api.post("/v1/replicas", {what: name}))
+        case ["replace", name]:
+            api = context.api
+            api.post("/v1/replicas", {"remove": name})
+            _retry(lambda: api.post("/v1/replicas", {"add": name}), context.option("timeout"))
+            _print_replicas(context, api.read("/v1/replicas"))
+        case _:
+            raise _usage("replica list | add NAME | remove NAME | replace NAME")
+
+
+def bootstrap(context: Context, arguments: list[str]) -> None:
+    """Start a new cluster in an empty folder: bootstrap NAME PEER_ADDRESS FOLDER [EXPECTED...]."""
+    if len(arguments) < 3:
+        raise _usage("bootstrap NAME PEER_ADDRESS FOLDER [EXPECTED_REPLICA...]")
+    name, address, folder, *expected = arguments
+    problem = check_address(address)
+    if problem:
+        raise InputError([Finding("PEER_ADDRESS", problem)], "arguments")
+    started = start_cluster(Path(folder), name, address, expected, context.option("credential"))
+    text = (
+        f"cluster {started.cluster}\noperator {started.operator}\ncredential {started.credential}"
+    )
+    context.printer.line(started, text)
+
+
+def credential(context: Context, arguments: list[str]) -> None:
+    """Make a credential for an organisation or operator, and the digest to declare."""
+    token = context.option("credential") or secrets.token_urlsafe(24)
+    digest = hashlib.sha256(token.encode()).hexdigest()
+    value = {"credential": token, "digest": digest}
+    context.printer.line(value, f"credential {token}\ndigest {digest}")
+
+
+def keys(context: Context, arguments: list[str]) -> None:
+    """Make the key pair that encrypts links between processes: keys FILE."""
+    if len(arguments) != 1:
+        raise _usage("keys FILE")
+    try:
+        make_keys(Path(arguments[0]))
+    except OSError as error:
+        raise FinchwayError(f"cannot write {arguments[0]}: {error}") from error
+    context.printer.line({"file": arguments[0]}, f"wrote {arguments[0]}")
+
+
+def drain_name(target: str) -> str:
+    """Return the name of the drain resource for a target."""
+    return target.replace("/", ".").replace("[", "").replace("]", "").lower()
+
+
+def _read_documents(path: str) -> list[Any]:
+    try:
+        data = sys.stdin.buffer.read() if path == "-" else Path(path).read_bytes()
+        decoded = msgspec.yaml.decode(data)
+    except OSError as error:
+        raise ResourceError([Finding(path, error.strerror or str(error))], path) from error
+    except msgspec.MsgspecError as error:
+        raise ResourceError([Finding(path, f"is not YAML or JSON: {error}")], path) from error
+    return decoded if isinstance(decoded, list) else [decoded]
+
+
+def _numbers(answer: dict[str, Any]) -> dict[str, int]:
+    return {"generation": answer["generation"], "revision": answer["revision"]}
+
+
+def _wait_in_force(context: Context, api: ApiClient, revision: int) -> None:
+    deadline = time.monotonic() + context.option("timeout")
+    while True:
+        entries = api.read("/v1/entries")
+        if _in_force(entries) >= revision:
+            context.printer.line({"in_force": revision}, f"revision {revision} is in force")
+            return
+        if time.monotonic() > deadline:
+            behind = [e["instance"] for e in entries["entries"] if e["revision"] < revision]
+            raise UnavailableError(f"not in force yet at {', '.join(behind)}")
+        time.sleep(_POLL_S)
+
+
+def _in_force(entries: dict[str, Any]) -> int:
+    serving = [e["revision"] for e in entries["entries"] if e["state"] not in ("silent", "gone")]
+    return min(serving, default=entries["revision"])
+
+
+def _wait_done(context: Context, api: ApiClient, kind: str, name: str) -> None:
+    deadline = time.monotonic() + context.option("timeout")
+    shown = ""
+    while True:
+        resource = api.get(kind, name)
+        text = status_text(resource.get("status"))
+        if text != shown:
+            shown = text
+            context.printer.line(resource.get("status"), f"{kind}/{name} {text}")
+        if (resource.get("status") or {}).get("phase") == "done":
+            return
+        if time.monotonic() > deadline:
+            raise UnavailableError(f"{kind}/{name} is not done: {text}")
+        time.sleep(_POLL_S)
+
+
+def _retry(call, timeout: float) -> None:
+    deadline = time.monotonic() + timeout
+    while True:
+        try:
+            call()
+            return
+        except FinchwayError as error:
+            if isinstance(error, NotFoundError) or time.monotonic() > deadline:
+                raise
+            time.sleep(_POLL_S)
+
+
+def _print_replicas(context: Context, answer: dict[str, Any]) -> None:
+    voters = {_member_id(m) for m in answer["members"]["voters"]}
+    rows = []
+    for item in answer["replicas"]:
+        vote = "voter" if item["id"] in voters else "learner"
+        numbers = [str(item.get(key, "-")) for key in ("term", "commit", "revision")]
+        rows.append([item["id"], vote, item["role"], *numbers])
+    for member in answer["asking"]:
+        rows.append([_member_id(member), "asking", "-", "-", "-", "-"])
+    headings = ["REPLICA", "VOTE", "ROLE", "TERM", "COMMIT", "REVISION"]
+    context.printer.table(answer, headings, rows)
+
+
+def _member_id(member: dict[str, Any]) -> str:
+    return f"{member['name']}@{member['incarnation']}"
+
+
+def _usage(text: str) -> InputError:
+    return InputError([Finding("arguments", f"usage: finchway {text}")], "command line")
+
+
+COMMANDS = {
+    "apply": apply,
+    "get": get,
+    "describe": describe,
+    "delete": delete,
+    "watch": watch,
+    "drain": drain,
+    "undrain": undrain,
+    "move": move,
+    "status": status,
+    "events": events,
+    "replica": replica,
+    "bootstrap": bootstrap,
+    "credential": credential,
+    "keys": keys,
+}
--- /dev/null
+++ b/src/finchway/control/_bootstrap.py
@@ -0,0 +1,64 @@
+"""The start of a new cluster: an operator's explicit act, once."""
+
+from __future__ import annotations
+
+import hashlib
+import secrets
+import uuid
+from pathlib import Path
+
+import msgspec
+from msgspec import Struct
+
+from finchway.exceptions import StorageError
+from finchway.replication import Members, Snapshot, Storage, create_identity, load_identity
+from finchway.resources import Operator, Role
+from finchway.state import PutResource, StateMachine
+
+FIRST_OPERATOR = "admin"
+# A joining replica holds nothing, which is index 0; at index 1 the first state reaches it as a
+# snapshot.
+_FIRST_INDEX = 1
+_FIRST_TERM = 1
+
+
+class Bootstrapped(Struct, frozen=True):
+    """What a new cluster starts with; the credential is shown once and kept as a digest."""
+
+    cluster: str
+    replica: str
+    operator: str
+    credential: str
+
+
+def bootstrap(
+    folder: Path, name: str, address: str, expected: list[str], credential: str = ""
+) -> Bootstrapped:
+    """Create a cluster of one replica in an empty data folder.
+
+    `expected` names the replicas that may join it. Raises `StorageError` if the folder already
+    holds a replica.
+    """
+    if load_identity(folder, name) is not None:
+        raise StorageError(f"{folder} already holds a replica", "a cluster is started only once")
+    identity = create_identity(folder, name, uuid.uuid4().hex[:12])
+    credential = credential or secrets.token_urlsafe(24)
+    machine = StateMachine()
+    digest = hashlib.sha256(credential.encode()).hexdigest()
+    operator = Operator(role=Role.CHANGE, credential=digest)
+    machine.apply(
+        PutResource(
+            now_ms=0,
+            kind="operator",
+            name=FIRST_OPERATOR,
+            spec=msgspec.json.encode(operator),
+            operator="bootstrap",
+        )
+    )
+    others = tuple(other for other in expected if other != name)
+    members = Members((identity.member(address),), (), others)
+    storage = Storage(folder / "log")
+    storage.open()
+    storage.snapshot(Snapshot(_FIRST_INDEX, _FIRST_TERM, members, machine.snapshot()))
+    storage.close()
+    return Bootstrapped(identity.cluster, name, FIRST_OPERATOR, credential)
--- /dev/null
+++ b/src/finchway/control/_server.py
@@ -0,0 +1,305 @@
+"""The control role: it answers peers, and runs the leader's own loops.
+
+Whatever needs the leader raises `NotLeaderError` with the leader's address on another replica;
+`at_leader` follows it, so any replica can serve any request.
+"""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from finchway.control._repair import ReplicaPlan, with_expected, without_name
+from finchway.control._replica import ReplicaRunner
+from finchway.exceptions import ConflictError, FinchwayError, NotLeaderError, UnavailableError
+from finchway.membership import (
+    Coordinator,
+    Heartbeat,
+    HeartbeatReply,
+    LeaseTiming,
+    PlatformList,
+    changes_since,
+)
+from finchway.observe import EventKind, Timeline
+from finchway.policy import LoanTiming
+from finchway.resources import DrainStatus, InstanceState, MoveStatus, Resource
+from finchway.state import AnyCommand, AnyResult
+from finchway.transport import (
+    AnyBody,
+    ChangeReplicas,
+    Changes,
+    Confirm,
+    Confirmed,
+    Entries,
+    EntryInfo,
+    EntryQuery,
+    FetchChanges,
+    HeartbeatBatch,
+    HeartbeatBatchReply,
+    Join,
+    JoinReply,
+    Link,
+    Ok,
+    RaftBody,
+    ReplicaStatus,
+    Submit,
+    Submitted,
+)
+
+_LOG = logging.getLogger(__name__)
+CONFIRM_INTERVAL_S = 0.1
+CONFIRM_GOOD_FOR_S = 0.5
+PLAN_INTERVAL_S = 0.1
+FORWARD_TIMEOUT_S = 3.0
+PLATFORM_INTERVAL_S = 0.5
+
+PlatformSource = Callable[[], Awaitable[PlatformList]]
+
+
+class ControlServer:
+    """The control role of one process."""
+
+    def __init__(
+        self,
+        runner: ReplicaRunner,
+        link: Link,
+        timeline: Timeline,
+        lease: LeaseTiming,
+        loans: LoanTiming,
+        platform: PlatformSource | None,
+    ) -> None:
+        self._runner = runner
+        self._link = link
+        self._timeline = timeline
+        self._lease = lease
+        self._loans = loans
+        self._platform = platform
+        self._coordinator: Coordinator | None = None
+        self._replicas = ReplicaPlan()
+        self._seen_revision = -1
+
+    @property
+    def runner(self) -> ReplicaRunner:
+        """The replica of this process."""
+        return self._runner
+
+    @property
+    def replicas(self) -> ReplicaPlan:
+        """The plan for the replica set."""
+        return self._replicas
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._runner.run)
+            nursery.start_soon(self._confirm_forever)
+            nursery.start_soon(self._plan_forever)
+            nursery.start_soon(self._watch_changes)
+            if self._platform is not None:
+                nursery.start_soon(self._poll_platform, self._platform)
+
+    async def handle(self, body: AnyBody, sender: str) -> AnyBody | None:
+        """Answer one message of a peer."""
+        match body:
+            case RaftBody(message=message, address=address):
+                self._runner.receive(message, address)
+                return None
+            case Heartbeat():
+                return self._on_heartbeat(body)
+            case HeartbeatBatch(heartbeats=heartbeats):
+                replies = [self._on_heartbeat(h, with_changes=False) for h in heartbeats]
+                return HeartbeatBatchReply(replies=replies)
+            case Submit(command=command):
+                return Submitted(result=await self._runner.submit(command))
+            case Confirm():
+                index = await self._runner.confirm()
+                return Confirmed(revision=self._runner.machine.revision, index=index)
+            case FetchChanges(since=since):
+                changes, snapshot = changes_since(self._runner.machine, since)
+                revision = self._runner.machine.revision
+                return Changes(revision=revision, changes=changes, snapshot=snapshot)
+            case Join(member=member):
+                if member.incarnation:
+                    self._replicas.record_join(member)
+                return JoinReply(cluster=self._runner.cluster)
+            case ChangeReplicas(add=add, remove=remove):
+                return self._change_replicas(add, remove)
+            case ReplicaStatus():
+                return self._runner.status()
+            case EntryQuery():
+                return self._entries()
+        raise FinchwayError(f"a control process does not take {type(body).__name__}")
+
+    # For the API, on any replica
+
+    async def submit(self, command: AnyCommand) -> AnyResult:
+        """Have a command committed, by whichever replica leads."""
+        reply = await self.at_leader(Submit(command=command))
+        return reply.result
+
+    async def confirm(self) -> int:
+        """Bring this replica's state up to every change accepted before the call."""
+        confirmed = await self.at_leader(Confirm())
+        with trio.fail_after(FORWARD_TIMEOUT_S):
+            await self._runner.wait_applied(confirmed.index)
+        return self._runner.machine.revision
+
+    async def at_leader(self, body: AnyBody) -> AnyBody:
+        """Have a message answered by the leader, here or elsewhere.
+
+        Raises `UnavailableError` if no leader answers within a few seconds.
+        """
+        deadline = trio.current_time() + FORWARD_TIMEOUT_S
+        while True:
+            left = deadline - trio.current_time()
+            if left <= 0:
+                raise UnavailableError("no leader could be reached in time")
+            address = None
+            try:
+                if self._runner.is_leader:
+                    return await self.handle(body, "")
+                address = self._runner.leader_address()
+                if address is not None:
+                    return await self._link.request(address, body, timeout=left)
+            except NotLeaderError:
+                pass
+            await trio.sleep(0.05)
+
+    def _on_heartbeat(self, heartbeat: Heartbeat, with_changes: bool = True) -> HeartbeatReply:
+        coordinator = self._leading()
+        return coordinator.answer(heartbeat, trio.current_time(), with_changes)
+
+    def _leading(self) -> Coordinator:
+        """Return the coordinator, if a quorum confirmed this leader a moment ago."""
+        now = trio.current_time()
+        if not self._runner.is_leader or self._coordinator is None:
+            raise NotLeaderError(self._runner.leader_address())
+        if now - self._runner.confirmed_at > CONFIRM_GOOD_FOR_S:
+            raise UnavailableError("the leader is not confirmed by a quorum at the moment")
+        return self._coordinator
+
+    def _change_replicas(self, add: str, remove: str) -> Ok:
+        if not self._runner.is_leader:
+            raise NotLeaderError(self._runner.leader_address())
+        members = self._runner.core.members
+        names = {m.name for m in members.voters}
+        if remove and remove not in names | set(members.expected):
+            raise ConflictError(f"no replica is named {remove!r}; there are {sorted(names)}")
+        if remove and names == {remove}:
+            raise ConflictError("the last replica cannot be removed")
+        changed = without_name(members, remove) if remove else with_expected(members, add)
+        if changed != members:
+            self._runner.change_members(changed)
+        return Ok()
+
+    def _entries(self) -> Entries:
+        coordinator = self._leading()
+        now = trio.current_time()
+        infos = []
+        for instance in self._runner.machine.store.of_kind("instance"):
+            known = coordinator.registry.get(instance.name)
+            state = instance.spec.state
+            if coordinator.registry.is_silent(instance.name, now):
+                state = InstanceState.SILENT
+            heartbeat = known.heartbeat if known else None
+            infos.append(
+                EntryInfo(
+                    instance.name,
+                    state.value,
+                    heartbeat.revision if heartbeat else 0,
+                    instance.spec.peer,
+                    heartbeat.in_flight if heartbeat else 0,
+                )
+            )
+        return Entries(revision=self._runner.machine.revision, entries=infos)
+
+    # The leader's loops
+
+    async def _confirm_forever(self) -> None:
+        while True:
+            if self._runner.is_leader:
+                try:
+                    await self._runner.confirm(timeout=CONFIRM_GOOD_FOR_S)
+                except UnavailableError:
+                    _LOG.debug("leadership is not confirmed")
+            await trio.sleep(CONFIRM_INTERVAL_S)
+
+    async def _plan_forever(self) -> None:
+        while True:
+            await trio.sleep(PLAN_INTERVAL_S)
+            if not self._runner.is_leader:
+                self._coordinator = None
+                continue
+            try:
+                await self._plan_once()
+            except UnavailableError as error:
+                _LOG.info("planning waits: %s", error)
+
+    async def _plan_once(self) -> None:
+        if self._coordinator is None:
+            await self._runner.confirm()
+            self._coordinator = Coordinator(
+                self._runner.machine, trio.current_time(), self._lease, self._loans
+            )
+        self._leading()
+        members = self._replicas.next_members(self._runner.core)
+        if members is not None:
+            try:
+                self._runner.change_members(members)
+            except ConflictError as error:
+                _LOG.debug("replica change waits: %s", error)
+        for command in self._coordinator.plan(trio.current_time(), int(time.time() * 1000)):
+            await self._runner.submit(command)
+
+    async def _poll_platform(self, source: PlatformSource) -> None:
+        while True:
+            if self._coordinator is not None:
+                try:
+                    listing = await source()
+                    if self._coordinator is not None:
+                        self._coordinator.platform.record(listing)
+                except FinchwayError as error:
+                    _LOG.info("the platform's list is not to be had: %s", error)
+            await trio.sleep(PLATFORM_INTERVAL_S)
+
+    # The time line
+
+    async def _watch_changes(self) -> None:
+        """Record what is accepted; only the leader does, so that each change shows once."""
+        while True:
+            await self._runner.wait_revision(max(self._seen_revision, 0))
+            since = self._seen_revision
+            self._seen_revision = self._runner.machine.revision
+            if not self._runner.is_leader or since < 0:
+                continue
+            changes, _ = changes_since(self._runner.machine, since)
+            for change in changes:
+                self._record(change.resource(), change.operation.value, change.revision)
+
+    def _record(self, resource: Resource, operation: str, revision: int) -> None:
+        subject = f"{resource.kind}/{resource.name}"
+        match resource.status:
+            case DrainStatus(phase=phase, reason=reason):
+                self._timeline.record(
+                    EventKind.DRAIN_CHANGED, subject, f"{phase.value} {reason}".strip()
+                )
+                return
+            case MoveStatus(phase=phase, percent=percent, reason=reason):
+                detail = f"{phase.value} at {percent:g}% {reason}".strip()
+                self._timeline.record(EventKind.MOVE_CHANGED, subject, detail)
+                return
+        match resource.kind:
+            case "instance":
+                self._timeline.record(
+                    EventKind.INSTANCE_CHANGED, subject, f"{operation} {resource.spec.state.value}"
+                )
+            case "share":
+                state = "settled" if resource.spec.previous is None else "shrinking"
+                detail = f"epoch {resource.spec.epoch} {state}"
+                self._timeline.record(EventKind.SHARE_CHANGED, subject, detail)
+            case _:
+                detail = f"{operation} generation {resource.generation} revision {revision}"
+                self._timeline.record(EventKind.RESOURCE_ACCEPTED, subject, detail)
--- /dev/null
+++ b/src/finchway/daemon.py
@@ -0,0 +1,358 @@
+"""`finchwayd`: the composition root that wires the parts of one process and runs them."""
+
+from __future__ import annotations
+
+import logging
+import os
+import random
+import signal
+import sys
+import time
+import uuid
+from collections.abc import Awaitable, Callable
+
+import trio
+from absl import flags
+from hypercorn.config import Config
+from hypercorn.trio import serve
+
+from finchway._settings import CONTROL, ENTRY, Settings, define_flags, read_settings
+from finchway.control import ControlServer, ReplicaRunner, ResourceApi
+from finchway.entry import (
+    ClaimDesk,
+    ControlSession,
+    Dispatcher,
+    EntryApp,
+    EntryIdentity,
+    EntryState,
+    EntryView,
+    Prober,
+    UpstreamClient,
+    platform_source,
+)
+from finchway.exceptions import FinchwayError, StorageDamagedError
+from finchway.membership import Heartbeat, LeaseTiming
+from finchway.observe import EventKind, LogicalClock, Metrics, Timeline, configure_logs
+from finchway.policy import LoanTiming
+from finchway.replication import (
+    Identity,
+    Member,
+    Storage,
+    Timing,
+    create_identity,
+    load_identity,
+    quarantine,
+    require_identity,
+)
+from finchway.transport import (
+    AnyBody,
+    Events,
+    FetchChanges,
+    FetchEvents,
+    Join,
+    Link,
+    load_keys,
+)
+
+_LOG = logging.getLogger(__name__)
+STEER_LAG_S = 1.0
+
+
+class Process:
+    """One `finchwayd` process: its link, its roles, its planned stop."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        self._clock = LogicalClock()
+        self._timeline = Timeline(settings.instance, self._clock, lambda: int(time.time() * 1000))
+        self._metrics = Metrics(settings.instance)
+        keys = load_keys(settings.keys_file) if settings.keys_file else None
+        self._link = Link(settings.instance, settings.peer_address, self._handle, self._clock, keys)
+        self._rng = random.Random()
+        self._control: ControlServer | None = None
+        self._entry: EntryRole | None = None
+        self._stop = trio.Event()
+        self._closed = trio.Event()
+
+    async def run(self) -> None:
+        """Run until a signal asks for a planned stop, and carry that out."""
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self._link.run)
+            nursery.start_soon(self._watch_signals)
+            if CONTROL in self._settings.roles:
+                await self._start_control(nursery)
+            if ENTRY in self._settings.roles:
+                await self._start_entry(nursery)
+            self._timeline.record(
+                EventKind.STARTED, self._settings.instance, ",".join(self._settings.roles)
+            )
+            await self._stop.wait()
+            await self._leave()
+            nursery.cancel_scope.cancel()
+
+    async def _leave(self) -> None:
+        self._timeline.record(EventKind.STOPPING, self._settings.instance)
+        if self._entry is not None:
+            await self._entry.leave(self._settings.drain_limit_s)
+        if self._control is not None:
+            target = self._control.runner.transfer()
+            if target is not None:
+                with trio.move_on_after(2 * self._settings.election_s):
+                    while self._control.runner.is_leader:
+                        await trio.sleep(0.02)
+        self._closed.set()
+        self._timeline.record(EventKind.STOPPED, self._settings.instance)
+        await trio.sleep(0.05)
+
+    async def _watch_signals(self) -> None:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                self._stop.set()
+
+    async def _handle(self, body: AnyBody, sender: str) -> AnyBody | None:
+        if isinstance(body, FetchEvents):
+            events = self._timeline.since(body.since, body.limit)
+            following = events[-1].sequence if events else min(body.since, self._timeline.last)
+            return Events(instance=self._settings.instance, events=events, next=following)
+        to_entry = isinstance(body, FetchChanges | Heartbeat) and self._control is None
+        if self._entry is not None and to_entry:
+            return await self._entry.session.handle(body, sender)
+        if self._control is not None:
+            return await self._control.handle(body, sender)
+        raise FinchwayError(f"{self._settings.instance} cannot answer {type(body).__name__}")
+
+    async def _start_control(self, nursery: trio.Nursery) -> None:
+        settings = self._settings
+        runner = await self._open_replica()
+        platform = settings.platform_address
+        self._control = ControlServer(
+            runner,
+            self._link,
+            self._timeline,
+            self._lease(),
+            LoanTiming(ttl=settings.loan_s, margin=settings.clock_margin_s),
+            platform_source(platform) if platform else None,
+        )
+        api = ResourceApi(
+            self._control, self._link, self._timeline, self._metrics, settings.peer_address
+        )
+        nursery.start_soon(self._control.run)
+        await self._listen(nursery, settings.api_address, api)
+
+    async def _open_replica(self) -> ReplicaRunner:
+        """Open the data folder; without sound data the replica joins the others under a new life.
+
+        Raises `NotBootstrappedError` if the folder is empty and no other replica is set.
+        """
+        settings = self._settings
+        folder = settings.data_folder
+        others = [p for p in settings.control_peers if p != settings.peer_address]
+        try:
+            identity = load_identity(folder, settings.instance)
+            if identity is not None:
+                return self._make_runner(identity)
+        except StorageDamagedError as error:
+            if not others:
+                raise
+            aside = quarantine(folder)
+            _LOG.error("%s; it is kept as %s, and this replica joins anew", error, aside)
+        if not others:
+            require_identity(folder, settings.instance)
+        cluster = await self._find_cluster(others)
+        return self._make_runner(create_identity(folder, settings.instance, cluster))
+
+    def _make_runner(self, identity: Identity) -> ReplicaRunner:
+        settings = self._settings
+        return ReplicaRunner(
+            identity,
+            settings.peer_address,
+            Storage(settings.data_folder / "log"),
+            self._link,
+            self._timeline,
+            Timing(heartbeat=settings.election_s / 10, election=settings.election_s),
+            list(settings.control_peers),
+            self._rng,
+        )
+
+    async def _find_cluster(self, others: list[str]) -> str:
+        member = Member(self._settings.instance, "", self._settings.peer_address)
+        while True:
+            for peer in others:
+                try:
+                    reply = await self._link.request(peer, Join(member=member), timeout=1.0)
+                    return reply.cluster
+                except FinchwayError as error:
+                    _LOG.info("waiting for a replica to join: %s", error)
+            await trio.sleep(0.2)
+
+    async def _start_entry(self, nursery: trio.Nursery) -> None:
+        self._entry = EntryRole(
+            self._settings, self._link, self._timeline, self._metrics, self._rng, self._lease()
+        )
+        nursery.start_soon(self._entry.run)
+        await self._entry.started.wait()
+        await self._listen(nursery, self._settings.entry_address, self._entry.app)
+
+    async def _listen(self, nursery: trio.Nursery, address: str, app) -> None:
+        await nursery.start(_serve_http, address, app, self._settings, self._closed.wait)
+
+    def _lease(self) -> LeaseTiming:
+        settings = self._settings
+        return LeaseTiming(
+            interval=settings.heartbeat_s, lease=settings.lease_s, margin=settings.clock_margin_s
+        )
+
+
+class EntryRole:
+    """The entry role of one process."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        link: Link,
+        timeline: Timeline,
+        metrics: Metrics,
+        rng: random.Random,
+        lease: LeaseTiming,
+    ) -> None:
+        self._settings = settings
+        self._timeline = timeline
+        self._metrics = metrics
+        self._view = EntryView(settings.instance, settings.zone, rng)
+        self._client = UpstreamClient()
+        identity = EntryIdentity(
+            settings.instance,
+            uuid.uuid4().hex[:12],
+            settings.entry_address,
+            settings.peer_address,
+            settings.zone,
+        )
+        self._identity = identity
+        self.session = ControlSession(
+            identity,
+            self._view,
+            link,
+            list(settings.control_peers) or [settings.peer_address],
+            lease,
+            timeline,
+            rng,
+            settings.isolated_after_s,
+            lambda: self._view.gate.in_flight,
+        )
+        self.started = trio.Event()
+        self.app: EntryApp | None = None
+        self._dispatcher: Dispatcher | None = None
+        self._desk: ClaimDesk | None = None
+
+    async def run(self) -> None:
+        """Run the entry's loops until cancelled."""
+        settings = self._settings
+        platform = settings.platform_address
+        source = platform_source(platform) if platform else None
+        async with trio.open_nursery() as nursery:
+            self._desk = ClaimDesk(self._identity.holder, self.session.submit, nursery)
+            self._dispatcher = Dispatcher(
+                self._view,
+                self._client,
+                self._desk,
+                self._timeline,
+                self._metrics,
+                lambda: not self.session.is_isolated,
+            )
+            state = EntryState(
+                lambda: self.session.is_confirmed,
+                lambda: self.session.is_leaving or self._view.is_drained,
+                self._set_metrics,
+            )
+            self.app = EntryApp(self._view, self._dispatcher, self._metrics, state)
+            prober = Prober(self._view, self._client, self._timeline, source)
+            nursery.start_soon(self.session.run)
+            nursery.start_soon(self._dispatcher.run)
+            nursery.start_soon(prober.run)
+            self.started.set()
+
+    async def leave(self, limit_s: float) -> None:
+        """Withdraw from steering answers, wait out cached ones, and finish what is in flight."""
+        self.session.start_leaving()
+        with trio.move_on_after(limit_s):
+            await self.session.beat()
+            longest = max(
+                (s.spec.steer_ttl_ms / 1000 for s in self._view.store.of_kind("service")),
+                default=0.0,
+            )
+            await trio.sleep(longest + STEER_LAG_S)
+            while self.app.concurrent or self._desk.unsettled:
+                await trio.sleep(0.05)
+        with trio.move_on_after(1.0):
+            await self.session.beat(stopped=True)
+
+    def _set_metrics(self) -> None:
+        self._metrics.set_state("revision", self._view.revision)
+        self._metrics.set_state("in_flight", self._view.gate.in_flight)
+        self._metrics.set_state("has_lease", float(self.session.has_lease))
+        self._metrics.set_state("unsettled_claims", self._desk.unsettled)
+
+
+async def _serve_http(
+    address: str,
+    app,
+    settings: Settings,
+    shutdown: Callable[[], Awaitable[None]],
+    *,
+    task_status=trio.TASK_STATUS_IGNORED,
+) -> None:
+    config = Config()
+    config.bind = [address]
+    config.errorlog = logging.getLogger("hypercorn.error")
+    config.accesslog = None
+    config.keep_alive_timeout = 30
+    config.graceful_timeout = settings.drain_limit_s
+    config.h11_max_incomplete_size = 32 * 1024
+    config.include_server_header = False
+    if settings.tls_certificate and settings.tls_key:
+        config.certfile = str(settings.tls_certificate)
+        config.keyfile = str(settings.tls_key)
+    await serve(app, config, shutdown_trigger=shutdown, task_status=task_status, mode="asgi")
+
+
+def main(arguments: list[str] | None = None) -> None:
+    """Run `finchwayd`; exits with 2 if the settings are wrong."""
+    values = flags.FlagValues()
+    define_flags(values)
+    argv = ["finchwayd", *(sys.argv[1:] if arguments is None else arguments)]
+    if {"--help", "-h", "--helpfull"} & set(argv):
+        print("finchwayd: an entry or control process of finchway\n")
+        print(values.main_module_help() or values.get_help())
+        return
+    try:
+        left = values(argv)[1:]
+        if left:
+            raise flags.Error(f"unexpected argument {left[0]!r}")
+        settings = read_settings(values, os.environ)
+        configure_logs(settings.instance, settings.log_level, settings.log_json)
+        trio.run(_run, settings)
+    except flags.Error as error:
+        print(f"finchwayd: {error}", file=sys.stderr)
+        sys.exit(2)
+    except FinchwayError as error:
+        print(f"finchwayd: {error}", file=sys.stderr)
+        if error.hint:
+            print(f"hint: {error.hint}", file=sys.stderr)
+        sys.exit(error.exit_code)
+
+
+async def _run(settings: Settings) -> None:
+    try:
+        await Process(settings).run()
+    except* FinchwayError as group:
+        raise _first(group) from None
+
+
+def _first(group: BaseException) -> BaseException:
+    while isinstance(group, BaseExceptionGroup):
+        group = group.exceptions[0]
+    return group
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/finchway/entry/__init__.py
@@ -0,0 +1,29 @@
+"""The entry role: steering answers, and requests carried to upstreams."""
+
+from finchway.entry._app import EntryApp, EntryState
+from finchway.entry._call import Answer, Body, Call, CallError, Facts, UpstreamError
+from finchway.entry._claims import ClaimDesk
+from finchway.entry._dispatch import Dispatcher
+from finchway.entry._probe import Prober, platform_source
+from finchway.entry._session import ControlSession, EntryIdentity
+from finchway.entry._upstream import UpstreamClient
+from finchway.entry._view import EntryView
+
+__all__ = [
+    "Answer",
+    "Body",
+    "Call",
+    "CallError",
+    "ClaimDesk",
+    "ControlSession",
+    "Dispatcher",
+    "EntryApp",
+    "EntryIdentity",
+    "EntryState",
+    "EntryView",
+    "Facts",
+    "Prober",
+    "UpstreamClient",
+    "UpstreamError",
+    "platform_source",
+]
--- /dev/null
+++ b/src/finchway/entry/_app.py
@@ -0,0 +1,394 @@
+"""What callers see: steering answers, and the requests themselves, as an ASGI application.
+
+GET /steer/{service}     which entries to use, for how long, at which revision
+ANY /s/{service}/...     a request to the service; the path after the service goes upstream
+GET /healthz /readyz /metrics
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+import trio
+from msgspec import Struct
+
+from finchway.entry._call import Answer, Call, CallError, UpstreamError
+from finchway.entry._dispatch import HOLD_BYTES, Dispatcher
+from finchway.entry._view import EntryView
+from finchway.observe import Metrics
+from finchway.policy import Caller, Outcome, client_block
+from finchway.transport._http import (
+    TEXT,
+    BodyTooLargeError,
+    Problem,
+    Request,
+    run_lifespan,
+    send,
+    send_json,
+    send_problem,
+    send_start,
+)
+
+STEER_LIMIT = 4
+MAX_KEY_LENGTH = 200
+MAX_CONCURRENT = 4_000
+
+
+class SteerPoint(Struct, frozen=True):
+    """One entry of a steering answer."""
+
+    instance: str
+    address: str
+    zone: str
+    region: str
+
+
+class SteerAnswer(Struct, frozen=True):
+    """A steering answer; a caller may keep it for `ttl_ms`."""
+
+    service: str
+    entries: list[SteerPoint]
+    ttl_ms: int
+    revision: int
+
+
+class EntryState(Struct):
+    """What the rest of the process tells the application about itself."""
+
+    is_ready: Callable[[], bool]
+    is_leaving: Callable[[], bool]
+    before_metrics: Callable[[], None]
+
+
+class CallerBody:
+    """A caller's body, held in memory up to a bound and streamed beyond it."""
+
+    __slots__ = ("_held", "_limit", "_more", "_receive", "_size", "_streamed")
+
+    def __init__(self, receive, limit: int) -> None:
+        self._receive = receive
+        self._limit = limit
+        self._held = b""
+        self._size = 0
+        self._more = True
+        self._streamed = False
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether the whole body is held in memory."""
+        return not self._more
+
+    @property
+    def held(self) -> bytes:
+        """What is held in memory."""
+        return self._held
+
+    async def fill(self) -> None:
+        """Read the body up to the bound."""
+        chunks = []
+        while self._more and self._size <= HOLD_BYTES:
+            chunks.append(await self._next())
+        self._held = b"".join(chunks)
+
+    async def stream(self) -> AsyncIterator[bytes]:
+        """Yield what is held, then the rest as it comes."""
+        if self._streamed:
+            raise UpstreamError(Outcome.UNKNOWN, "the body cannot be sent a second time")
+        self._streamed = True
+        yield self._held
+        while self._more:
+            yield await self._next()
+
+    async def wait_disconnect(self) -> None:
+        """Return when the caller has gone; only once the body has been read."""
+        while True:
+            event = await self._receive()
+            if event["type"] == "http.disconnect":
+                return
+
+    async def _next(self) -> bytes:
+        event = await self._receive()
+        if event["type"] == "http.disconnect":
+            raise CallerGoneError
+        chunk = event.get("body", b"")
+        self._size += len(chunk)
+        if self._size > self._limit:
+            raise BodyTooLargeError
+        self._more = event.get("more_body", False)
+        return chunk
+
+
+class CallerGoneError(Exception):
+    """The caller closed its connection before its request was whole."""
+
+
+class EntryApp:
+    """The caller-facing application of one entry."""
+
+    def __init__(
+        self, view: EntryView, dispatcher: Dispatcher, metrics: Metrics, state: EntryState
+    ) -> None:
+        self._view = view
+        self._dispatcher = dispatcher
+        self._metrics = metrics
+        self._state = state
+        self._concurrent = 0
+
+    @property
+    def concurrent(self) -> int:
+        """How many requests of callers are being served."""
+        return self._concurrent
+
+    async def __call__(self, scope: dict[str, Any], receive, respond) -> None:
+        """Serve one request."""
+        if scope["type"] == "lifespan":
+            await run_lifespan(receive, respond)
+        if scope["type"] != "http":
+            return
+        request = Request(scope, receive)
+        parts = request.path.split("/", 3)
+        if request.path == "/healthz":
+            await send_json(respond, {"ok": True})
+        elif request.path == "/readyz":
+            await self._ready(respond)
+        elif request.path == "/metrics":
+            self._state.before_metrics()
+            await send(respond, 200, self._metrics.render(), TEXT)
+        elif len(parts) >= 3 and parts[1] == "steer" and request.method == "GET":
+            await self._steer(request, parts[2], respond)
+        elif len(parts) >= 3 and parts[1] == "s":
+            await self._serve(request, parts[2], receive, respond)
+        else:
+            detail = "use /steer/{service} or /s/{service}/..."
+            problem = Problem("not-found", "no such path", 404, detail, outcome="not-run")
+            await send_problem(respond, problem)
+
+    async def _ready(self, respond) -> None:
+        ready = self._state.is_ready() and not self._state.is_leaving()
+        body = {
+            "ready": ready,
+            "leaving": self._state.is_leaving(),
+            "revision": self._view.revision,
+        }
+        await send_json(respond, body, 200 if ready else 503)
+
+    async def _steer(self, request: Request, service: str, respond) -> None:
+        spec = self._view.service(service)
+        if spec is None or not self._state.is_ready():
+            await self._no_service(service, respond)
+            return
+        client = request.query.get("client") or _client_of(request.scope)
+        home = self._view.routes.home_region(client, self._view.region)
+        organisation = self._organisation(request) or ""
+        caller = Caller(client_block(client), organisation)
+        points = self._view.routes.steer(service, home, caller, STEER_LIMIT)
+        answer = SteerAnswer(
+            service,
+            [SteerPoint(p.instance, p.address, p.zone, p.region) for p in points],
+            spec.steer_ttl_ms,
+            self._view.revision,
+        )
+        self._metrics.count_steer(service)
+        max_age = f"max-age={max(1, spec.steer_ttl_ms // 1000)}".encode()
+        await send_json(respond, answer, 200, [(b"cache-control", max_age)])
+
+    async def _no_service(self, service: str, respond) -> None:
+        if self._state.is_ready():
+            problem = Problem(
+                "not-found", "no such service", 404, f"no service {service!r}", outcome="not-run"
+            )
+        else:
+            problem = Problem(
+                "not-ready",
+                "this entry has no confirmed configuration yet",
+                503,
+                outcome="not-run",
+                retry_after_s=1.0,
+            )
+        await send_problem(respond, problem)
+
+    async def _serve(self, request: Request, service: str, receive, respond) -> None:
+        started = trio.current_time()
+        exchange = _Exchange(respond, self._view.revision)
+        priority, outcome = "none", "not-run"
+        self._concurrent += 1
+        try:
+            call = self._call(request, service, started)
+            priority = call.priority
+            await self._run(call, receive, exchange)
+            outcome = "ran"
+        except CallError as error:
+            outcome = error.outcome.value
+            await exchange.fail(error)
+        except BodyTooLargeError:
+            error = CallError("too-large", 413, Outcome.NOT_RUN, "the body is too large")
+            if exchange.dispatched:
+                error.outcome = Outcome.UNKNOWN
+            outcome = error.outcome.value
+            await exchange.fail(error)
+        except CallerGoneError:
+            outcome = "cancelled"
+        finally:
+            self._concurrent -= 1
+            taken = trio.current_time() - started
+            self._metrics.count_request(service, priority, outcome, taken)
+
+    def _call(self, request: Request, service: str, now: float) -> Call:
+        if not self._state.is_ready():
+            detail = "this entry has no confirmed configuration yet"
+            raise CallError("not-ready", 503, Outcome.NOT_RUN, detail, 1.0)
+        if self._concurrent > MAX_CONCURRENT:
+            raise CallError("busy", 503, Outcome.NOT_RUN, "too many requests at once", 1.0)
+        spec = self._view.service(service)
+        if spec is None:
+            raise CallError("not-found", 404, Outcome.NOT_RUN, f"no service {service!r}")
+        organisation = self._organisation(request)
+        if organisation is None:
+            detail = "send an organisation's credential as a bearer token"
+            raise CallError("denied", 401, Outcome.NOT_RUN, detail)
+        contract = self._view.contract(organisation, service)
+        if contract is None:
+            detail = f"{organisation} has no contract for {service}"
+            raise CallError("denied", 403, Outcome.NOT_RUN, detail)
+        key = request.headers.get("idempotency-key", "")
+        if spec.once_only and not 0 < len(key) <= MAX_KEY_LENGTH:
+            detail = f"{service} needs an Idempotency-Key of 1 to {MAX_KEY_LENGTH} characters"
+            raise CallError("key-missing", 400, Outcome.NOT_RUN, detail)
+        declared = request.headers.get("content-length", "0")
+        if declared.isdigit() and int(declared) > spec.max_request_bytes:
+            detail = f"{service} takes at most {spec.max_request_bytes} bytes"
+            raise CallError("too-large", 413, Outcome.NOT_RUN, detail)
+        client = request.headers.get("finchway-client") or _client_of(request.scope)
+        return Call(
+            service=service,
+            organisation=organisation,
+            priority=contract.priority,
+            rank=self._view.rank_of(organisation, service, contract, now),
+            method=request.method,
+            target=_target(request.scope, service),
+            headers=[tuple(pair) for pair in request.scope["headers"]],
+            client=client,
+            home=self._view.routes.home_region(client, self._view.region),
+            arrived=now,
+            deadline=now + _deadline_s(request, spec.deadline_ms),
+            key=key if spec.once_only else "",
+        )
+
+    def _organisation(self, request: Request) -> str | None:
+        digest = hashlib.sha256(request.bearer.encode()).hexdigest()
+        return self._view.organisation_of(digest)
+
+    async def _run(self, call: Call, receive, exchange: _Exchange) -> None:
+        spec = self._view.service(call.service)
+        body = CallerBody(receive, spec.max_request_bytes)
+        with trio.move_on_at(call.deadline) as scope:
+            await body.fill()
+        if scope.cancelled_caught:
+            raise CallError("deadline", 408, Outcome.NOT_RUN, "the request came too slowly")
+        exchange.dispatched = True
+        if spec.once_only:
+            # A caller that goes away must not leave its key in doubt: the request is finished.
+            await self._dispatch(call, body, exchange)
+            return
+        await self._dispatch_while_connected(call, body, exchange)
+
+    async def _dispatch_while_connected(
+        self, call: Call, body: CallerBody, exchange: _Exchange
+    ) -> None:
+        """Cancel the request at its upstream when the caller goes away."""
+        failure: Exception | None = None
+        finished = False
+        async with trio.open_nursery() as nursery:
+            if body.is_whole:
+                nursery.start_soon(_cancel_on_disconnect, body, nursery.cancel_scope)
+            try:
+                await self._dispatch(call, body, exchange)
+            except (CallError, BodyTooLargeError, CallerGoneError) as error:
+                failure = error
+            finished = True
+            nursery.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+        if not finished:
+            raise CallerGoneError
+
+    async def _dispatch(self, call: Call, body: CallerBody, exchange: _Exchange) -> None:
+        try:
+            await self._dispatcher.serve(call, body, exchange.answer)
+        except UpstreamError as error:
+            raise CallError("broken", 502, error.outcome, error.detail) from error
+
+
+class _Exchange:
+    """The answer to one caller: started at most once, and whole or visibly broken."""
+
+    def __init__(self, respond, revision: int) -> None:
+        self._respond = respond
+        self._revision = revision
+        self._started = False
+        self.dispatched = False
+
+    async def answer(self, answer: Answer) -> None:
+        """Send an upstream's answer; what is not held yet is streamed as it comes."""
+        self._started = True
+        own = [
+            (b"finchway-upstream", answer.upstream.encode()),
+            (b"finchway-region", answer.region.encode()),
+            (b"finchway-revision", str(self._revision).encode()),
+        ]
+        names = {name.lower() for name, _ in answer.headers}
+        if b"finchway-outcome" not in names:
+            own.append((b"finchway-outcome", b"ran"))
+        if answer.rest is None and b"content-length" not in names:
+            own.append((b"content-length", str(len(answer.held)).encode()))
+        await send_start(self._respond, answer.status, [*answer.headers, *own])
+        more = answer.rest is not None
+        await self._send_body(answer.held, more)
+        if answer.rest is not None:
+            async for chunk in answer.rest:
+                await self._send_body(chunk, True)
+            await self._send_body(b"", False)
+
+    async def fail(self, error: CallError) -> None:
+        """Send an error, or break off visibly if a part of an answer is out already."""
+        if self._started:
+            raise ConnectionAbortedError(error.detail)
+        problem = Problem(
+            error.kind,
+            error.kind.replace("-", " "),
+            error.status,
+            error.detail,
+            outcome=error.outcome.value,
+            retry_after_s=error.retry_after_s,
+        )
+        headers = [(b"finchway-outcome", error.outcome.value.encode())]
+        headers.append((b"finchway-revision", str(self._revision).encode()))
+        await send_problem(self._respond, problem, headers)
+
+    async def _send_body(self, body: bytes, more: bool) -> None:
+        await self._respond({"type": "http.response.body", "body": body, "more_body": more})
+
+
+async def _cancel_on_disconnect(body: CallerBody, scope: trio.CancelScope) -> None:
+    await body.wait_disconnect()
+    scope.cancel()
+
+
+def _client_of(scope: dict[str, Any]) -> str:
+    client = scope.get("client")
+    return client[0] if client else ""
+
+
+def _target(scope: dict[str, Any], service: str) -> str:
+    raw = scope.get("raw_path", scope["path"].encode()).decode("latin-1")
+    rest = raw.partition(f"/s/{service}")[2] or "/"
+    query = scope["query_string"].decode("latin-1")
+    return f"{rest}?{query}" if query else rest
+
+
+def _deadline_s(request: Request, longest_ms: int) -> float:
+    asked = request.headers.get("finchway-timeout-ms", "")
+    wanted = int(asked) if asked.isdigit() and int(asked) > 0 else longest_ms
+    return min(wanted, longest_ms) / 1000
--- /dev/null
+++ b/src/finchway/entry/_claims.py
@@ -0,0 +1,181 @@
+"""Claims on idempotency keys as an entry makes them: claim, dispatch, settle.
+
+Nothing is dispatched before the claim is granted. Whatever happens after that, the claim is
+settled in the background until the leader has it; `not-run` is said only after the release is
+committed.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import logging
+import time
+import uuid
+from collections.abc import Awaitable, Callable
+
+import msgspec
+import trio
+from msgspec import Struct
+
+from finchway.entry._call import Answer, Call, CallError
+from finchway.exceptions import FinchwayError
+from finchway.policy import Outcome
+from finchway.state import AnyCommand, AnyResult, Claimed, ClaimKey, ClaimState, SettleClaim
+
+_LOG = logging.getLogger(__name__)
+MAX_STORED_BYTES = 65_536
+_SETTLE_RETRY_S = 0.5
+_CLAIM_TRY_S = 1.0
+
+Submit = Callable[[AnyCommand, float], Awaitable[AnyResult]]
+
+
+class StoredAnswer(Struct, frozen=True):
+    """An answer as it is kept with its claim; `complete` is false if it was too large."""
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    upstream: str
+    region: str
+    complete: bool = True
+
+
+class ClaimDesk:
+    """Claims keys for one life of an entry."""
+
+    def __init__(self, holder: str, submit: Submit, nursery: trio.Nursery) -> None:
+        self._holder = holder
+        self._submit = submit
+        self._nursery = nursery
+        self._unsettled = 0
+
+    @property
+    def unsettled(self) -> int:
+        """How many claims the leader does not yet know the end of."""
+        return self._unsettled
+
+    async def claim(self, call: Call, body: bytes, retain_s: float) -> str | Answer:
+        """Return the attempt that may dispatch, or the answer of the one that ran.
+
+        Raises `CallError` when the key is in use, unknown, too old, or was used otherwise, and
+        when no quorum grants it in time: then nothing was or will be dispatched.
+        """
+        attempt = uuid.uuid4().hex
+        command = ClaimKey(
+            now_ms=_now_ms(),
+            service=call.service,
+            organisation=call.organisation,
+            key=call.key,
+            digest=_digest(call, body),
+            attempt=attempt,
+            holder=self._holder,
+            retain_s=retain_s,
+        )
+        result = None
+        while result is None and trio.current_time() < call.deadline:
+            try:
+                left = min(_CLAIM_TRY_S, call.deadline - trio.current_time())
+                result = await self._submit(command, left)
+            except FinchwayError as error:
+                _LOG.debug("claim not granted yet: %s", error)
+                await trio.sleep(0.02)
+        if result is None:
+            self._nursery.start_soon(self._settle, call, attempt, ClaimState.RELEASED, b"")
+            raise CallError(
+                "claim-unavailable", 503, Outcome.NOT_RUN, "the key could not be claimed", 1.0
+            )
+        return _read_claim(result, attempt)
+
+    async def release(self, call: Call, attempt: str, deadline: float) -> bool:
+        """Commit that the attempt certainly did not run; False if that is not confirmed in time."""
+        done = trio.Event()
+        self._nursery.start_soon(self._settle, call, attempt, ClaimState.RELEASED, b"", done)
+        with trio.move_on_at(max(deadline, trio.current_time() + _CLAIM_TRY_S)):
+            await done.wait()
+        return done.is_set()
+
+    async def finish(self, call: Call, attempt: str, answer: Answer, body: bytes | None) -> None:
+        """Record the answer in the background; `body` is None if it was too large to keep."""
+        stored = StoredAnswer(
+            answer.status,
+            answer.headers,
+            body or b"",
+            answer.upstream,
+            answer.region,
+            body is not None,
+        )
+        encoded = msgspec.msgpack.encode(stored)
+        self._nursery.start_soon(self._settle, call, attempt, ClaimState.DONE, encoded)
+
+    def give_up(self, call: Call, attempt: str) -> None:
+        """Record in the background that nobody can tell whether the attempt ran."""
+        self._nursery.start_soon(self._settle, call, attempt, ClaimState.UNKNOWN, b"")
+
+    async def _settle(
+        self,
+        call: Call,
+        attempt: str,
+        outcome: ClaimState,
+        answer: bytes,
+        done: trio.Event | None = None,
+    ) -> None:
+        self._unsettled += 1
+        while True:
+            command = SettleClaim(
+                now_ms=_now_ms(),
+                service=call.service,
+                organisation=call.organisation,
+                key=call.key,
+                attempt=attempt,
+                outcome=outcome,
+                answer=answer,
+            )
+            try:
+                await self._submit(command, _CLAIM_TRY_S)
+                break
+            except FinchwayError as error:
+                _LOG.debug("claim not settled yet: %s", error)
+                await trio.sleep(_SETTLE_RETRY_S)
+        self._unsettled -= 1
+        if done is not None:
+            done.set()
+
+
+def _read_claim(result: AnyResult, attempt: str) -> str | Answer:
+    if not isinstance(result, Claimed):
+        raise CallError("internal", 500, Outcome.NOT_RUN, f"unexpected {type(result).__name__}")
+    if result.granted:
+        return attempt
+    if result.mismatch:
+        detail = "this Idempotency-Key was used for another request"
+        raise CallError("key-reused", 422, Outcome.NOT_RUN, detail)
+    if result.expired:
+        detail = "this Idempotency-Key is older than its records are kept"
+        raise CallError("key-expired", 422, Outcome.UNKNOWN, detail)
+    match result.state:
+        case ClaimState.DONE:
+            return _stored(result.answer)
+        case ClaimState.CLAIMED:
+            detail = "an earlier attempt with this key is still running"
+            raise CallError("in-progress", 409, Outcome.UNKNOWN, detail, 1.0)
+    detail = "an earlier attempt with this key may have run; it is not run again"
+    raise CallError("unknown", 409, Outcome.UNKNOWN, detail)
+
+
+def _stored(encoded: bytes) -> Answer:
+    stored = msgspec.msgpack.decode(encoded, type=StoredAnswer)
+    if not stored.complete:
+        detail = "the request ran; its answer was too large to be kept"
+        raise CallError("answer-not-kept", 409, Outcome.RAN, detail)
+    headers = [*stored.headers, (b"finchway-replayed", b"1")]
+    return Answer(stored.status, headers, stored.body, None, stored.upstream, stored.region)
+
+
+def _digest(call: Call, body: bytes) -> str:
+    text = f"{call.method}\n{call.target}\n".encode()
+    return hashlib.sha256(text + body).hexdigest()
+
+
+def _now_ms() -> int:
+    return int(time.time() * 1000)
--- /dev/null
+++ b/src/finchway/entry/_dispatch.py
@@ -0,0 +1,331 @@
+"""The way of a request through an entry: admit, choose, send, retry, answer.
+
+The dispatcher does no I/O of its own: it is given the client for upstreams and the claim desk, so
+that tests and benches run it on virtual time with fakes.
+"""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import AsyncIterator, Callable
+
+import trio
+
+from finchway.entry._call import (
+    Answer,
+    Body,
+    Call,
+    CallError,
+    Facts,
+    Headers,
+    UpstreamError,
+    refused,
+)
+from finchway.entry._claims import MAX_STORED_BYTES, ClaimDesk
+from finchway.entry._view import EntryView
+from finchway.observe import EventKind, Metrics, Timeline
+from finchway.policy import (
+    Attempt,
+    Caller,
+    Grant,
+    LoadReport,
+    Outcome,
+    Refusal,
+    RetryBudget,
+    Ticket,
+    client_block,
+    may_retry,
+)
+from finchway.resources import Service
+
+HOLD_BYTES = 65_536
+PUMP_INTERVAL_S = 0.02
+_HOP_HEADERS = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"host",
+        b"authorization",
+        b"content-length",
+        b"expect",
+    }
+)
+_ANSWER_DROPPED = frozenset(
+    {b"connection", b"keep-alive", b"transfer-encoding", b"upgrade", b"trailer"}
+)
+
+
+class Dispatcher:
+    """Carries requests from callers to upstreams."""
+
+    def __init__(
+        self,
+        view: EntryView,
+        client,
+        desk: ClaimDesk,
+        timeline: Timeline,
+        metrics: Metrics,
+        may_serve: Callable[[], bool],
+    ) -> None:
+        self._view = view
+        self._client = client
+        self._desk = desk
+        self._timeline = timeline
+        self._metrics = metrics
+        self._may_serve = may_serve
+        self._budgets: dict[str, RetryBudget] = {}
+        self._numbers = itertools.count(1)
+        self._waiting: dict[int, _Waiting] = {}
+
+    async def run(self) -> None:
+        """Serve waiting requests whenever slots come free or deadlines pass."""
+        while True:
+            self.pump()
+            await trio.sleep(PUMP_INTERVAL_S)
+
+    def pump(self, service: str | None = None) -> None:
+        """Hand out free slots and refuse what is late."""
+        for ticket, decision in self._view.gate.pump(trio.current_time(), service):
+            self._decide(ticket, decision)
+
+    async def serve(self, call: Call, body: Body, respond) -> None:
+        """Serve one request; `respond` is called with the answer while it is still open.
+
+        Raises `CallError` if the caller gets an error of finchway instead.
+        """
+        service = self._view.service(call.service)
+        if not self._may_serve():
+            detail = "this entry is cut off from control and from its fellows"
+            raise CallError("isolated", 503, Outcome.NOT_RUN, detail, 1.0)
+        if service.once_only:
+            await self._serve_once(call, service, body, respond)
+        else:
+            await self._attempts(call, service, body, respond)
+
+    async def _serve_once(self, call: Call, service: Service, body: Body, respond) -> None:
+        if not body.is_whole:
+            detail = f"requests with a key are limited to {HOLD_BYTES} bytes"
+            raise CallError("too-large", 413, Outcome.NOT_RUN, detail)
+        claimed = await self._desk.claim(call, body.held, service.retain_s)
+        if isinstance(claimed, Answer):
+            await respond(claimed)
+            return
+        settled = False
+
+        async def keep_and_respond(answer: Answer) -> None:
+            nonlocal settled
+            whole = await _read_whole(answer, MAX_STORED_BYTES)
+            await self._desk.finish(call, claimed, answer, whole)
+            settled = True
+            await respond(answer)
+
+        try:
+            await self._attempts(call, service, body, keep_and_respond)
+        except CallError as error:
+            if settled:
+                raise
+            if error.outcome is Outcome.NOT_RUN:
+                settled = True
+                if not await self._desk.release(call, claimed, call.deadline):
+                    detail = "the request did not run, but its key is not free yet"
+                    raise CallError("release-pending", 503, Outcome.NOT_RUN, detail, 2.0) from error
+            raise
+        finally:
+            if not settled:
+                self._desk.give_up(call, claimed)
+                self._timeline.record(EventKind.CLAIM_UNKNOWN, f"{call.service}/{call.key}")
+
+    async def _attempts(self, call: Call, service: Service, body: Body, respond) -> None:
+        budget = self._budgets.setdefault(call.service, RetryBudget())
+        excluded: frozenset[str] = frozenset()
+        for number in itertools.count(1):
+            grant = await self._admit(call, excluded)
+            begun = _Begun()
+            try:
+                await self._attempt(call, grant, body, respond, begun)
+                budget.earn()
+                return
+            except UpstreamError as error:
+                if begun.responded:
+                    raise
+                attempt = Attempt(
+                    number,
+                    error.outcome,
+                    service.repeatable and not service.once_only,
+                    body.is_whole,
+                    call.deadline - trio.current_time(),
+                )
+                expected = self._view.gate.mean_hold_s(call.service)
+                if not may_retry(attempt, budget, expected):
+                    raise _as_call_error(error, call, expected) from error
+                self._metrics.count_retry(call.service)
+                excluded |= {grant.address}
+
+    async def _admit(self, call: Call, excluded: frozenset[str]) -> Grant:
+        now = trio.current_time()
+        caller = Caller(client_block(call.client), call.organisation)
+        regions = self._view.candidates(call.service, call.home, caller, call.rank, now)
+        ticket = Ticket(next(self._numbers), call.rank, call.deadline, now, regions, excluded)
+        decision, evicted = self._view.gate.offer(call.service, ticket, now)
+        for other, refusal in evicted:
+            self._decide(other, refusal)
+        if decision is None:
+            decision = await self._wait(call.service, ticket)
+        match decision:
+            case Refusal():
+                raise refused(decision)
+        return decision
+
+    async def _wait(self, service: str, ticket: Ticket) -> Grant | Refusal:
+        waiting = self._waiting[ticket.sequence] = _Waiting()
+        try:
+            await waiting.event.wait()
+            return waiting.decision
+        except trio.Cancelled:
+            if not self._view.gate.withdraw(service, ticket):
+                self._give_back(waiting.decision)
+            raise
+        finally:
+            del self._waiting[ticket.sequence]
+
+    def _give_back(self, decision: Grant | Refusal | None) -> None:
+        if isinstance(decision, Grant):
+            self._view.gate.release(decision, trio.current_time(), False)
+            self.pump(decision.service)
+
+    def _decide(self, ticket: Ticket, decision: Grant | Refusal) -> None:
+        waiting = self._waiting.get(ticket.sequence)
+        if waiting is not None:
+            waiting.decision = decision
+            waiting.event.set()
+
+    async def _attempt(self, call: Call, grant: Grant, body: Body, respond, begun: _Begun) -> None:
+        succeeded = False
+        try:
+            with trio.move_on_at(call.deadline) as scope:
+                await self._exchange(call, grant, body, respond, begun)
+                succeeded = True
+            if scope.cancelled_caught:
+                raise UpstreamError(Outcome.UNKNOWN, f"{grant.address} did not answer in time")
+        except UpstreamError as error:
+            self._note_failure(grant.address, error)
+            raise
+        finally:
+            self._view.gate.release(grant, trio.current_time(), succeeded)
+            self.pump(call.service)
+
+    async def _exchange(self, call: Call, grant: Grant, body: Body, respond, begun: _Begun) -> None:
+        content = body.held if body.is_whole else body.stream()
+        headers = self._forwarded(call, body)
+        opened = self._client.open(grant.address, call.method, call.target, headers, content)
+        async with opened as reply:
+            self._note_facts(grant.address, reply.facts)
+            if reply.facts.not_run:
+                raise UpstreamError(
+                    Outcome.NOT_RUN, f"{grant.address} refused it before running", healthy=True
+                )
+            chunks = reply.chunks()
+            held, rest = await _hold(chunks)
+            answer = Answer(
+                reply.status,
+                [(n, v) for n, v in reply.headers if n.lower() not in _ANSWER_DROPPED],
+                held,
+                rest,
+                grant.address,
+                grant.region,
+            )
+            begun.responded = rest is not None
+            if rest is None:
+                self._note_success(grant.address)
+            await respond(answer)
+            if rest is not None:
+                self._note_success(grant.address)
+
+    def _forwarded(self, call: Call, body: Body) -> Headers:
+        left_ms = max(1, int((call.deadline - trio.current_time()) * 1000))
+        headers = [(n, v) for n, v in call.headers if n.lower() not in _HOP_HEADERS]
+        headers.append((b"host", call.service.encode()))
+        headers.append((b"finchway-deadline-ms", str(left_ms).encode()))
+        headers.append((b"finchway-organisation", call.organisation.encode()))
+        if body.is_whole:
+            if body.held or call.method in ("POST", "PUT", "PATCH"):
+                headers.append((b"content-length", str(len(body.held)).encode()))
+        else:
+            headers.append((b"transfer-encoding", b"chunked"))
+        return headers
+
+    def _note_facts(self, address: str, facts: Facts) -> None:
+        now = trio.current_time()
+        directory = self._view.directory
+        directory.record_incarnation(address, facts.incarnation, now)
+        if facts.load is not None:
+            directory.record_report(address, LoadReport(facts.load, now))
+        if facts.leaving and directory.mark_leaving(address):
+            self._timeline.record(EventKind.UPSTREAM_LEAVING, address, "said by its answer")
+
+    def _note_success(self, address: str) -> None:
+        _, changed = self._view.record_result(address, True, trio.current_time())
+        if changed:
+            self._timeline.record(EventKind.REGION_UP, "/".join(self._view.pool_of(address)))
+
+    def _note_failure(self, address: str, error: UpstreamError) -> None:
+        if error.healthy:
+            return
+        ejected, changed = self._view.record_result(address, False, trio.current_time())
+        if ejected:
+            self._timeline.record(EventKind.UPSTREAM_EJECTED, address, error.detail)
+        if changed:
+            self._timeline.record(EventKind.REGION_DOWN, "/".join(self._view.pool_of(address)))
+
+
+class _Waiting:
+    """Where a waiting request learns its decision."""
+
+    __slots__ = ("decision", "event")
+
+    def __init__(self) -> None:
+        self.event = trio.Event()
+        self.decision: Grant | Refusal | None = None
+
+
+class _Begun:
+    """Whether the caller may have seen a part of the answer already."""
+
+    __slots__ = ("responded",)
+
+    def __init__(self) -> None:
+        self.responded = False
+
+
+async def _hold(chunks: AsyncIterator[bytes]) -> tuple[bytes, AsyncIterator[bytes] | None]:
+    """Read an answer up to a bound; the rest is None if that was all of it."""
+    held: list[bytes] = []
+    size = 0
+    async for chunk in chunks:
+        held.append(chunk)
+        size += len(chunk)
+        if size > HOLD_BYTES:
+            return b"".join(held), chunks
+    return b"".join(held), None
+
+
+async def _read_whole(answer: Answer, limit: int) -> bytes | None:
+    """Return the whole answer if it fits, so that it can be kept; else None."""
+    if answer.rest is None and len(answer.held) <= limit:
+        return answer.held
+    return None
+
+
+def _as_call_error(error: UpstreamError, call: Call, expected_s: float) -> CallError:
+    if error.outcome is Outcome.NOT_RUN:
+        detail = f"no upstream took the request: {error.detail}"
+        return CallError("not-run", 503, Outcome.NOT_RUN, detail, max(0.1, expected_s * 4))
+    if trio.current_time() >= call.deadline:
+        return CallError("deadline", 504, error.outcome, error.detail)
+    return CallError("broken", 502, error.outcome, error.detail)
--- /dev/null
+++ b/src/finchway/entry/_probe.py
@@ -0,0 +1,150 @@
+"""What an entry learns besides its own requests: upstreams' load and health, the platform's list.
+
+Only upstreams that this entry may use, and from which nothing was heard lately, are asked.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Awaitable, Callable
+
+import httpcore
+import msgspec
+import trio
+from msgspec import Struct
+
+from finchway.entry._call import UpstreamError
+from finchway.entry._upstream import UpstreamClient
+from finchway.entry._view import EntryView
+from finchway.exceptions import FinchwayError, TransportError
+from finchway.membership import PlatformList, PlatformView
+from finchway.observe import EventKind, Timeline
+from finchway.policy import LoadReport
+
+_LOG = logging.getLogger(__name__)
+PROBE_INTERVAL_S = 0.5
+QUIET_S = 1.0
+PROBE_TIMEOUT_S = 0.5
+PLATFORM_INTERVAL_S = 1.0
+HEALTH_PATH = "/finchway/health"
+MAX_HEALTH_BYTES = 65_536
+
+
+class Health(Struct, frozen=True, kw_only=True):
+    """An upstream's answer to `GET /finchway/health`.
+
+    `load` is busy slots and waiting requests over slots; `leaving` asks for no new work;
+    `incarnation` names this life of the upstream.
+    """
+
+    load: float | None = None
+    leaving: bool = False
+    incarnation: str = ""
+
+
+class Prober:
+    """Asks quiet upstreams for their health and the platform for its list."""
+
+    def __init__(
+        self,
+        view: EntryView,
+        client: UpstreamClient,
+        timeline: Timeline,
+        platform: Callable[[], Awaitable[PlatformList]] | None,
+    ) -> None:
+        self._view = view
+        self._client = client
+        self._timeline = timeline
+        self._platform = platform
+        self._platform_view = PlatformView()
+
+    async def run(self) -> None:
+        """Probe until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._probe_forever)
+            if self._platform is not None:
+                nursery.start_soon(self._poll_platform, self._platform)
+
+    async def _probe_forever(self) -> None:
+        while True:
+            async with trio.open_nursery() as nursery:
+                for address in self._quiet():
+                    nursery.start_soon(self._probe, address)
+            await trio.sleep(PROBE_INTERVAL_S)
+
+    def _quiet(self) -> list[str]:
+        now = trio.current_time()
+        mine = {
+            address
+            for key in self._view.share_keys()
+            for address in self._view.holder.limits(key, now)
+        }
+        return [
+            state.address
+            for state in self._view.directory
+            if state.address in mine and (state.report is None or now - state.report.at > QUIET_S)
+        ]
+
+    async def _probe(self, address: str) -> None:
+        health = await self._ask(address)
+        now = trio.current_time()
+        if health is None:
+            return
+        directory = self._view.directory
+        directory.record_incarnation(address, health.incarnation, now)
+        if health.load is not None:
+            directory.record_report(address, LoadReport(health.load, now))
+        if health.leaving and directory.mark_leaving(address):
+            self._timeline.record(EventKind.UPSTREAM_LEAVING, address, "said by its health")
+        self._probe_region(address)
+
+    def _probe_region(self, address: str) -> None:
+        """Let a region that is down be tried again once one of its upstreams answers."""
+        key = self._view.pool_of(address)
+        if key is not None and self._view.is_region_down(*key):
+            self._view.reopen(key)
+            self._timeline.record(EventKind.REGION_UP, "/".join(key), f"{address} answers")
+
+    async def _ask(self, address: str) -> Health | None:
+        with trio.move_on_after(PROBE_TIMEOUT_S):
+            try:
+                headers = [(b"host", b"health")]
+                async with self._client.open(address, "GET", HEALTH_PATH, headers, b"") as reply:
+                    body = b"".join([chunk async for chunk in reply.chunks()])
+                    if reply.status != 200 or len(body) > MAX_HEALTH_BYTES:
+                        return None
+                    return msgspec.json.decode(body, type=Health)
+            except (UpstreamError, msgspec.MsgspecError) as error:
+                _LOG.debug("health of %s: %s", address, error)
+        return None
+
+    async def _poll_platform(self, source: Callable[[], Awaitable[PlatformList]]) -> None:
+        while True:
+            try:
+                self._platform_view.record(await source())
+                self._mark_leaving()
+            except FinchwayError as error:
+                _LOG.debug("the platform's list: %s", error)
+            await trio.sleep(PLATFORM_INTERVAL_S)
+
+    def _mark_leaving(self) -> None:
+        for name in self._platform_view.leaving:
+            if self._view.directory.mark_leaving(name):
+                self._timeline.record(EventKind.UPSTREAM_LEAVING, name, "said by the platform")
+
+
+def platform_source(address: str) -> Callable[[], Awaitable[PlatformList]]:
+    """Return a function that fetches the platform's list from `http://address/instances`."""
+
+    async def fetch() -> PlatformList:
+        try:
+            with trio.fail_after(1.0):
+                async with httpcore.AsyncConnectionPool() as pool:
+                    response = await pool.request("GET", f"http://{address}/instances")
+            return msgspec.json.decode(response.content, type=PlatformList)
+        except (trio.TooSlowError, httpcore.NetworkError, httpcore.ProtocolError) as error:
+            raise TransportError(f"platform at {address}: {error}") from error
+        except (httpcore.TimeoutException, msgspec.MsgspecError) as error:
+            raise TransportError(f"platform at {address}: {error}") from error
+
+    return fetch
--- /dev/null
+++ b/src/finchway/entry/_session.py
@@ -0,0 +1,273 @@
+"""An entry's conversation with control: heartbeats out, configuration, lease and loans in.
+
+Heartbeats go to the leader. When no control process answers, they go through a fellow entry that
+still reaches it; when no fellow is confirmed either, the fellows' newer changes are still taken
+over. An entry that reaches neither control nor any fellow is isolated, and stops taking new work:
+it could not know of a drain, a cap or a claim.
+"""
+
+from __future__ import annotations
+
+import logging
+import random
+from collections.abc import Callable
+
+import trio
+from msgspec import Struct
+
+from finchway.entry._view import EntryView
+from finchway.exceptions import FinchwayError, NotLeaderError
+from finchway.membership import Heartbeat, HeartbeatReply, LeaseTiming, RateReport, full_state
+from finchway.observe import EventKind, Timeline
+from finchway.resources import Change
+from finchway.state import AnyCommand, AnyResult
+from finchway.transport import AnyBody, Changes, FetchChanges, Link, Submit
+
+_LOG = logging.getLogger(__name__)
+REQUEST_TIMEOUT_S = 0.6
+FELLOWS_ASKED = 2
+RELAY_TIMEOUT_S = 0.5
+RECENT_CHANGES = 2_000
+
+
+class EntryIdentity(Struct, frozen=True):
+    """Who an entry is: its name, this life of it, its addresses and availability zone."""
+
+    instance: str
+    incarnation: str
+    address: str
+    peer: str
+    zone: str
+
+    @property
+    def holder(self) -> str:
+        """The identity under which this life claims keys and borrows slots."""
+        return f"{self.instance}@{self.incarnation}"
+
+
+class ControlSession:
+    """Keeps one entry in touch with control."""
+
+    def __init__(
+        self,
+        identity: EntryIdentity,
+        view: EntryView,
+        link: Link,
+        control_peers: list[str],
+        timing: LeaseTiming,
+        timeline: Timeline,
+        rng: random.Random,
+        isolated_after: float,
+        in_flight: Callable[[], int],
+    ) -> None:
+        self._identity = identity
+        self._view = view
+        self._link = link
+        self._peers = list(control_peers)
+        self._target = self._peers[0]
+        self._timing = timing
+        self._timeline = timeline
+        self._rng = rng
+        self._isolated_after = isolated_after
+        self._in_flight = in_flight
+        self._sequence = 0
+        self._loans_applied = 0
+        self._lease_until = float("-inf")
+        self._contact_at = float("-inf")
+        self._direct_at = float("-inf")
+        self._confirmed = False
+        self._had_lease = False
+        self._leaving = False
+        self._recent: list[Change] = []
+
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether a quorum-confirmed configuration has been taken over since the start."""
+        return self._confirmed
+
+    @property
+    def has_lease(self) -> bool:
+        """Whether the leader has confirmed this entry's revision a moment ago."""
+        return trio.current_time() < self._lease_until
+
+    @property
+    def is_isolated(self) -> bool:
+        """Whether neither control nor any fellow has answered for too long."""
+        if self._isolated_after <= 0 or self.has_lease or not self._view.fellows():
+            return False
+        return trio.current_time() - self._contact_at > self._isolated_after
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether this entry has begun its planned stop."""
+        return self._leaving
+
+    def start_leaving(self) -> None:
+        """Tell the leader from now on that this entry is leaving."""
+        self._leaving = True
+
+    async def run(self) -> None:
+        """Send heartbeats until cancelled."""
+        while True:
+            started = trio.current_time()
+            await self.beat()
+            self._note_lease()
+            left = self._timing.interval - (trio.current_time() - started)
+            await trio.sleep(max(0.01, left))
+
+    async def beat(self, stopped: bool = False) -> bool:
+        """Send one heartbeat and apply its answer; False if nobody confirmed it."""
+        heartbeat = self._heartbeat(stopped)
+        sent_at = trio.current_time()
+        reply = await self._ask_control(heartbeat)
+        if reply is not None:
+            self._direct_at = trio.current_time()
+        elif not stopped:
+            reply = await self._ask_fellows(heartbeat)
+        if reply is None:
+            return False
+        self._apply(reply, sent_at)
+        return True
+
+    async def submit(self, command: AnyCommand, timeout: float) -> AnyResult:
+        """Have a command committed; raises `FinchwayError` if that is not confirmed in time."""
+        deadline = trio.current_time() + timeout
+        while True:
+            left = deadline - trio.current_time()
+            try:
+                reply = await self._link.request(self._target, Submit(command=command), left)
+                return reply.result
+            except NotLeaderError as error:
+                self._follow(error)
+                if trio.current_time() + 0.02 >= deadline:
+                    raise
+                await trio.sleep(0.02)
+
+    async def handle(self, body: AnyBody, sender: str) -> AnyBody | None:
+        """Answer a fellow entry: pass its heartbeat on, or give it the changes that it lacks."""
+        match body:
+            case Heartbeat() if self._is_relay():
+                return await self._link.request(self._target, body, RELAY_TIMEOUT_S)
+            case FetchChanges(since=since):
+                return self._changes_since(since)
+        raise FinchwayError(f"this entry cannot answer {type(body).__name__} now")
+
+    def _is_relay(self) -> bool:
+        """Tell whether control answered this entry itself just now, not through a fellow."""
+        return trio.current_time() - self._direct_at < 2 * self._timing.interval + 0.5
+
+    def _heartbeat(self, stopped: bool) -> Heartbeat:
+        now = trio.current_time()
+        view = self._view
+        self._sequence += 1
+        return Heartbeat(
+            instance=self._identity.instance,
+            incarnation=self._identity.incarnation,
+            address=self._identity.address,
+            peer=self._identity.peer,
+            zone=self._identity.zone,
+            sequence=self._sequence,
+            revision=view.revision,
+            leaving=self._leaving,
+            stopped=stopped,
+            in_flight=self._in_flight(),
+            loans_applied=self._loans_applied,
+            demands=view.gate.demands(view.share_keys()),
+            shrunk=view.shrunk(),
+            drains=view.drain_reports(),
+            loads=view.loads(now),
+            rates=[RateReport(o, s, rate) for o, s, rate in view.busy_rates(now)],
+        )
+
+    async def _ask_control(self, heartbeat: Heartbeat) -> HeartbeatReply | None:
+        for _ in range(2):
+            try:
+                return await self._link.request(self._target, heartbeat, REQUEST_TIMEOUT_S)
+            except NotLeaderError as error:
+                if not self._follow(error):
+                    return None
+            except FinchwayError as error:
+                _LOG.debug("control at %s: %s", self._target, error)
+                self._next_target()
+                return None
+        return None
+
+    def _follow(self, error: NotLeaderError) -> bool:
+        if error.leader:
+            self._target = error.leader
+            return True
+        self._next_target()
+        return False
+
+    def _next_target(self) -> None:
+        others = [peer for peer in self._peers if peer != self._target]
+        self._target = self._rng.choice(others) if others else self._peers[0]
+
+    async def _ask_fellows(self, heartbeat: Heartbeat) -> HeartbeatReply | None:
+        fellows = sorted(self._view.fellows().values())
+        for peer in self._rng.sample(fellows, min(FELLOWS_ASKED, len(fellows))):
+            try:
+                return await self._link.request(peer, heartbeat, RELAY_TIMEOUT_S)
+            except FinchwayError:
+                await self._fetch_from(peer)
+        return None
+
+    async def _fetch_from(self, peer: str) -> None:
+        """Take over a fellow's newer changes, though nobody confirms them at the moment."""
+        try:
+            request = FetchChanges(since=self._view.revision)
+            reply = await self._link.request(peer, request, RELAY_TIMEOUT_S)
+        except FinchwayError:
+            return
+        self._contact_at = trio.current_time()
+        if reply.snapshot is not None:
+            self._install(reply.snapshot, reply.revision)
+        else:
+            self._take(reply.changes)
+
+    def _apply(self, reply: HeartbeatReply, sent_at: float) -> None:
+        now = trio.current_time()
+        self._contact_at = now
+        if reply.snapshot is not None:
+            self._install(reply.snapshot, reply.revision)
+        else:
+            self._take(reply.changes)
+        if self._view.revision < reply.revision:
+            return
+        self._lease_until = max(self._lease_until, sent_at + reply.lease_s)
+        self._confirmed = True
+        if reply.sequence == self._sequence:
+            self._view.holder.set_loans(reply.loans, sent_at)
+            self._loans_applied = reply.sequence
+            self._view.set_rates(reply.rates)
+
+    def _install(self, state: list[Change], revision: int) -> None:
+        if self._view.install(state, revision, trio.current_time()):
+            self._recent = []
+            self._note_revision()
+
+    def _take(self, changes: list[Change]) -> None:
+        held = self._view.revision
+        if self._view.apply(changes, trio.current_time()):
+            self._recent += [change for change in changes if change.revision > held]
+            del self._recent[:-RECENT_CHANGES]
+            self._note_revision()
+
+    def _note_revision(self) -> None:
+        self._timeline.record(EventKind.REVISION_APPLIED, f"revision {self._view.revision}")
+
+    def _changes_since(self, since: int) -> Changes:
+        view = self._view
+        if since >= view.revision:
+            return Changes(revision=view.revision)
+        if self._recent and self._recent[0].revision <= since + 1:
+            changes = [change for change in self._recent if change.revision > since]
+            return Changes(revision=view.revision, changes=changes)
+        return Changes(revision=view.revision, snapshot=full_state(view.store))
+
+    def _note_lease(self) -> None:
+        if self.has_lease == self._had_lease:
+            return
+        self._had_lease = self.has_lease
+        kind = EventKind.LEASE_REGAINED if self._had_lease else EventKind.LEASE_LOST
+        self._timeline.record(kind, self._identity.instance)
--- /dev/null
+++ b/src/finchway/entry/_upstream.py
@@ -0,0 +1,143 @@
+"""Requests to upstreams over pooled httpcore connections.
+
+A connection whose answer was not read to its end is never used again: httpcore closes it. An
+upstream's answer must say where it ends, by its length or by chunks, so that a cut is seen.
+"""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import httpcore
+import trio
+
+from finchway.entry._call import Facts, Headers, UpstreamError
+from finchway.policy import Outcome
+
+NOT_RUN_HEADER = b"finchway-outcome"
+LOAD_HEADER = b"finchway-load"
+LEAVING_HEADER = b"finchway-leaving"
+INCARNATION_HEADER = b"finchway-incarnation"
+_CONNECT_TIMEOUT_S = 1.0
+_KEEPALIVE_S = 30.0
+_NO_BODY_STATUSES = frozenset({204, 304})
+
+
+class Reply:
+    """An upstream's answer whose body is still to be read."""
+
+    __slots__ = ("_response", "facts", "headers", "status")
+
+    def __init__(self, response: httpcore.Response) -> None:
+        self._response = response
+        self.status = response.status
+        self.headers = response.headers
+        self.facts = read_facts(response.status, response.headers)
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body; raises `UpstreamError` if it ends early."""
+        try:
+            async for chunk in self._response.aiter_stream():
+                yield chunk
+        except (httpcore.ProtocolError, httpcore.NetworkError, httpcore.TimeoutException) as error:
+            detail = f"the answer broke off: {error}"
+            raise UpstreamError(Outcome.UNKNOWN, detail) from error
+
+
+class UpstreamClient:
+    """Sends requests to upstreams; one pool of connections for each."""
+
+    def __init__(self) -> None:
+        self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
+
+    @asynccontextmanager
+    async def open(
+        self,
+        address: str,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: AsyncIterator[bytes] | bytes,
+    ) -> AsyncIterator[Reply]:
+        """Send a request and yield the answer once its head has come.
+
+        Raises `UpstreamError`: `not-run` if no connection was made, `unknown` after that.
+        """
+        pool = self._pool(address)
+        host, _, port = address.rpartition(":")
+        url = httpcore.URL(
+            scheme=b"http", host=host.strip("[]"), port=int(port), target=target.encode("latin-1")
+        )
+        request = httpcore.Request(
+            method,
+            url,
+            headers=headers,
+            content=body,
+            extensions={"timeout": {"connect": _CONNECT_TIMEOUT_S, "pool": _CONNECT_TIMEOUT_S}},
+        )
+        try:
+            response = await pool.handle_async_request(request)
+        except (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout) as error:
+            raise UpstreamError(Outcome.NOT_RUN, f"no connection to {address}: {error}") from error
+        except (httpcore.ProtocolError, httpcore.NetworkError, httpcore.TimeoutException) as error:
+            detail = f"{address} broke off before it answered: {error}"
+            raise UpstreamError(Outcome.UNKNOWN, detail) from error
+        try:
+            _check_length(address, method, response)
+            yield Reply(response)
+        finally:
+            with trio.CancelScope(shield=True):
+                await response.aclose()
+
+    async def forget(self, address: str) -> None:
+        """Close the idle connections to an upstream that receives nothing new."""
+        pool = self._pools.pop(address, None)
+        if pool is not None:
+            await pool.aclose()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for address in list(self._pools):
+            await self.forget(address)
+
+    def _pool(self, address: str) -> httpcore.AsyncConnectionPool:
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = httpcore.AsyncConnectionPool(
+                max_connections=None, max_keepalive_connections=16, keepalive_expiry=_KEEPALIVE_S
+            )
+            self._pools[address] = pool
+        return pool
+
+
+def read_facts(status: int, headers: Headers) -> Facts:
+    """Read what an upstream says of itself in the headers of an answer."""
+    incarnation, load, leaving, not_run = "", None, False, False
+    for name, value in headers:
+        match name.lower():
+            case b"finchway-incarnation":
+                incarnation = value.decode("latin-1")
+            case b"finchway-load":
+                load = _number(value)
+            case b"finchway-leaving":
+                leaving = value == b"1"
+            case b"finchway-outcome":
+                not_run = status == 503 and value == b"not-run"
+    return Facts(incarnation, load, leaving, not_run)
+
+
+def _number(value: bytes) -> float | None:
+    try:
+        number = float(value)
+    except ValueError:
+        return None
+    return number if 0 <= number < 1e6 else None
+
+
+def _check_length(address: str, method: str, response: httpcore.Response) -> None:
+    if method == "HEAD" or response.status in _NO_BODY_STATUSES:
+        return
+    names = {name.lower() for name, _ in response.headers}
+    if not names & {b"content-length", b"transfer-encoding"}:
+        raise UpstreamError(Outcome.UNKNOWN, f"{address} did not say where its answer ends")
--- /dev/null
+++ b/src/finchway/entry/_view.py
@@ -0,0 +1,306 @@
+"""An entry's view of the configuration, and the policy objects that follow it.
+
+Changes are applied in order and an older revision is never applied over a newer one.
+"""
+
+from __future__ import annotations
+
+import random
+
+from finchway.membership import capacity_of
+from finchway.policy import (
+    DEMOTED_RANK,
+    Caller,
+    Directory,
+    DrainReport,
+    FailoverRamp,
+    Gate,
+    Holder,
+    PaidRate,
+    RateWindow,
+    RegionHealth,
+    Routes,
+    caller_position,
+    drained_instances,
+    drained_upstreams,
+    inbound_part,
+)
+from finchway.resources import (
+    Capacity,
+    Change,
+    Contract,
+    InstanceState,
+    Phase,
+    ResourceStore,
+    Service,
+)
+
+
+class EntryView:
+    """What one entry knows and decides with; it does no I/O and reads no clock."""
+
+    def __init__(self, instance: str, zone: str, rng: random.Random) -> None:
+        self._instance = instance
+        self._zone = zone
+        self._store = ResourceStore()
+        self._routes = Routes(self._store)
+        self._holder = Holder(instance)
+        self._directory = Directory(rng)
+        self._gate = Gate(self._holder, self._directory)
+        self._organisations: dict[str, str] = {}
+        self._capacities: dict[tuple[str, str], Capacity] = {}
+        self._active_moves: set[tuple[str, str]] = set()
+        self._health: dict[tuple[str, str], RegionHealth] = {}
+        self._ramps: dict[tuple[str, str, str], FailoverRamp] = {}
+        self._rates: dict[tuple[str, str], PaidRate] = {}
+        self._windows: dict[tuple[str, str], RateWindow] = {}
+        self._drains: dict[str, list[str]] = {}
+        self._pool_of: dict[str, tuple[str, str]] = {}
+        self._instance_drained = False
+
+    @property
+    def store(self) -> ResourceStore:
+        """The resources at the applied revision."""
+        return self._store
+
+    @property
+    def revision(self) -> int:
+        """The applied revision."""
+        return self._store.revision
+
+    @property
+    def routes(self) -> Routes:
+        """The routing tables."""
+        return self._routes
+
+    @property
+    def gate(self) -> Gate:
+        """Admission and upstream choice."""
+        return self._gate
+
+    @property
+    def holder(self) -> Holder:
+        """The entry's floors and loans."""
+        return self._holder
+
+    @property
+    def directory(self) -> Directory:
+        """What is known of the upstreams."""
+        return self._directory
+
+    @property
+    def region(self) -> str:
+        """The region of this entry, from its availability zone."""
+        return self._routes.region_of_zone(self._zone) or ""
+
+    @property
+    def is_drained(self) -> bool:
+        """Whether an operator's drain covers this instance."""
+        return self._instance_drained
+
+    def service(self, name: str) -> Service | None:
+        """Return the spec of a service."""
+        resource = self._store.get("service", name)
+        return resource.spec if resource else None
+
+    def organisation_of(self, credential_digest: str) -> str | None:
+        """Return the organisation that a credential belongs to."""
+        return self._organisations.get(credential_digest)
+
+    def contract(self, organisation: str, service: str) -> Contract | None:
+        """Return what an organisation pays for at a service."""
+        resource = self._store.get("organisation", organisation)
+        return resource.spec.contracts.get(service) if resource else None
+
+    def pool_of(self, address: str) -> tuple[str, str] | None:
+        """Return the service and region that an upstream serves."""
+        return self._pool_of.get(address)
+
+    def fellows(self) -> dict[str, str]:
+        """Return the peer addresses of the other live entries by name."""
+        return {
+            i.name: i.spec.peer
+            for i in self._store.of_kind("instance")
+            if i.name != self._instance and i.spec.state is InstanceState.LIVE
+        }
+
+    def apply(self, changes: list[Change], now: float) -> bool:
+        """Apply deltas that follow the present revision; False if there is nothing new."""
+        applied = [change for change in changes if self._store.apply(change)]
+        if applied:
+            self._compile(now)
+        return bool(applied)
+
+    def install(self, state: list[Change], revision: int, now: float) -> bool:
+        """Take over a whole state; False if it is not newer than the present one."""
+        if revision <= self._store.revision:
+            return False
+        self._store = ResourceStore([change.resource() for change in state], revision)
+        self._compile(now)
+        return True
+
+    def rank_of(self, organisation: str, service: str, contract: Contract, now: float) -> int:
+        """Return the rank of a request; beyond the paid rate it goes after all others."""
+        key = (organisation, service)
+        self._windows.setdefault(key, RateWindow()).record(now)
+        paid = self._rates.get(key)
+        if paid is None:
+            paid = self._rates[key] = PaidRate(self._local_rate(service, contract), now)
+        priority = self._store.get("priority", contract.priority)
+        rank = priority.spec.rank if priority else DEMOTED_RANK
+        return rank if paid.take(now) else DEMOTED_RANK
+
+    def set_rates(self, rates: dict[str, float]) -> None:
+        """Take over the parts of the paid rates that the leader has given to this entry."""
+        for name, rate in rates.items():
+            organisation, _, service = name.partition("/")
+            paid = self._rates.get((organisation, service))
+            if paid is not None:
+                paid.rate = rate
+
+    def busy_rates(self, now: float) -> list[tuple[str, str, float]]:
+        """Return (organisation, service, requests/s) for all that are in use."""
+        rates = [(o, s, window.rate(now)) for (o, s), window in self._windows.items()]
+        return [entry for entry in rates if entry[2] > 0]
+
+    def candidates(
+        self, service: str, home: str, caller: Caller, rank: int, now: float
+    ) -> tuple[str, ...]:
+        """Return the regions that may serve a request, in order of preference.
+
+        The assigned region comes first unless it is down; the nearest other region that is up
+        follows only for callers within the open part of the cap.
+        """
+        order = self._routes.candidates(service, home, caller)
+        if not order:
+            return ()
+        assigned = order[0]
+        source_down = self._is_down(service, assigned)
+        for target in order[1:]:
+            if not self._is_down(service, target):
+                ramp = self._advance(service, assigned, target, source_down, len(order), now)
+                ramp.record(rank)
+                open_to = ramp.allows(rank, caller_position(service, assigned, caller))
+                spill = (target,) if open_to else ()
+                return (*spill, assigned) if source_down and spill else (assigned, *spill)
+        return (assigned,)
+
+    def record_result(self, address: str, succeeded: bool, now: float) -> tuple[bool, bool]:
+        """Note how a request at an upstream ended; returns (ejected now, region state changed)."""
+        key = self._pool_of.get(address)
+        if key is None:
+            return False, False
+        health = self._health.setdefault(key, RegionHealth())
+        was_down = health.is_down
+        if succeeded:
+            health.record_success()
+            self._directory.record_success(address)
+            return False, was_down
+        health.record_failure(address)
+        peers = [a for a, owner in self._pool_of.items() if owner == key]
+        ejected = self._directory.record_failure(address, peers, now)
+        return ejected, health.is_down != was_down
+
+    def is_region_down(self, service: str, region: str) -> bool:
+        """Tell whether a region fails to serve a service, as this entry sees it."""
+        return self._is_down(service, region)
+
+    def reopen(self, key: tuple[str, str]) -> None:
+        """Let requests try a region again that was down."""
+        self._health.pop(key, None)
+
+    def drain_reports(self) -> list[DrainReport]:
+        """Return what is in flight to each thing that a drain covers."""
+        reports = []
+        for drain in self._store.of_kind("drain"):
+            addresses = self._drains.get(drain.name, [])
+            states = [self._directory.get(address) for address in addresses]
+            count = sum(state.in_flight for state in states if state)
+            if drain.spec.target == f"instance/{self._instance}":
+                count += self._gate.in_flight
+            reports.append(DrainReport(drain.name, count))
+        return reports
+
+    def share_keys(self) -> list[tuple[str, str]]:
+        """Return the service and region of every share."""
+        return [(s.spec.service, s.spec.region) for s in self._store.of_kind("share")]
+
+    def shrunk(self) -> dict[str, int]:
+        """Return the epoch of each unsettled share that this entry's work already fits."""
+        return {
+            share.name: share.spec.epoch
+            for share in self._store.of_kind("share")
+            if share.spec.previous is not None
+            and self._gate.has_shrunk((share.spec.service, share.spec.region))
+        }
+
+    def loads(self, now: float, fresh_s: float = 2.0) -> dict[str, float]:
+        """Return the mean reported load of each share's region, from fresh reports only."""
+        sums: dict[str, list[float]] = {}
+        for state in self._directory:
+            key = self._pool_of.get(state.address)
+            if key and state.report and now - state.report.at <= fresh_s:
+                sums.setdefault(f"{key[0]}.{key[1]}", []).append(state.report.load)
+        return {name: sum(values) / len(values) for name, values in sums.items()}
+
+    def _is_down(self, service: str, region: str) -> bool:
+        health = self._health.get((service, region))
+        if health is not None and health.is_down:
+            return True
+        states = [
+            self._directory.get(a) for a, k in self._pool_of.items() if k == (service, region)
+        ]
+        return bool(states) and all(s is None or s.leaving or s.drained for s in states)
+
+    def _advance(
+        self, service: str, source: str, target: str, down: bool, regions: int, now: float
+    ) -> FailoverRamp:
+        ramp = self._ramps.get((service, source, target))
+        if ramp is None:
+            ramp = self._ramps[service, source, target] = FailoverRamp()
+        capacity = self._capacities.get((service, target)) or Capacity(
+            service=service, region=target
+        )
+        active = (service, target) in self._active_moves
+        part = inbound_part(capacity.inbound_percent, regions, active)
+        ramp.advance(part, capacity.window_s, down, now)
+        return ramp
+
+    def _local_rate(self, service: str, contract: Contract) -> float:
+        """Return this entry's part of a paid rate until the leader has said it."""
+        spec = self.service(service)
+        return contract.rate / max(1, spec.entries if spec else 1)
+
+    def _compile(self, now: float) -> None:
+        store = self._store
+        warm = self._routes.revision == 0
+        self._routes = Routes(store)
+        self._holder.set_shares([share.spec for share in store.of_kind("share")])
+        self._organisations = {
+            digest: organisation.name
+            for organisation in store.of_kind("organisation")
+            for digest in organisation.spec.credentials
+        }
+        self._pool_of = {
+            upstream.address: (pool.spec.service, pool.spec.region)
+            for pool in store.of_kind("pool")
+            for upstream in pool.spec.upstreams
+        }
+        ramps = {
+            upstream.address: pool.spec.ramp_s
+            for pool in store.of_kind("pool")
+            for upstream in pool.spec.upstreams
+        }
+        self._directory.sync(ramps, now, warm)
+        self._capacities = {key: capacity_of(store, *key) for key in self._pool_of.values()}
+        self._active_moves = {
+            (move.spec.service, region)
+            for move in store.of_kind("move")
+            if move.status is None or move.status.phase is not Phase.DONE
+            for region in (move.spec.source, move.spec.target)
+        }
+        self._drains = drained_upstreams(store)
+        self._directory.set_drained({a for group in self._drains.values() for a in group})
+        self._instance_drained = self._instance in drained_instances(store)
+        for service in store.of_kind("service"):
+            self._gate.set_limit(service.name, service.spec.queue_limit)
--- /dev/null
+++ b/src/finchway/membership/__init__.py
@@ -0,0 +1,29 @@
+"""Who is live, leaving or silent, and the leader's decisions that follow from it."""
+
+from finchway.membership._coordinator import (
+    SYSTEM_OPERATOR,
+    Coordinator,
+    capacity_of,
+    changes_since,
+    full_state,
+)
+from finchway.membership._heartbeat import Heartbeat, HeartbeatReply, RateReport, rate_key
+from finchway.membership._platform import PlatformList, PlatformView
+from finchway.membership._registry import Known, LeaseTiming, Registry
+
+__all__ = [
+    "SYSTEM_OPERATOR",
+    "Coordinator",
+    "Heartbeat",
+    "HeartbeatReply",
+    "Known",
+    "LeaseTiming",
+    "PlatformList",
+    "PlatformView",
+    "RateReport",
+    "Registry",
+    "capacity_of",
+    "changes_since",
+    "full_state",
+    "rate_key",
+]
--- /dev/null
+++ b/src/finchway/membership/_coordinator.py
@@ -0,0 +1,470 @@
+"""The leader's decisions, without I/O: who is live, how capacity is divided, what moves on.
+
+The coordinator reads the replicated resources and the heartbeats, answers each heartbeat, and
+plans the commands that bring the produced state up to date. A new leader starts with a new one.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from finchway.exceptions import GoneError
+from finchway.membership._heartbeat import Heartbeat, HeartbeatReply, rate_key
+from finchway.membership._platform import PlatformView
+from finchway.membership._registry import LeaseTiming, Registry
+from finchway.policy import (
+    DrainView,
+    Lender,
+    LoanTiming,
+    ShiftView,
+    drained_instances,
+    next_division,
+    next_drain_status,
+    next_move_status,
+    rank,
+    recent_percent,
+    share_name,
+    usable_slots,
+)
+from finchway.resources import (
+    Capacity,
+    Division,
+    Instance,
+    InstanceState,
+    Operation,
+    Resource,
+    ResourceStore,
+    Share,
+    change_of,
+)
+from finchway.state import (
+    AbandonClaims,
+    AnyCommand,
+    DeleteResource,
+    Expire,
+    PutResource,
+    PutStatus,
+    StateMachine,
+)
+
+SYSTEM_OPERATOR = "system"
+DELTA_LIMIT = 200
+EXPIRE_INTERVAL_S = 10.0
+
+
+class Coordinator:
+    """The leader's view of the entries and its plan for the produced state."""
+
+    def __init__(
+        self,
+        machine: StateMachine,
+        now: float,
+        lease: LeaseTiming | None = None,
+        loans: LoanTiming | None = None,
+    ) -> None:
+        self._machine = machine
+        self._lease = lease or LeaseTiming()
+        self._registry = Registry(self._lease, now)
+        self._platform = PlatformView()
+        self._longest = _longest_requests(machine.store)
+        self._lender = Lender(loans or LoanTiming(), now)
+        self._compiled = -1
+        self._shares: dict[tuple[str, str], Share] = {}
+        self._expire_at = now + EXPIRE_INTERVAL_S
+
+    @property
+    def registry(self) -> Registry:
+        """The heartbeats that the leader has."""
+        return self._registry
+
+    @property
+    def platform(self) -> PlatformView:
+        """What the platform has said."""
+        return self._platform
+
+    @property
+    def lender(self) -> Lender:
+        """The loans that are out."""
+        return self._lender
+
+    def answer(self, heartbeat: Heartbeat, now: float, with_changes: bool = True) -> HeartbeatReply:
+        """Answer a heartbeat: the confirmed revision, missing changes, lease, loans, rates.
+
+        The caller vouches that a quorum has confirmed the leadership a moment ago.
+        """
+        self._compile()
+        fresh = self._registry.record(heartbeat, now)
+        loans = []
+        if fresh and not heartbeat.stopped:
+            loans = self._lender.lend(
+                heartbeat.holder,
+                heartbeat.demands,
+                heartbeat.loans_applied,
+                heartbeat.sequence,
+                self._shares,
+                self._longest,
+                now,
+            )
+        changes, snapshot = [], None
+        if with_changes:
+            changes, snapshot = changes_since(self._machine, heartbeat.revision)
+        return HeartbeatReply(
+            sequence=heartbeat.sequence,
+            revision=self._machine.revision,
+            lease_s=self._lease.lease,
+            changes=changes,
+            snapshot=snapshot,
+            loans=loans,
+            rates=self._rates(heartbeat),
+        )
+
+    def plan(self, now: float, now_ms: int) -> list[AnyCommand]:
+        """Return the commands that bring the produced state up to date."""
+        self._compile()
+        commands: list[AnyCommand] = []
+        commands += self._plan_instances(now, now_ms)
+        commands += self._plan_shares(now, now_ms)
+        commands += self._plan_drains(now, now_ms)
+        commands += self._plan_moves(now, now_ms)
+        if now >= self._expire_at:
+            self._expire_at = now + EXPIRE_INTERVAL_S
+            commands.append(Expire(now_ms=now_ms))
+        return commands
+
+    def in_force(self, now: float) -> int:
+        """Return the newest revision that every entry which may serve has applied.
+
+        An entry that is not silent counts with what it last said; a silent one has no lease.
+        """
+        revisions = [
+            known.heartbeat.revision if known else 0
+            for instance in self._store.of_kind("instance")
+            if instance.spec.state is not InstanceState.GONE
+            and not self._registry.is_silent(instance.name, now)
+            for known in [self._registry.get(instance.name)]
+        ]
+        return min(revisions, default=self._machine.revision)
+
+    @property
+    def _store(self) -> ResourceStore:
+        return self._machine.store
+
+    def _compile(self) -> None:
+        if self._compiled == self._machine.revision:
+            return
+        self._compiled = self._machine.revision
+        self._longest = _longest_requests(self._store)
+        self._shares = {
+            (share.spec.service, share.spec.region): share.spec
+            for share in self._store.of_kind("share")
+        }
+
+    def _rates(self, heartbeat: Heartbeat) -> dict[str, float]:
+        """Divide each paid rate among the entries in proportion to what they see of it."""
+        rates: dict[str, float] = {}
+        for report in heartbeat.rates:
+            organisation = self._store.get("organisation", report.organisation)
+            contract = organisation and organisation.spec.contracts.get(report.service)
+            if not contract:
+                continue
+            total = sum(
+                other.rate
+                for known in self._registry
+                for other in known.heartbeat.rates
+                if (other.organisation, other.service) == (report.organisation, report.service)
+            )
+            part = report.rate / total if total > 0 else 1.0
+            rates[rate_key(report.organisation, report.service)] = contract.rate * part
+        return rates
+
+    # Instances
+
+    def _plan_instances(self, now: float, now_ms: int) -> list[AnyCommand]:
+        commands: list[AnyCommand] = []
+        for known in list(self._registry):
+            commands += self._plan_known(known.heartbeat, now, now_ms)
+        for resource in self._store.of_kind("instance"):
+            commands += self._plan_unheard(resource, now, now_ms)
+        return commands
+
+    def _plan_known(self, heartbeat: Heartbeat, now: float, now_ms: int) -> list[AnyCommand]:
+        held = self._store.get("instance", heartbeat.instance)
+        if self._registry.is_silent(heartbeat.instance, now):
+            return []
+        state = InstanceState.LIVE
+        if heartbeat.stopped:
+            state = InstanceState.GONE
+        elif heartbeat.leaving or heartbeat.instance in self._platform.leaving:
+            state = InstanceState.LEAVING
+        spec = Instance(
+            address=heartbeat.address,
+            peer=heartbeat.peer,
+            zone=heartbeat.zone,
+            incarnation=heartbeat.incarnation,
+            state=state,
+        )
+        if held is None and heartbeat.stopped:
+            return []
+        if held is not None and held.spec == spec:
+            return []
+        commands: list[AnyCommand] = [_put("instance", heartbeat.instance, spec, now_ms)]
+        if held is not None and (
+            held.spec.incarnation != spec.incarnation or state is InstanceState.GONE
+        ):
+            holder = f"{held.name}@{held.spec.incarnation}"
+            commands.append(AbandonClaims(now_ms=now_ms, holder=holder))
+        return commands
+
+    def _plan_unheard(self, resource: Resource, now: float, now_ms: int) -> list[AnyCommand]:
+        spec: Instance = resource.spec
+        if spec.state is InstanceState.GONE:
+            return self._plan_gone(resource, now_ms)
+        if not self._registry.is_silent(resource.name, now):
+            return []
+        holder = f"{resource.name}@{spec.incarnation}"
+        if self._platform.is_gone(resource.name) or self._platform.is_gone(spec.address):
+            gone = msgspec.structs.replace(spec, state=InstanceState.GONE)
+            abandon = AbandonClaims(now_ms=now_ms, holder=holder)
+            return [_put("instance", resource.name, gone, now_ms), abandon]
+        if spec.state is not InstanceState.SILENT:
+            silent = msgspec.structs.replace(spec, state=InstanceState.SILENT)
+            return [_put("instance", resource.name, silent, now_ms)]
+        return []
+
+    def _plan_gone(self, resource: Resource, now_ms: int) -> list[AnyCommand]:
+        known = self._registry.get(resource.name)
+        if known is not None and known.heartbeat.incarnation == resource.spec.incarnation:
+            self._registry.forget(resource.name)
+        holders = {
+            member
+            for share in self._shares.values()
+            for division in (share.current, share.previous)
+            if division is not None
+            for member in division.members
+        }
+        if resource.name in holders:
+            return []
+        return [
+            DeleteResource(
+                now_ms=now_ms, kind="instance", name=resource.name, operator=SYSTEM_OPERATOR
+            )
+        ]
+
+    # Shares
+
+    def _plan_shares(self, now: float, now_ms: int) -> list[AnyCommand]:
+        wanted = self._wanted_divisions()
+        commands: list[AnyCommand] = []
+        instances = {i.name: i.spec.state for i in self._store.of_kind("instance")}
+        silent = {n for n, s in instances.items() if s is InstanceState.SILENT}
+        for key, division in wanted.items():
+            share = self._shares.get(key)
+            members = _all_members(share)
+            gone = {
+                m for m in members if instances.get(m, InstanceState.GONE) is InstanceState.GONE
+            }
+            step = next_division(share, division, self._shrunk(key, share), gone, silent)
+            if step is not None:
+                epoch, current, previous = step
+                spec = Share(
+                    service=key[0],
+                    region=key[1],
+                    epoch=epoch,
+                    current=current,
+                    previous=previous,
+                )
+                commands.append(_put("share", share_name(*key), spec, now_ms))
+        for key in self._shares.keys() - wanted.keys():
+            commands.append(
+                DeleteResource(
+                    now_ms=now_ms, kind="share", name=share_name(*key), operator=SYSTEM_OPERATOR
+                )
+            )
+        return commands
+
+    def _shrunk(self, key: tuple[str, str], share: Share | None) -> set[str]:
+        if share is None:
+            return set()
+        name = share_name(*key)
+        return {
+            known.heartbeat.instance
+            for known in self._registry
+            if known.heartbeat.shrunk.get(name) == share.epoch
+        }
+
+    def _wanted_divisions(self) -> dict[tuple[str, str], Division]:
+        slots: dict[tuple[str, str], dict[str, int]] = {}
+        for pool in self._store.of_kind("pool"):
+            key = (pool.spec.service, pool.spec.region)
+            headroom = capacity_of(self._store, *key).headroom
+            for upstream in pool.spec.upstreams:
+                allowed = usable_slots(upstream.slots, pool.spec.queue_allowance, headroom)
+                allowed = min(allowed, upstream.connections)
+                slots.setdefault(key, {})[upstream.address] = allowed
+        divisions = {}
+        for key, usable in slots.items():
+            service = self._store.get("service", key[0])
+            divisions[key] = Division(
+                members=self._choose_members(key, service.spec.entries),
+                slots=usable,
+                floor_fraction=service.spec.floor_fraction,
+            )
+        return divisions
+
+    def _choose_members(self, key: tuple[str, str], count: int) -> list[str]:
+        """Pick entries for a share: the region's own first, spread over availability zones."""
+        drained = drained_instances(self._store)
+        zones = {z.name: z.spec.region for z in self._store.of_kind("zone")}
+        by_zone: dict[str, list[str]] = {}
+        for instance in self._store.of_kind("instance"):
+            stays = instance.spec.state in (InstanceState.LIVE, InstanceState.SILENT)
+            if stays and instance.name not in drained:
+                by_zone.setdefault(instance.spec.zone, []).append(instance.name)
+        order = rank(share_name(*key), by_zone)
+        order.sort(key=lambda zone: self._distance(key[1], zones.get(zone, "")))
+        local = [zone for zone in order if zones.get(zone) == key[1]]
+        chosen = _round_robin(share_name(*key), [by_zone[z] for z in local], count)
+        if not chosen:
+            chosen = _round_robin(share_name(*key), [by_zone[z] for z in order], count)
+        return sorted(chosen)
+
+    def _distance(self, source: str, target: str) -> float:
+        if source == target:
+            return -1.0
+        region = self._store.get("region", source)
+        return region.spec.latency_ms.get(target, 1e9) if region else 1e9
+
+    # Drains and moves
+
+    def _plan_drains(self, now: float, now_ms: int) -> list[AnyCommand]:
+        commands: list[AnyCommand] = []
+        for drain in self._store.of_kind("drain"):
+            status = next_drain_status(drain.status, self._drain_view(drain, now), now_ms)
+            if status != drain.status:
+                commands.append(_status("drain", drain, status, now_ms))
+        return commands
+
+    def _drain_view(self, drain: Resource, now: float) -> DrainView:
+        reports: dict[str, int] = {}
+        unaware = []
+        for instance in self._store.of_kind("instance"):
+            if instance.spec.state is InstanceState.GONE:
+                continue
+            known = self._registry.get(instance.name)
+            counts = {r.drain: r.in_flight for r in known.heartbeat.drains} if known else {}
+            if self._registry.is_silent(instance.name, now) or drain.name not in counts:
+                unaware.append(instance.name)
+            else:
+                reports[instance.name] = counts[drain.name]
+        return DrainView(reports, unaware)
+
+    def _plan_moves(self, now: float, now_ms: int) -> list[AnyCommand]:
+        moves = self._store.of_kind("move")
+        commands: list[AnyCommand] = []
+        in_force = self.in_force(now)
+        pending: set[tuple[str, str]] = set()
+        for move in moves:
+            percent = move.status.percent if move.status else 0.0
+            source, target = move.spec.source, move.spec.target
+            into = target if move.spec.goal_percent >= percent else source
+            if (move.spec.service, into) in pending:
+                continue
+            capacity = capacity_of(self._store, move.spec.service, into)
+            pairs = [(other.spec, other.status) for other in moves]
+            accepted_ms = self._accepted_ms(move)
+            view = ShiftView(
+                cap_percent=capacity.inbound_percent,
+                window_s=capacity.window_s,
+                recent_percent=recent_percent(
+                    pairs, move.spec.service, into, capacity.window_s, now_ms
+                ),
+                in_force=in_force >= move.revision,
+                free_fraction=self._free_fraction(move.spec.service, into, capacity.headroom),
+                accepted_ms=accepted_ms,
+            )
+            status = next_move_status(move.spec, move.status, view, now_ms)
+            if status != move.status:
+                commands.append(_status("move", move, status, now_ms))
+                pending.add((move.spec.service, into))
+        return commands
+
+    def _accepted_ms(self, move: Resource) -> int:
+        """Return when a move began; one that has made steps has waited its window already."""
+        if move.status is not None and move.status.steps:
+            return 0
+        changes = self._machine.history.changes
+        times = [c.now_ms for c in changes if (c.kind, c.name) == ("move", move.name)]
+        return times[0] if times else 0
+
+    def _free_fraction(self, service: str, region: str, headroom: float) -> float | None:
+        name = share_name(service, region)
+        loads = [
+            known.heartbeat.loads[name] for known in self._registry if name in known.heartbeat.loads
+        ]
+        return 1 - headroom - sum(loads) / len(loads) if loads else None
+
+
+def changes_since(machine: StateMachine, revision: int) -> tuple[list, list | None]:
+    """Return (changes, None) after a revision, or ([], whole state) if that is shorter."""
+    try:
+        changes = machine.history.since(revision)
+    except GoneError:
+        return [], full_state(machine.store)
+    if len(changes) > DELTA_LIMIT and len(changes) > sum(1 for _ in machine.store):
+        return [], full_state(machine.store)
+    return changes, None
+
+
+def full_state(store: ResourceStore) -> list:
+    """Return every resource as a change, in the order of their revisions."""
+    resources = sorted(store, key=lambda resource: resource.revision)
+    return [change_of(resource, Operation.PUT, 0) for resource in resources]
+
+
+def capacity_of(store: ResourceStore, service: str, region: str) -> Capacity:
+    """Return the declared limits of a service in a region, or the defaults."""
+    for capacity in store.of_kind("capacity"):
+        if (capacity.spec.service, capacity.spec.region) == (service, region):
+            return capacity.spec
+    return Capacity(service=service, region=region)
+
+
+def _longest_requests(store: ResourceStore) -> dict[str, float]:
+    return {s.name: s.spec.deadline_ms / 1000 for s in store.of_kind("service")}
+
+
+def _all_members(share: Share | None) -> set[str]:
+    if share is None:
+        return set()
+    previous = share.previous.members if share.previous else []
+    return {*share.current.members, *previous}
+
+
+def _round_robin(key: str, groups: list[list[str]], count: int) -> list[str]:
+    ranked = [rank(key, group) for group in groups]
+    chosen: list[str] = []
+    while len(chosen) < count and any(ranked):
+        for group in ranked:
+            if group and len(chosen) < count:
+                chosen.append(group.pop(0))
+    return chosen
+
+
+def _put(kind: str, name: str, spec: Instance | Share, now_ms: int) -> PutResource:
+    return PutResource(
+        now_ms=now_ms,
+        kind=kind,
+        name=name,
+        spec=msgspec.json.encode(spec),
+        operator=SYSTEM_OPERATOR,
+    )
+
+
+def _status(kind: str, resource: Resource, status, now_ms: int) -> PutStatus:
+    return PutStatus(
+        now_ms=now_ms,
+        kind=kind,
+        name=resource.name,
+        generation=resource.generation,
+        status=status,
+    )
--- /dev/null
+++ b/src/finchway/observe/_events.py
@@ -0,0 +1,129 @@
+"""The time line: typed events of one process, with a logical clock that spans all of them.
+
+Events are decisions and changes of state, not requests. Each message between processes carries
+the sender's clock, so an event that another one caused has the larger number, whatever the wall
+clocks say.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import deque
+from collections.abc import Callable
+from enum import Enum
+
+from msgspec import Struct
+
+_LOG = logging.getLogger("finchway.events")
+EVENT_LIMIT = 5_000
+
+
+class EventKind(Enum):
+    """What kinds of decisions and changes the time line shows."""
+
+    STARTED = "started"
+    STOPPING = "stopping"
+    STOPPED = "stopped"
+    LEADER_CHANGED = "leader-changed"
+    REPLICAS_CHANGED = "replicas-changed"
+    STORAGE_FAILED = "storage-failed"
+    SNAPSHOT_TAKEN = "snapshot-taken"
+    RESOURCE_ACCEPTED = "resource-accepted"
+    REVISION_APPLIED = "revision-applied"
+    INSTANCE_CHANGED = "instance-changed"
+    SHARE_CHANGED = "share-changed"
+    DRAIN_CHANGED = "drain-changed"
+    MOVE_CHANGED = "move-changed"
+    LEASE_LOST = "lease-lost"
+    LEASE_REGAINED = "lease-regained"
+    UPSTREAM_LEAVING = "upstream-leaving"
+    UPSTREAM_EJECTED = "upstream-ejected"
+    UPSTREAM_RETURNED = "upstream-returned"
+    REGION_DOWN = "region-down"
+    REGION_UP = "region-up"
+    CLAIM_UNKNOWN = "claim-unknown"
+
+
+class Event(Struct, frozen=True):
+    """One entry of the time line; `time_ms` is Unix time, `clock` the logical clock."""
+
+    sequence: int
+    clock: int
+    time_ms: int
+    instance: str
+    kind: EventKind
+    subject: str
+    detail: str = ""
+
+
+class LogicalClock:
+    """A counter that is always ahead of every clock it has seen (Lamport's clock)."""
+
+    __slots__ = ("_value",)
+
+    def __init__(self) -> None:
+        self._value = 0
+
+    @property
+    def value(self) -> int:
+        """The present value."""
+        return self._value
+
+    def tick(self) -> int:
+        """Count one step and return the new value."""
+        self._value += 1
+        return self._value
+
+    def witness(self, other: int) -> None:
+        """Move past a clock that came with a message."""
+        self._value = max(self._value, other)
+
+
+class Timeline:
+    """The recent events of one process."""
+
+    __slots__ = ("_clock", "_events", "_instance", "_now_ms", "_sequence")
+
+    def __init__(
+        self,
+        instance: str,
+        clock: LogicalClock,
+        now_ms: Callable[[], int],
+        limit: int = EVENT_LIMIT,
+    ) -> None:
+        self._instance = instance
+        self._clock = clock
+        self._now_ms = now_ms
+        self._sequence = 0
+        self._events: deque[Event] = deque(maxlen=limit)
+
+    @property
+    def last(self) -> int:
+        """The sequence number of the newest event."""
+        return self._sequence
+
+    def record(self, kind: EventKind, subject: str, detail: str = "") -> Event:
+        """Add an event and log it."""
+        self._sequence += 1
+        event = Event(
+            self._sequence,
+            self._clock.tick(),
+            self._now_ms(),
+            self._instance,
+            kind,
+            subject,
+            detail,
+        )
+        self._events.append(event)
+        _LOG.info("%s %s %s", kind.value, subject, detail)
+        return event
+
+    def since(self, sequence: int, limit: int = 500) -> list[Event]:
+        """Return the events after a sequence number that are still held."""
+        return [event for event in self._events if event.sequence > sequence][:limit]
+
+
+def merge(streams: list[list[Event]]) -> list[Event]:
+    """Merge events of several processes into one order that respects cause and effect."""
+    events = [event for stream in streams for event in stream]
+    return sorted(events, key=lambda event: (event.clock, event.time_ms, event.instance))
--- /dev/null
+++ b/src/finchway/observe/_logs.py
@@ -0,0 +1,45 @@
+"""Log lines with structure: one JSON object a line, or plain text for a terminal."""
+
+from __future__ import annotations
+
+import logging
+import time
+
+import msgspec
+
+
+class JsonFormatter(logging.Formatter):
+    """Formats a record as one JSON object."""
+
+    def __init__(self, instance: str) -> None:
+        super().__init__()
+        self._instance = instance
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the line for a record."""
+        line = {
+            "time": time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created))
+            + f".{int(record.msecs):03d}Z",
+            "level": record.levelname.lower(),
+            "instance": self._instance,
+            "logger": record.name,
+            "message": record.getMessage(),
+        }
+        if record.exc_info:
+            line["exception"] = self.formatException(record.exc_info)
+        return msgspec.json.encode(line).decode()
+
+
+def configure_logs(instance: str, level: str, as_json: bool) -> None:
+    """Send log lines to standard error."""
+    handler = logging.StreamHandler()
+    if as_json:
+        handler.setFormatter(JsonFormatter(instance))
+    else:
+        pattern = f"%(asctime)s %(levelname)-7s {instance} %(name)s: %(message)s"
+        handler.setFormatter(logging.Formatter(pattern))
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level.upper())
+    for noisy in ("hypercorn.error", "hypercorn.access", "httpcore", "hpack"):
+        logging.getLogger(noisy).setLevel(logging.WARNING)
--- /dev/null
+++ b/src/finchway/observe/_metrics.py
@@ -0,0 +1,69 @@
+"""Metrics of one process, in the Prometheus text form, by aioprometheus."""
+
+from __future__ import annotations
+
+from aioprometheus import Counter, Gauge, Registry
+from aioprometheus.renderer import render
+from hdrh.histogram import HdrHistogram
+
+_LOWEST_US = 1
+_HIGHEST_US = 120_000_000
+_DIGITS = 2
+_QUANTILES = (50.0, 90.0, 99.0, 99.9)
+
+
+class Metrics:
+    """The counters, gauges and latency histograms of one process."""
+
+    def __init__(self, instance: str) -> None:
+        labels = {"instance": instance}
+        self._registry = Registry()
+        self._requests = Counter("finchway_requests_total", "Requests by outcome", labels)
+        self._retries = Counter("finchway_retries_total", "Retries by service", labels)
+        self._steers = Counter("finchway_steers_total", "Steering answers", labels)
+        self._state = Gauge("finchway_state", "State by name", labels)
+        self._latency_gauge = Gauge("finchway_latency_seconds", "Latency by quantile", labels)
+        self._latency: dict[tuple[str, str], HdrHistogram] = {}
+        for metric in (
+            self._requests,
+            self._retries,
+            self._steers,
+            self._state,
+            self._latency_gauge,
+        ):
+            self._registry.register(metric)
+
+    def count_request(self, service: str, priority: str, outcome: str, seconds: float) -> None:
+        """Count one request that has been answered, with its latency."""
+        self._requests.inc({"service": service, "priority": priority, "outcome": outcome})
+        histogram = self._latency.get((service, priority))
+        if histogram is None:
+            histogram = HdrHistogram(_LOWEST_US, _HIGHEST_US, _DIGITS)
+            self._latency[service, priority] = histogram
+        histogram.record_value(max(_LOWEST_US, min(_HIGHEST_US, int(seconds * 1e6))))
+
+    def count_retry(self, service: str) -> None:
+        """Count one retry."""
+        self._retries.inc({"service": service})
+
+    def count_steer(self, service: str) -> None:
+        """Count one steering answer."""
+        self._steers.inc({"service": service})
+
+    def set_state(self, name: str, value: float, **labels: str) -> None:
+        """Set a gauge such as the applied revision or the requests in flight."""
+        self._state.set({"name": name, **labels}, value)
+
+    def render(self) -> bytes:
+        """Return all metrics in the text form."""
+        for (service, priority), histogram in self._latency.items():
+            for quantile in _QUANTILES:
+                labels = {
+                    "service": service,
+                    "priority": priority,
+                    "quantile": str(quantile / 100),
+                }
+                seconds = histogram.get_value_at_percentile(quantile) / 1e6
+                self._latency_gauge.set(labels, seconds)
+        content, _ = render(self._registry, ["text/plain"])
+        return content
--- /dev/null
+++ b/src/finchway/policy/__init__.py
@@ -0,0 +1,110 @@
+"""The decisions: routing, capacity shares, admission, shifts, drains, retries, upstream choice.
+
+All of them are plain objects: time comes in as an argument, nothing here does I/O.
+"""
+
+from finchway.policy._admission import (
+    DEMOTED_RANK,
+    PaidRate,
+    RateWindow,
+    Refusal,
+    ServiceRate,
+    Ticket,
+    WaitingQueue,
+    retry_after,
+)
+from finchway.policy._blocks import BlockTable
+from finchway.policy._choice import Directory, LoadReport, UpstreamState
+from finchway.policy._drains import (
+    DrainReport,
+    DrainView,
+    drained_instances,
+    drained_upstreams,
+    next_drain_status,
+    upstreams_of,
+)
+from finchway.policy._gate import Decision, Gate, Grant
+from finchway.policy._hashing import position, rank, rank_weighted
+from finchway.policy._retries import MAX_ATTEMPTS, Attempt, Outcome, RetryBudget, may_retry
+from finchway.policy._routing import Caller, EntryPoint, Routes, caller_position, client_block
+from finchway.policy._shares import (
+    Demand,
+    Holder,
+    Lender,
+    Loan,
+    LoanTiming,
+    ShareKey,
+    Slots,
+    floor_of,
+    floors_in_force,
+    next_division,
+    pool_in_force,
+    pool_of,
+    share_name,
+    usable_slots,
+)
+from finchway.policy._shifts import (
+    FailoverRamp,
+    RegionHealth,
+    ShiftView,
+    inbound_part,
+    next_move_status,
+    recent_percent,
+)
+
+__all__ = [
+    "DEMOTED_RANK",
+    "MAX_ATTEMPTS",
+    "Attempt",
+    "BlockTable",
+    "Caller",
+    "Decision",
+    "Demand",
+    "Directory",
+    "DrainReport",
+    "DrainView",
+    "EntryPoint",
+    "FailoverRamp",
+    "Gate",
+    "Grant",
+    "Holder",
+    "Lender",
+    "LoadReport",
+    "Loan",
+    "LoanTiming",
+    "Outcome",
+    "PaidRate",
+    "RateWindow",
+    "Refusal",
+    "RegionHealth",
+    "RetryBudget",
+    "Routes",
+    "ServiceRate",
+    "ShareKey",
+    "ShiftView",
+    "Slots",
+    "Ticket",
+    "UpstreamState",
+    "WaitingQueue",
+    "caller_position",
+    "client_block",
+    "drained_instances",
+    "drained_upstreams",
+    "floor_of",
+    "floors_in_force",
+    "inbound_part",
+    "may_retry",
+    "next_division",
+    "next_drain_status",
+    "next_move_status",
+    "pool_in_force",
+    "pool_of",
+    "position",
+    "rank",
+    "rank_weighted",
+    "recent_percent",
+    "retry_after",
+    "share_name",
+    "upstreams_of",
+    "usable_slots",
+]
--- /dev/null
+++ b/src/finchway/policy/_choice.py
@@ -0,0 +1,175 @@
+"""Which upstream serves a request: own counts first, reported load second.
+
+A report counts less the older it is, and a missing one means unknown, never idle. Good health
+overrides neither a failed request nor a leaving mark. Ejection is bounded, so that a misleading
+signal cannot empty a region.
+"""
+
+from __future__ import annotations
+
+import random
+
+from msgspec import Struct
+
+LOAD_HALF_LIFE_S = 0.2
+UNKNOWN_LOAD = 0.5
+FAILURES_TO_EJECT = 3
+EJECTION_S = 2.0
+MAX_EJECTION_S = 60.0
+EJECTED_FRACTION = 0.5
+
+
+class LoadReport(Struct, frozen=True):
+    """What an upstream's load endpoint said: busy slots and waiting requests over its slots."""
+
+    load: float
+    at: float
+
+
+class UpstreamState(Struct):
+    """What one entry knows of one upstream."""
+
+    address: str
+    since: float
+    ramp_s: float = 0.0
+    in_flight: int = 0
+    report: LoadReport | None = None
+    failures: int = 0
+    ejections: int = 0
+    ejected_until: float = float("-inf")
+    leaving: bool = False
+    drained: bool = False
+    incarnation: str = ""
+
+    def ramp(self, now: float) -> float:
+        """Return the part of its limit that an upstream may be given while it is cold."""
+        if self.ramp_s <= 0:
+            return 1.0
+        return min(1.0, max(0.0, (now - self.since) / self.ramp_s))
+
+
+class Directory:
+    """The upstreams that one entry knows, by address."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._states: dict[str, UpstreamState] = {}
+
+    def __iter__(self):
+        return iter(self._states.values())
+
+    def get(self, address: str) -> UpstreamState | None:
+        """Return the state of an upstream, if it is known."""
+        return self._states.get(address)
+
+    def sync(self, ramps: dict[str, float], now: float, warm: bool) -> list[str]:
+        """Take over the configured upstreams with their ramp times; returns those dropped.
+
+        At the start of a process the upstreams count as warm, since others use them already.
+        """
+        dropped = [a for a in self._states if a not in ramps and not self._states[a].in_flight]
+        for address in dropped:
+            del self._states[address]
+        for address, ramp_s in ramps.items():
+            since = float("-inf") if warm else now
+            state = self._states.setdefault(address, UpstreamState(address, since))
+            state.ramp_s = ramp_s
+        return dropped
+
+    def record_success(self, address: str) -> None:
+        """Note that a request to an upstream succeeded."""
+        state = self._states.get(address)
+        if state:
+            state.failures = 0
+            state.ejections = 0
+
+    def record_failure(self, address: str, peers: list[str], now: float) -> bool:
+        """Note a failed request; True if the upstream is ejected now.
+
+        `peers` are the upstreams of the same pool; no more than half of them are ejected.
+        """
+        state = self._states.get(address)
+        if state is None:
+            return False
+        state.failures += 1
+        if state.failures < FAILURES_TO_EJECT or now < state.ejected_until:
+            return False
+        ejected = sum(
+            1 for peer in peers if peer in self._states and now < self._states[peer].ejected_until
+        )
+        if ejected + 1 > len(peers) * EJECTED_FRACTION:
+            return False
+        state.ejected_until = now + min(MAX_EJECTION_S, EJECTION_S * 2**state.ejections)
+        state.ejections += 1
+        state.failures = FAILURES_TO_EJECT - 1
+        return True
+
+    def record_report(self, address: str, report: LoadReport) -> None:
+        """Take in a load report."""
+        state = self._states.get(address)
+        if state:
+            state.report = report
+
+    def mark_leaving(self, address: str) -> bool:
+        """Mark an upstream as leaving, for as long as its incarnation lives; True if it is news."""
+        state = self._states.get(address)
+        if state is None or state.leaving:
+            return False
+        state.leaving = True
+        return True
+
+    def set_drained(self, addresses: set[str]) -> None:
+        """Take over which upstreams the operators' drains cover; ending a drain clears it."""
+        for address, state in self._states.items():
+            state.drained = address in addresses
+
+    def record_incarnation(self, address: str, incarnation: str, now: float) -> bool:
+        """Note which life of the upstream answered; a new one starts cold and unmarked."""
+        state = self._states.get(address)
+        if state is None or not incarnation or incarnation == state.incarnation:
+            return False
+        first_seen = state.incarnation == ""
+        state.incarnation = incarnation
+        if first_seen:
+            return False
+        state.leaving = False
+        state.failures = state.ejections = 0
+        state.ejected_until = float("-inf")
+        state.report = None
+        state.since = now
+        return True
+
+    def choose(self, limits: dict[str, int], now: float) -> str | None:
+        """Pick an upstream with a free slot among `limits`, or None.
+
+        Two are drawn at random in proportion to their free slots; the less loaded one is taken.
+        """
+        free = {a: self._free(a, limit, now) for a, limit in limits.items()}
+        usable = {address: count for address, count in free.items() if count > 0}
+        if not usable:
+            return None
+        drawn = self._rng.choices(list(usable), weights=list(usable.values()), k=2)
+        return min(drawn, key=lambda address: self._score(address, limits[address], now))
+
+    def is_usable(self, address: str, now: float) -> bool:
+        """Tell whether an upstream is known, not leaving and not ejected."""
+        state = self._states.get(address)
+        if state is None or state.leaving or state.drained:
+            return False
+        return now >= state.ejected_until
+
+    def _free(self, address: str, limit: int, now: float) -> int:
+        if not self.is_usable(address, now):
+            return 0
+        state = self._states[address]
+        cold_limit = max(1, int(limit * state.ramp(now))) if limit else 0
+        return cold_limit - state.in_flight
+
+    def _score(self, address: str, limit: int, now: float) -> float:
+        state = self._states[address]
+        own = state.in_flight / max(1, limit)
+        if state.report is None:
+            return own + UNKNOWN_LOAD
+        age = max(0.0, now - state.report.at)
+        trust = 0.5 ** (age / LOAD_HALF_LIFE_S)
+        return own + trust * state.report.load + (1 - trust) * UNKNOWN_LOAD
--- /dev/null
+++ b/src/finchway/policy/_gate.py
@@ -0,0 +1,217 @@
+"""The gate of one entry: it lets requests through to upstreams within the entry's slots.
+
+A request is granted a slot at once, waits by priority, or is refused with the time after which to
+come back. All services of an entry share one gate, each with a queue of its own.
+"""
+
+from __future__ import annotations
+
+from msgspec import Struct
+
+from finchway.policy._admission import (
+    Refusal,
+    ServiceRate,
+    Ticket,
+    WaitingQueue,
+    retry_after,
+)
+from finchway.policy._choice import Directory
+from finchway.policy._shares import Demand, Holder, ShareKey, Slots
+
+DEADLINE_REASON = "the deadline cannot be met"
+FULL_REASON = "the queue is full of better priorities"
+NO_REGION_REASON = "no region serves this request now"
+
+
+class Grant(Struct, frozen=True):
+    """A slot of an upstream, held from `at` until it is released."""
+
+    service: str
+    region: str
+    address: str
+    rank: int
+    at: float
+
+
+Decision = Grant | Refusal
+Decided = list[tuple[Ticket, Decision]]
+
+
+class _Lane:
+    """One service's queue and rate at this entry."""
+
+    __slots__ = ("in_flight_by_rank", "queue", "rate")
+
+    def __init__(self, limit: int) -> None:
+        self.queue = WaitingQueue(limit)
+        self.rate = ServiceRate()
+        self.in_flight_by_rank: dict[tuple[str, int], int] = {}
+
+
+class Gate:
+    """Admission, capacity shares and upstream choice put together for one entry."""
+
+    def __init__(self, holder: Holder, directory: Directory) -> None:
+        self._holder = holder
+        self._directory = directory
+        self._lanes: dict[str, _Lane] = {}
+        self._held: dict[ShareKey, Slots] = {}
+        self._in_flight = 0
+
+    @property
+    def in_flight(self) -> int:
+        """How many slots are held."""
+        return self._in_flight
+
+    def set_limit(self, service: str, queue_limit: int) -> None:
+        """Set how many requests of a service may wait."""
+        self._lane(service, queue_limit).queue.limit = queue_limit
+
+    def waiting(self, service: str) -> int:
+        """Return how many requests of a service wait."""
+        lane = self._lanes.get(service)
+        return len(lane.queue) if lane else 0
+
+    def mean_hold_s(self, service: str) -> float:
+        """Return how long a request of a service holds its slot, in seconds."""
+        return self._lane(service).rate.mean_s
+
+    def offer(self, service: str, ticket: Ticket, now: float) -> tuple[Decision | None, Decided]:
+        """Ask for a slot: a grant, a refusal, or None while the ticket waits.
+
+        The second part tells which other tickets had to make room.
+        """
+        lane = self._lane(service)
+        if not ticket.regions:
+            return Refusal(NO_REGION_REASON, 1.0), []
+        ahead = lane.queue.ahead_of(ticket)
+        if ahead == 0:
+            grant = self._try(service, ticket, now, set())
+            if grant is not None:
+                return grant, []
+        slots = self._usable_slots(service, ticket.regions, now)
+        wait_s = lane.rate.wait_s(ahead, slots)
+        if slots == 0:
+            wait_s = max(wait_s, 1.0)
+        if slots and now + wait_s + lane.rate.mean_s > ticket.deadline:
+            return Refusal(DEADLINE_REASON, retry_after(wait_s)), []
+        evicted = lane.queue.push(ticket)
+        if evicted is None:
+            return None, []
+        refusal = Refusal(FULL_REASON, retry_after(lane.rate.wait_s(len(lane.queue), slots)))
+        if evicted is ticket:
+            return refusal, []
+        return None, [(evicted, refusal)]
+
+    def release(self, grant: Grant, now: float, succeeded: bool) -> None:
+        """Give a slot back; a success tells how long slots are held."""
+        lane = self._lane(grant.service)
+        self._in_flight -= 1
+        lane.in_flight_by_rank[grant.region, grant.rank] -= 1
+        self._held[grant.service, grant.region][grant.address] -= 1
+        state = self._directory.get(grant.address)
+        if state is not None:
+            state.in_flight -= 1
+        if succeeded:
+            lane.rate.record(now - grant.at)
+
+    def pump(self, now: float, service: str | None = None) -> Decided:
+        """Serve and expire waiting tickets; returns those that are decided."""
+        decided: Decided = []
+        for name, lane in self._lanes.items():
+            if service not in (None, name) or not len(lane.queue):
+                continue
+            for late in lane.queue.expire(now):
+                wait_s = lane.rate.wait_s(len(lane.queue), 1)
+                decided.append((late, Refusal(DEADLINE_REASON, retry_after(wait_s))))
+            decided += self._serve(name, lane, now)
+        return decided
+
+    def withdraw(self, service: str, ticket: Ticket) -> bool:
+        """Take a ticket back whose caller has gone; False if it was decided already."""
+        return self._lane(service).queue.remove(ticket)
+
+    def next_deadline(self) -> float | None:
+        """Return when the next waiting ticket expires."""
+        deadlines = [t.deadline for lane in self._lanes.values() for t in lane.queue]
+        return min(deadlines, default=None)
+
+    def demands(self, keys: list[ShareKey]) -> list[Demand]:
+        """Return what this entry wants of each share; only those it wants anything of."""
+        demands = []
+        for service, region in keys:
+            demand = self._demand(service, region)
+            if demand.wanted or demand.used:
+                demands.append(demand)
+        return demands
+
+    def held(self, key: ShareKey) -> Slots:
+        """Return what is in flight at each of a share's upstreams."""
+        return {a: count for a, count in self._held.get(key, {}).items() if count}
+
+    def has_shrunk(self, key: ShareKey) -> bool:
+        """Tell whether what is in flight fits the floors, so that others' may grow."""
+        return not self._holder.used_beyond_floor(key, self.held(key))
+
+    def _demand(self, service: str, region: str) -> Demand:
+        lane = self._lane(service)
+        wanted: dict[int, int] = {}
+        for (held_region, rank), count in lane.in_flight_by_rank.items():
+            if held_region == region and count:
+                wanted[rank] = wanted.get(rank, 0) + count
+        for ticket in lane.queue:
+            if ticket.regions and ticket.regions[0] == region:
+                wanted[ticket.rank] = wanted.get(ticket.rank, 0) + 1
+        key = (service, region)
+        used = self._holder.used_beyond_floor(key, self.held(key))
+        return Demand(service, region, wanted, used)
+
+    def _lane(self, service: str, limit: int = 64) -> _Lane:
+        lane = self._lanes.get(service)
+        if lane is None:
+            lane = self._lanes[service] = _Lane(limit)
+        return lane
+
+    def _serve(self, service: str, lane: _Lane, now: float) -> Decided:
+        decided: Decided = []
+        exhausted: set[str] = set()
+        for ticket in list(lane.queue):
+            if all(region in exhausted for region in ticket.regions):
+                continue
+            grant = self._try(service, ticket, now, exhausted)
+            if grant is not None:
+                lane.queue.remove(ticket)
+                decided.append((ticket, grant))
+        return decided
+
+    def _try(self, service: str, ticket: Ticket, now: float, exhausted: set[str]) -> Grant | None:
+        for region in ticket.regions:
+            if region in exhausted:
+                continue
+            limits = self._holder.limits((service, region), now)
+            if ticket.excluded:
+                limits = {a: n for a, n in limits.items() if a not in ticket.excluded}
+            address = self._directory.choose(limits, now)
+            if address is not None:
+                return self._grant(service, region, address, ticket.rank, now)
+            if not ticket.excluded:
+                exhausted.add(region)
+        return None
+
+    def _grant(self, service: str, region: str, address: str, rank: int, now: float) -> Grant:
+        lane = self._lane(service)
+        self._in_flight += 1
+        key = (region, rank)
+        lane.in_flight_by_rank[key] = lane.in_flight_by_rank.get(key, 0) + 1
+        self._directory.get(address).in_flight += 1
+        held = self._held.setdefault((service, region), {})
+        held[address] = held.get(address, 0) + 1
+        return Grant(service, region, address, rank, now)
+
+    def _usable_slots(self, service: str, regions: tuple[str, ...], now: float) -> int:
+        return sum(
+            count
+            for region in regions
+            for address, count in self._holder.limits((service, region), now).items()
+            if self._directory.is_usable(address, now)
+        )
--- /dev/null
+++ b/src/finchway/policy/_routing.py
@@ -0,0 +1,189 @@
+"""Routing: which region serves a caller, and which entries a caller is told to use.
+
+A caller's place is a stable hash, so that a step of a move takes new callers along and brings
+none back.
+"""
+
+from __future__ import annotations
+
+from msgspec import Struct
+
+from finchway.policy._blocks import BlockTable
+from finchway.policy._drains import drained_instances
+from finchway.policy._hashing import position, rank_weighted
+from finchway.policy._shares import share_name
+from finchway.resources import InstanceState, MoveStatus, ResourceStore
+
+UNKNOWN_LATENCY_MS = 1_000.0
+LOCAL_LATENCY_MS = 0.0
+
+
+class Caller(Struct, frozen=True):
+    """Who asks: the client block as text, and the organisation."""
+
+    block: str
+    organisation: str
+
+
+class MoveWeight(Struct, frozen=True):
+    """The committed part of a source region's callers that a move has taken to a target."""
+
+    target: str
+    percent: float
+
+
+class EntryPoint(Struct, frozen=True):
+    """An entry as a steering answer names it."""
+
+    instance: str
+    address: str
+    zone: str
+    region: str
+
+
+class Routes:
+    """Routing tables compiled from the resources at one revision."""
+
+    def __init__(self, store: ResourceStore) -> None:
+        self._revision = store.revision
+        self._latency = {r.name: r.spec.latency_ms for r in store.of_kind("region")}
+        self._zone_region = {z.name: z.spec.region for z in store.of_kind("zone")}
+        self._site_region = {s.name: s.spec.region for s in store.of_kind("site")}
+        self._pools = _pool_regions(store)
+        self._moves = _move_weights(store)
+        self._points = self._entry_points(store)
+        self._members = {
+            share.name: frozenset(share.spec.current.members) for share in store.of_kind("share")
+        }
+        self._blocks = BlockTable.build(
+            (block, chunk.spec.site)
+            for chunk in store.of_kind("client-blocks")
+            for block in chunk.spec.blocks
+        )
+
+    @property
+    def revision(self) -> int:
+        """The revision that the tables stand for."""
+        return self._revision
+
+    def region_of_zone(self, zone: str) -> str | None:
+        """Return the region of an availability zone."""
+        return self._zone_region.get(zone)
+
+    def home_region(self, client: str, default: str) -> str:
+        """Return the region nearest to a client address."""
+        site = self._blocks.find(client)
+        return self._site_region.get(site, default) if site else default
+
+    def distance_ms(self, source: str, target: str) -> float:
+        """Return the one-way time between two regions, as declared in either direction."""
+        if source == target:
+            return LOCAL_LATENCY_MS
+        known = self._latency.get(source, {}).get(target)
+        if known is None:
+            known = self._latency.get(target, {}).get(source, UNKNOWN_LATENCY_MS)
+        return known
+
+    def nearest(self, service: str, home: str) -> list[str]:
+        """Return the regions that have upstreams of a service, nearest first."""
+        regions = self._pools.get(service, [])
+        return sorted(regions, key=lambda region: (self.distance_ms(home, region), region))
+
+    def assigned(self, service: str, home: str, caller: Caller) -> str | None:
+        """Return the region that the committed moves assign to a caller."""
+        order = self.nearest(service, home)
+        if not order:
+            return None
+        return self._follow_moves(service, order[0], caller)
+
+    def _follow_moves(self, service: str, region: str, caller: Caller) -> str:
+        seen = {region}
+        while True:
+            place = caller_position(service, region, caller) * 100
+            for move in self._moves.get((service, region), []):
+                if place < move.percent:
+                    break
+                place -= move.percent
+            else:
+                return region
+            if move.target in seen:
+                return region
+            region = move.target
+            seen.add(region)
+
+    def candidates(self, service: str, home: str, caller: Caller) -> list[str]:
+        """Return the regions for a caller: the assigned one, then the others by nearness."""
+        assigned = self.assigned(service, home, caller)
+        if assigned is None:
+            return []
+        others = [r for r in self.nearest(service, assigned) if r != assigned]
+        return [assigned, *others]
+
+    def move_percent_into(self, service: str, region: str) -> float:
+        """Return the sum of what committed moves have taken into a region."""
+        return sum(
+            weight.percent
+            for (moved, _), weights in self._moves.items()
+            for weight in weights
+            if moved == service and weight.target == region
+        )
+
+    def steer(self, service: str, home: str, caller: Caller, limit: int = 4) -> list[EntryPoint]:
+        """Return the entries for a caller, best first; empty if there is none.
+
+        The members of the assigned region's share come first, spread by weighted rendezvous
+        hashing; then entries elsewhere by nearness, for when the first ones do not answer.
+        """
+        assigned = self.assigned(service, home, caller) or home
+        members = self._members.get(share_name(service, assigned), frozenset())
+        order: list[EntryPoint] = []
+        for group in self._grouped(assigned, members):
+            weights = {point.instance: 1.0 for point in group}
+            by_name = {point.instance: point for point in group}
+            ranked = rank_weighted(f"{service}\x00{caller.block}", weights)
+            order += [by_name[name] for name in ranked]
+        return order[:limit]
+
+    def _grouped(self, region: str, members: frozenset[str]) -> list[list[EntryPoint]]:
+        groups: dict[tuple[bool, float], list[EntryPoint]] = {}
+        for point in self._points:
+            key = (point.instance not in members, self.distance_ms(region, point.region))
+            groups.setdefault(key, []).append(point)
+        return [groups[key] for key in sorted(groups)]
+
+    def _entry_points(self, store: ResourceStore) -> list[EntryPoint]:
+        drained = drained_instances(store)
+        return [
+            EntryPoint(i.name, i.spec.address, i.spec.zone, self._zone_region.get(i.spec.zone, ""))
+            for i in store.of_kind("instance")
+            if i.spec.state is InstanceState.LIVE and i.name not in drained
+        ]
+
+
+def caller_position(service: str, region: str, caller: Caller) -> float:
+    """Return a caller's stable place in [0, 1) among the callers of a service in a region."""
+    return position(service, region, caller.block)
+
+
+def client_block(address: str) -> str:
+    """Return the block that stands for a client address: its /24, or the address itself."""
+    parts = address.split(".")
+    return f"{'.'.join(parts[:3])}.0/24" if len(parts) == 4 else address
+
+
+def _pool_regions(store: ResourceStore) -> dict[str, list[str]]:
+    regions: dict[str, list[str]] = {}
+    for pool in store.of_kind("pool"):
+        if pool.spec.upstreams and pool.spec.region not in regions.get(pool.spec.service, []):
+            regions.setdefault(pool.spec.service, []).append(pool.spec.region)
+    return regions
+
+
+def _move_weights(store: ResourceStore) -> dict[tuple[str, str], list[MoveWeight]]:
+    weights: dict[tuple[str, str], list[MoveWeight]] = {}
+    for move in store.of_kind("move"):
+        percent = move.status.percent if isinstance(move.status, MoveStatus) else 0.0
+        if percent > 0:
+            key = (move.spec.service, move.spec.source)
+            weights.setdefault(key, []).append(MoveWeight(move.spec.target, percent))
+    return weights
--- /dev/null
+++ b/src/finchway/policy/_shares.py
@@ -0,0 +1,332 @@
+"""Capacity shares: no region and no upstream is sent more than its capacity by all entries.
+
+The unit is one slot of one upstream. A part of the slots is owned outright by member entries
+(floors); the leader lends the rest for a short time (loans). A floor needs no control; a loan ends
+on the holder's clock before the lender counts it as returned. A new division comes into force in
+two steps: every entry shrinks to the smaller of its floors, then the floors grow.
+"""
+
+from __future__ import annotations
+
+from msgspec import Struct
+
+from finchway.policy._hashing import position, rank
+from finchway.resources import Division, Share
+
+ShareKey = tuple[str, str]
+Slots = dict[str, int]
+
+
+def share_name(service: str, region: str) -> str:
+    """Return the name of the share resource of a service in a region."""
+    return f"{service}.{region}"
+
+
+def usable_slots(slots: int, queue_allowance: float, headroom: float) -> int:
+    """Return how many requests may be in flight at one upstream; at least one."""
+    return max(1, int(slots * (1 + queue_allowance) * (1 - headroom) + 1e-9))
+
+
+def floor_total(address: str, slots: int, fraction: float) -> int:
+    """Return how many slots of one upstream are floors, rounded by a hash of its address.
+
+    Rounding by hash keeps the sum over many upstreams near the fraction, and one upstream's
+    floors independent of all others.
+    """
+    return min(slots, int(slots * fraction + position("floor", address)))
+
+
+def floor_of(division: Division, member: str) -> Slots:
+    """Return the slots that a member owns; empty for an entry that is no member."""
+    if member not in division.members:
+        return {}
+    owned: Slots = {}
+    for address, slots in division.slots.items():
+        order = rank(address, division.members)
+        place = order.index(member)
+        total = floor_total(address, slots, division.floor_fraction)
+        count = len(range(place, total, len(order)))
+        if count:
+            owned[address] = count
+    return owned
+
+
+def pool_of(division: Division) -> Slots:
+    """Return the slots that no member owns, which the leader lends."""
+    if not division.members:
+        return {}
+    return {
+        address: slots - floor_total(address, slots, division.floor_fraction)
+        for address, slots in division.slots.items()
+    }
+
+
+def floors_in_force(share: Share, member: str) -> Slots:
+    """Return a member's floors under a share, the smaller of both while it is not settled."""
+    current = floor_of(share.current, member)
+    if share.previous is None:
+        return current
+    return smaller(current, floor_of(share.previous, member))
+
+
+def pool_in_force(share: Share) -> Slots:
+    """Return what may be lent under a share, the smaller of both while it is not settled."""
+    current = pool_of(share.current)
+    return current if share.previous is None else smaller(current, pool_of(share.previous))
+
+
+def smaller(one: Slots, other: Slots) -> Slots:
+    """Return the smaller count for each upstream that both name."""
+    both = {address: min(count, other.get(address, 0)) for address, count in one.items()}
+    return {address: count for address, count in both.items() if count > 0}
+
+
+def larger(one: Slots, other: Slots) -> Slots:
+    """Return the larger count for each upstream that either names."""
+    return {address: max(one.get(address, 0), other.get(address, 0)) for address in {*one, *other}}
+
+
+class Loan(Struct, frozen=True):
+    """Slots lent to one entry until `ttl` seconds after the entry sent its heartbeat."""
+
+    service: str
+    region: str
+    slots: Slots
+    ttl: float
+
+
+class Demand(Struct, frozen=True):
+    """What an entry wants of a service in a region.
+
+    `wanted` counts requests in flight and waiting by rank of priority; `used` counts those in
+    flight at each upstream beyond the entry's floor.
+    """
+
+    service: str
+    region: str
+    wanted: dict[int, int] = {}
+    used: Slots = {}
+
+
+class Holder:
+    """One entry's side: its floors and the loans that are still good."""
+
+    __slots__ = ("_both", "_expires", "_floors", "_loans", "_member")
+
+    def __init__(self, member: str) -> None:
+        self._member = member
+        self._floors: dict[ShareKey, Slots] = {}
+        self._loans: dict[ShareKey, Slots] = {}
+        self._both: dict[ShareKey, Slots] = {}
+        self._expires = float("-inf")
+
+    def set_shares(self, shares: list[Share]) -> None:
+        """Take over the floors of all shares at a new revision."""
+        self._floors = {
+            (share.service, share.region): floors_in_force(share, self._member) for share in shares
+        }
+        self._both = {}
+
+    def set_loans(self, loans: list[Loan], sent_at: float) -> None:
+        """Replace all loans by those of an answer to the heartbeat sent at `sent_at`."""
+        self._loans = {(loan.service, loan.region): loan.slots for loan in loans}
+        ttl = min((loan.ttl for loan in loans), default=0.0)
+        self._expires = sent_at + ttl
+        self._both = {}
+
+    def floor(self, key: ShareKey) -> Slots:
+        """Return the floors of a service in a region."""
+        return self._floors.get(key, {})
+
+    def limits(self, key: ShareKey, now: float) -> Slots:
+        """Return how many requests this entry may have in flight at each upstream now."""
+        if now >= self._expires:
+            return self._floors.get(key, {})
+        both = self._both.get(key)
+        if both is None:
+            both = dict(self._floors.get(key, {}))
+            for address, count in self._loans.get(key, {}).items():
+                both[address] = both.get(address, 0) + count
+            self._both[key] = both
+        return both
+
+    def used_beyond_floor(self, key: ShareKey, in_flight: Slots) -> Slots:
+        """Return what is in flight at each upstream beyond the floor."""
+        floors = self._floors.get(key, {})
+        beyond = {addr: count - floors.get(addr, 0) for addr, count in in_flight.items()}
+        return {address: count for address, count in beyond.items() if count > 0}
+
+
+class _Borrower(Struct):
+    """What the lender knows of one entry for one share."""
+
+    demand: Demand
+    granted: dict[int, Slots]
+    heard_at: float
+    acked: int = 0
+
+
+class LoanTiming(Struct, frozen=True):
+    """Times of loans in seconds: how long one runs, and the margin for clocks that differ."""
+
+    ttl: float = 2.0
+    margin: float = 1.0
+
+
+class Lender:
+    """The leader's side: which slots of a share's pool are lent to whom.
+
+    A new leader does not know its predecessor's loans, so it lends nothing until they are over.
+    Slots count as lent until the holder has acknowledged a smaller loan and reports them unused;
+    of a silent holder, until the loan, the clock margin and the longest request are over.
+    """
+
+    def __init__(self, timing: LoanTiming, now: float) -> None:
+        self._timing = timing
+        self._started = now
+        self._borrowers: dict[ShareKey, dict[str, _Borrower]] = {}
+
+    def lend(
+        self,
+        holder: str,
+        demands: list[Demand],
+        acked: int,
+        sequence: int,
+        shares: dict[ShareKey, Share],
+        longest: dict[str, float],
+        now: float,
+    ) -> list[Loan]:
+        """Answer one heartbeat: note the entry's demands and return its loans.
+
+        `holder` is one life of an entry, `instance@incarnation`: what an earlier life borrowed is
+        not forgotten when it restarts. `acked` is the newest answer that the entry has applied,
+        `sequence` the number of this one, `longest` the longest request of each service in
+        seconds.
+        """
+        wanted = {(demand.service, demand.region): demand for demand in demands}
+        loans = []
+        for key, share in shares.items():
+            demand = wanted.get(key) or Demand(key[0], key[1])
+            borrowers = self._borrowers.setdefault(key, {})
+            over = now - self._whole_term(key[0], longest)
+            for silent in [name for name, b in borrowers.items() if b.heard_at < over]:
+                del borrowers[silent]
+            known = borrowers.get(holder) or _Borrower(demand, {}, now)
+            known.demand, known.heard_at, known.acked = demand, now, max(known.acked, acked)
+            known.granted = {
+                seq: slots for seq, slots in known.granted.items() if seq >= known.acked
+            }
+            borrowers[holder] = known
+            if now < self._started + self._whole_term(key[0], longest):
+                continue
+            slots = self._allot(holder, share, borrowers)
+            known.granted[sequence] = slots
+            if slots:
+                loans.append(Loan(key[0], key[1], slots, self._timing.ttl))
+        return loans
+
+    def outstanding(self, key: ShareKey, entry: str) -> Slots:
+        """Return what must be counted as lent to an entry."""
+        borrower = self._borrowers.get(key, {}).get(entry)
+        return _outstanding(borrower) if borrower else {}
+
+    def _whole_term(self, service: str, longest: dict[str, float]) -> float:
+        """Return after how long a loan that nobody renews has surely ended, its work included."""
+        return self._timing.ttl + self._timing.margin + longest.get(service, 0.0)
+
+    def _allot(self, entry: str, share: Share, borrowers: dict[str, _Borrower]) -> Slots:
+        pool = pool_in_force(share)
+        free = dict(pool)
+        for name, borrower in borrowers.items():
+            if name != entry:
+                for address, count in _outstanding(borrower).items():
+                    free[address] = free.get(address, 0) - count
+        target = self._target(entry, share, borrowers, sum(pool.values()))
+        return _spread(entry, {a: c for a, c in free.items() if c > 0}, target)
+
+    def _target(self, entry: str, share: Share, borrowers: dict[str, _Borrower], total: int) -> int:
+        """Return how many slots of the pool this entry should have.
+
+        What is wanted beyond the floors is met by rank, the best rank of all entries first; what
+        is left then goes to the members in equal parts, ready for a burst.
+        """
+        members = share.current.members
+        needs = {
+            name: _needs_by_rank(b.demand, sum(floors_in_force(share, member_of(name)).values()))
+            for name, b in borrowers.items()
+        }
+        left = total
+        target = 0
+        for rank_number in sorted({r for need in needs.values() for r in need}):
+            asked = sum(need.get(rank_number, 0) for need in needs.values())
+            mine = needs[entry].get(rank_number, 0)
+            if asked <= left:
+                target += mine
+                left -= asked
+            else:
+                target += -(-mine * left // asked)
+                left = 0
+                break
+        spare = left // max(1, len(members)) if member_of(entry) in members else 0
+        return target + spare
+
+
+def member_of(holder: str) -> str:
+    """Return the instance that a holder is one life of."""
+    return holder.partition("@")[0]
+
+
+def _outstanding(borrower: _Borrower) -> Slots:
+    total = dict(borrower.demand.used)
+    for slots in borrower.granted.values():
+        total = larger(total, slots)
+    return total
+
+
+def _needs_by_rank(demand: Demand, floor: int) -> dict[int, int]:
+    """Return what is wanted beyond the floor, which covers the best ranks first."""
+    needs = {}
+    for rank_number, count in sorted(demand.wanted.items()):
+        covered = min(floor, count)
+        floor -= covered
+        if count > covered:
+            needs[rank_number] = count - covered
+    return needs
+
+
+def _spread(entry: str, free: Slots, target: int) -> Slots:
+    """Take up to `target` slots from those free, evenly, from upstreams that suit the entry."""
+    order = rank(entry, free)
+    taken: Slots = {}
+    while target > 0 and order:
+        for address in list(order):
+            if target == 0:
+                break
+            taken[address] = taken.get(address, 0) + 1
+            target -= 1
+            if taken[address] >= free[address]:
+                order.remove(address)
+    return taken
+
+
+def next_division(
+    share: Share | None, wanted: Division, shrunk: set[str], gone: set[str], silent: set[str]
+) -> tuple[int, Division, Division | None] | None:
+    """Decide the next step of a share: (epoch, current, previous), or None to leave it.
+
+    `shrunk` holds the entries that report to have shrunk under the present epoch, `gone` those
+    known to be dead. A re-division starts only when no member is silent, since a silent member
+    cannot say that it has shrunk.
+    """
+    if share is None:
+        return 1, wanted, Division()
+    if share.previous is not None:
+        holders = {*share.current.members, *share.previous.members} - gone
+        if holders <= shrunk:
+            return share.epoch, share.current, None
+        return None
+    if wanted == share.current:
+        return None
+    if silent & set(share.current.members):
+        return None
+    return share.epoch + 1, wanted, share.current
--- /dev/null
+++ b/src/finchway/replication/__init__.py
@@ -0,0 +1,51 @@
+"""The replicated log: an I/O-free core and its durable storage.
+
+Drive a `Core` with time and messages, store what `take` returns in `Storage`, send, apply.
+"""
+
+from finchway.replication._core import Core, Ready, Restored, RoleName, Timing
+from finchway.replication._identity import (
+    Identity,
+    create_identity,
+    load_identity,
+    quarantine,
+    require_identity,
+)
+from finchway.replication._messages import (
+    AnyMessage,
+    Append,
+    Entry,
+    EntryKind,
+    InstallSnapshot,
+    Member,
+    Members,
+    Message,
+    Snapshot,
+)
+from finchway.replication._storage import Files, Storage, decode_record, encode_record
+
+__all__ = [
+    "AnyMessage",
+    "Append",
+    "Core",
+    "Entry",
+    "EntryKind",
+    "Files",
+    "Identity",
+    "InstallSnapshot",
+    "Member",
+    "Members",
+    "Message",
+    "Ready",
+    "Restored",
+    "RoleName",
+    "Snapshot",
+    "Storage",
+    "Timing",
+    "create_identity",
+    "decode_record",
+    "encode_record",
+    "load_identity",
+    "quarantine",
+    "require_identity",
+]
