--- /dev/null
+++ b/src/finchway/replication/_core.py
@@ -0,0 +1,604 @@
+"""The replicated log after the published Raft design, without I/O and without a clock.
+
+A shell feeds it time, messages and proposals, and carries out what `take` returns: write and sync
+first, then send, then apply. Pre-vote keeps a replica that was cut off from disturbing a working
+leader; a leader that hears no quorum steps down; a read is confirmed by a round of heartbeats.
+
+    core = Core("a@1", "cluster", restored, random.Random(1), Timing(), now=0.0)
+    core.tick(now)
+    ready = core.take()
+    ...store ready.hard_state and ready.entries, sync...
+    core.persisted(ready)
+"""
+
+from __future__ import annotations
+
+import random
+from enum import Enum
+
+import msgspec
+from msgspec import Struct
+
+from finchway.exceptions import ConflictError, NotLeaderError
+from finchway.replication import _messages as m
+from finchway.replication._log import Log
+from finchway.replication._progress import Progress
+
+
+class Timing(Struct, frozen=True):
+    """Times of the log in seconds; an election starts after one to two `election` times."""
+
+    heartbeat: float = 0.1
+    election: float = 1.0
+    resend: float = 0.3
+    batch: int = 256
+
+
+class RoleName(Enum):
+    """What a replica is at the moment."""
+
+    FOLLOWER = "follower"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+class Restored(Struct, frozen=True):
+    """What storage gave back at start."""
+
+    hard_state: m.HardState = m.HardState()
+    snapshot: m.Snapshot = m.Snapshot(0, 0, m.Members(), b"")
+    entries: tuple[m.Entry, ...] = ()
+
+
+class Ready(Struct):
+    """Work for the shell, to be done in the order of the fields."""
+
+    hard_state: m.HardState | None
+    snapshot: m.Snapshot | None
+    truncate_from: int | None
+    entries: list[m.Entry]
+    messages: list[m.AnyMessage]
+    committed: list[m.Entry]
+    reads: list[tuple[int, int]]
+
+    @property
+    def must_sync(self) -> bool:
+        """Whether anything has to be on disk before the messages go out."""
+        return self.hard_state is not None or self.snapshot is not None or bool(self.entries)
+
+
+class Core:
+    """One replica of the log."""
+
+    def __init__(
+        self,
+        replica: str,
+        cluster: str,
+        restored: Restored,
+        rng: random.Random,
+        timing: Timing,
+        now: float,
+    ) -> None:
+        snapshot = restored.snapshot
+        self._id = replica
+        self._cluster = cluster
+        self._timing = timing
+        self._rng = rng
+        self._term = max(restored.hard_state.term, snapshot.term)
+        self._vote = restored.hard_state.vote
+        self._saved = restored.hard_state
+        self._log = Log(snapshot.index, snapshot.term, snapshot.members, list(restored.entries))
+        self._snapshot = snapshot
+        self._commit = snapshot.index
+        self._applied = snapshot.index
+        self._taken = self._log.last_index
+        self._stable = self._log.last_index
+        self._members, self._members_index = self._log.members()
+        self._role = RoleName.FOLLOWER
+        self._leader: str | None = None
+        self._now = now
+        self._heard_at = float("-inf")
+        self._progress: dict[str, Progress] = {}
+        self._votes: set[str] = set()
+        self._pre_vote = False
+        self._read_round = 0
+        self._reads: list[tuple[int, int]] = []
+        self._transfer: tuple[str, float] | None = None
+        self._outbox: list[m.AnyMessage] = []
+        self._ready_reads: list[tuple[int, int]] = []
+        self._truncate: int | None = None
+        self._install: m.Snapshot | None = None
+        self._heartbeat_at = now
+        self._reset_election(now)
+
+    @property
+    def id(self) -> str:
+        """The identity of this replica."""
+        return self._id
+
+    @property
+    def role(self) -> RoleName:
+        """What the replica is at the moment."""
+        return self._role
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this replica leads, as far as it knows."""
+        return self._role is RoleName.LEADER
+
+    @property
+    def leader(self) -> str | None:
+        """The identity of the leader, if one is known."""
+        return self._leader
+
+    @property
+    def term(self) -> int:
+        """The current term."""
+        return self._term
+
+    @property
+    def commit(self) -> int:
+        """The index up to which entries are committed."""
+        return self._commit
+
+    @property
+    def last_index(self) -> int:
+        """The index of the newest entry."""
+        return self._log.last_index
+
+    @property
+    def members(self) -> m.Members:
+        """The newest replica set in the log, committed or not."""
+        return self._members
+
+    @property
+    def snapshot_index(self) -> int:
+        """The index that the newest snapshot stands for."""
+        return self._log.first_index - 1
+
+    def match_of(self, replica: str) -> int:
+        """Return up to where a follower has acknowledged; for leaders only."""
+        progress = self._progress.get(replica)
+        return progress.match if progress else 0
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of the entry at an index, where it is still held."""
+        return self._log.term_at(index)
+
+    def members_at(self, index: int) -> m.Members:
+        """Return the replica set in force at an index."""
+        return self._log.members(index)[0]
+
+    def silent_for(self, replica: str) -> float:
+        """Return for how many seconds the leader has not heard a follower; 0 if it is not one."""
+        progress = self._progress.get(replica)
+        return self._now - progress.acked_at if progress else 0.0
+
+    @property
+    def has_work(self) -> bool:
+        """Whether `take` would return anything to do."""
+        unsaved = m.HardState(self._term, self._vote) != self._saved
+        written = self._taken < self._log.last_index or self._install is not None
+        waiting = bool(self._outbox or self._ready_reads) or self._applied < self._commit
+        return unsaved or written or waiting
+
+    # Inputs
+
+    def tick(self, now: float) -> None:
+        """Let time pass: heartbeats, the leader's quorum check, elections."""
+        self._now = max(now, self._now)
+        if self.is_leader:
+            self._tick_leader()
+        elif self._now >= self._election_at and self._members.is_voter(self._id):
+            self._campaign(pre=True)
+
+    def propose(self, data: bytes) -> int:
+        """Append a command and return its index; raises `NotLeaderError` elsewhere."""
+        self._require_leader()
+        if self._transfer is not None:
+            raise NotLeaderError(self._transfer[0])
+        return self._append_own(m.EntryKind.COMMAND, data)
+
+    def change_members(self, members: m.Members) -> int:
+        """Append a replica set that differs by one voter from the present one.
+
+        Raises `ConflictError` while an earlier change is not committed, or when more than one
+        voter would change at once.
+        """
+        self._require_leader()
+        if self._members_index > self._commit or self._log.term_at(self._commit) != self._term:
+            raise ConflictError("an earlier change of the replica set is not committed yet")
+        old = {member.id for member in self._members.voters}
+        new = {member.id for member in members.voters}
+        if len(old ^ new) > 1:
+            raise ConflictError("replica changes are made one voter at a time")
+        if not new:
+            raise ConflictError("a replica set needs at least one voter")
+        return self._append_own(m.EntryKind.MEMBERS, msgspec.msgpack.encode(members))
+
+    def read(self, token: int) -> None:
+        """Ask for a confirmed read; `Ready.reads` gives the token and the index to wait for."""
+        self._require_leader()
+        self._read_round += 1
+        self._reads.append((self._read_round, token))
+        self._broadcast()
+        self._finish_reads()
+
+    def transfer(self, target: str) -> None:
+        """Hand leadership to a voter that has caught up, as part of a planned stop."""
+        self._require_leader()
+        if target != self._id and self._members.is_voter(target):
+            self._transfer = (target, self._now + self._timing.election)
+            self._try_transfer()
+
+    def compact(self, snapshot: m.Snapshot) -> None:
+        """Let a stored snapshot of applied entries stand for them."""
+        self._log.compact(snapshot.index, snapshot.members)
+        self._snapshot = snapshot
+
+    def step(self, message: m.AnyMessage, now: float) -> None:
+        """Take in one message; those of other clusters and identities are dropped."""
+        self._now = max(now, self._now)
+        if message.cluster != self._cluster or message.target != self._id:
+            return
+        if message.term > self._term and not self._ignores_term(message):
+            leader = message.sender if isinstance(message, m.Append | m.InstallSnapshot) else None
+            self._become_follower(message.term, leader)
+        match message:
+            case m.VoteRequest():
+                self._on_vote_request(message)
+            case m.VoteReply():
+                self._on_vote_reply(message)
+            case m.Append():
+                self._on_append(message)
+            case m.AppendReply():
+                self._on_append_reply(message)
+            case m.InstallSnapshot():
+                self._on_install(message)
+            case m.TimeoutNow():
+                if message.term == self._term and self._members.is_voter(self._id):
+                    self._campaign(pre=False, transfer=True)
+
+    # Outputs
+
+    def take(self) -> Ready:
+        """Return what the shell has to do now; call `persisted` once it is on disk."""
+        hard = m.HardState(self._term, self._vote)
+        entries = self._log.slice(self._taken + 1, self._log.last_index + 1)
+        ready = Ready(
+            hard if hard != self._saved else None,
+            self._install,
+            self._truncate,
+            entries,
+            self._outbox,
+            [],
+            self._ready_reads,
+        )
+        self._saved = hard
+        self._taken = self._log.last_index
+        self._outbox, self._ready_reads = [], []
+        self._install = self._truncate = None
+        return ready
+
+    def persisted(self, ready: Ready) -> list[m.Entry]:
+        """Note that `ready` is on disk; returns the newly committed entries, to be applied."""
+        if ready.entries:
+            last = ready.entries[-1]
+            if self._log.term_at(last.index) == last.term:
+                self._stable = last.index
+            if self.is_leader:
+                self._advance_commit()
+        committed = self._log.slice(self._applied + 1, self._commit + 1)
+        self._applied = self._commit
+        return committed
+
+    # Elections
+
+    def _reset_election(self, now: float) -> None:
+        spread = self._timing.election * (1 + self._rng.random())
+        self._election_at = now + spread
+
+    def _ignores_term(self, message: m.AnyMessage) -> bool:
+        if isinstance(message, m.VoteReply):
+            return message.pre and message.granted
+        if not isinstance(message, m.VoteRequest):
+            return False
+        return message.pre or (not message.transfer and self._hears_leader())
+
+    def _hears_leader(self) -> bool:
+        if self.is_leader:
+            return True
+        return self._leader is not None and self._now - self._heard_at < self._timing.election
+
+    def _become_follower(self, term: int, leader: str | None) -> None:
+        if term > self._term:
+            self._term, self._vote = term, ""
+        self._role = RoleName.FOLLOWER
+        self._leader = leader
+        self._progress = {}
+        self._reads = []
+        self._transfer = None
+        self._reset_election(self._now)
+
+    def _campaign(self, pre: bool, transfer: bool = False) -> None:
+        self._reset_election(self._now)
+        self._leader = None
+        self._role = RoleName.CANDIDATE
+        self._pre_vote = pre
+        self._votes = {self._id}
+        term = self._term + 1
+        if not pre:
+            self._term, self._vote = term, self._id
+        for member in self._members.voters:
+            if member.id != self._id:
+                self._send(
+                    m.VoteRequest(
+                        **self._to(member.id, term),
+                        pre=pre,
+                        last_index=self._log.last_index,
+                        last_term=self._log.last_term,
+                        transfer=transfer,
+                    )
+                )
+        self._count_votes()
+
+    def _count_votes(self) -> None:
+        voters = {member.id for member in self._members.voters}
+        if len(self._votes & voters) < self._members.quorum:
+            return
+        if self._pre_vote:
+            self._campaign(pre=False)
+        else:
+            self._become_leader()
+
+    def _on_vote_request(self, message: m.VoteRequest) -> None:
+        newest = (message.last_term, message.last_index)
+        up_to_date = newest >= (self._log.last_term, self._log.last_index)
+        if message.pre:
+            granted = up_to_date and message.term > self._term and not self._hears_leader()
+            reply_term = message.term if granted else self._term
+        else:
+            free = self._vote in ("", message.sender)
+            granted = up_to_date and message.term == self._term and free
+            reply_term = self._term
+            if granted:
+                self._vote = message.sender
+                self._reset_election(self._now)
+        self._send(
+            m.VoteReply(**self._to(message.sender, reply_term), pre=message.pre, granted=granted)
+        )
+
+    def _on_vote_reply(self, message: m.VoteReply) -> None:
+        if self._role is not RoleName.CANDIDATE or message.pre != self._pre_vote:
+            return
+        expected = self._term + 1 if message.pre else self._term
+        if message.granted and message.term == expected:
+            self._votes.add(message.sender)
+            self._count_votes()
+
+    def _become_leader(self) -> None:
+        self._role = RoleName.LEADER
+        self._leader = self._id
+        self._progress = {}
+        self._reads = []
+        self._sync_progress()
+        self._append_own(m.EntryKind.NOOP, b"")
+
+    # Leading
+
+    def _require_leader(self) -> None:
+        if not self.is_leader:
+            raise NotLeaderError(self._leader)
+
+    def _sync_progress(self) -> None:
+        ids = {member.id for member in self._members.voters + self._members.learners}
+        ids.discard(self._id)
+        self._progress = {
+            replica: self._progress.get(replica) or Progress(self._log.last_index + 1, self._now)
+            for replica in sorted(ids)
+        }
+
+    def _append_own(self, kind: m.EntryKind, data: bytes) -> int:
+        entry = m.Entry(self._term, self._log.last_index + 1, kind, data)
+        self._log.append([entry])
+        if kind is m.EntryKind.MEMBERS:
+            self._refresh_members()
+        self._broadcast()
+        return entry.index
+
+    def _refresh_members(self) -> None:
+        self._members, self._members_index = self._log.members()
+        if self.is_leader:
+            self._sync_progress()
+
+    def _tick_leader(self) -> None:
+        if self._now >= self._heartbeat_at:
+            self._heartbeat_at = self._now + self._timing.heartbeat
+            self._broadcast(heartbeat=True)
+        if self._transfer and self._now > self._transfer[1]:
+            self._transfer = None
+        if not self._quorum_answers() or not self._may_lead():
+            self._become_follower(self._term, None)
+
+    def _may_lead(self) -> bool:
+        committed = self._members_index <= self._commit
+        return self._members.is_voter(self._id) or not committed
+
+    def _quorum_answers(self) -> bool:
+        oldest = self._now - 2 * self._timing.election
+        return self._count(lambda p: p.acked_at >= oldest) >= self._members.quorum
+
+    def _count(self, test) -> int:
+        """Count the voters that pass a test, this replica included if it votes."""
+        own = int(self._members.is_voter(self._id))
+        voters = {member.id for member in self._members.voters}
+        return own + sum(test(p) for replica, p in self._progress.items() if replica in voters)
+
+    def _broadcast(self, heartbeat: bool = False) -> None:
+        for replica, progress in self._progress.items():
+            self._send_append(replica, progress, heartbeat)
+
+    def _send_append(self, replica: str, progress: Progress, heartbeat: bool = False) -> None:
+        stalled = self._now - progress.sent_at >= self._timing.resend
+        if progress.next > progress.match + 1 and stalled:
+            progress.next = progress.match + 1
+        previous = progress.next - 1
+        previous_term = self._log.term_at(previous)
+        if previous_term is None:
+            self._send_snapshot(replica, progress)
+            return
+        stop = min(self._log.last_index + 1, progress.next + self._timing.batch)
+        entries = self._log.slice(progress.next, stop)
+        if entries:
+            progress.sent_at = self._now
+            progress.next = stop
+        self._send(
+            m.Append(
+                **self._to(replica),
+                previous_index=previous,
+                previous_term=previous_term,
+                entries=tuple(entries),
+                commit=min(self._commit, previous + len(entries)),
+                read=self._read_round,
+            )
+        )
+
+    def _send_snapshot(self, replica: str, progress: Progress) -> None:
+        if self._now - progress.snapshot_at < self._timing.election:
+            return
+        progress.snapshot_at = self._now
+        self._send(
+            m.InstallSnapshot(**self._to(replica), snapshot=self._snapshot, read=self._read_round)
+        )
+
+    def _on_append_reply(self, message: m.AppendReply) -> None:
+        progress = self._progress.get(message.sender)
+        if not self.is_leader or message.term != self._term or progress is None:
+            return
+        progress.read = max(progress.read, message.read)
+        if message.success:
+            progress.acknowledge(message.match, self._now)
+            self._advance_commit()
+            if progress.next <= self._log.last_index:
+                self._send_append(message.sender, progress)
+        else:
+            progress.refuse(message.hint, self._now)
+            self._send_append(message.sender, progress)
+        self._finish_reads()
+        self._try_transfer()
+
+    def _advance_commit(self) -> None:
+        voters = [member.id for member in self._members.voters]
+        matches = sorted(
+            self._stable if replica == self._id else self._progress[replica].match
+            for replica in voters
+            if replica == self._id or replica in self._progress
+        )
+        if len(matches) < self._members.quorum:
+            return
+        candidate = matches[len(voters) - self._members.quorum]
+        if candidate > self._commit and self._log.term_at(candidate) == self._term:
+            self._commit = candidate
+            self._broadcast()
+            self._finish_reads()
+
+    def _finish_reads(self) -> None:
+        if self._log.term_at(self._commit) != self._term:
+            return
+        waiting = []
+        for round_number, token in self._reads:
+            if self._count(lambda p, r=round_number: p.read >= r) >= self._members.quorum:
+                self._ready_reads.append((token, self._commit))
+            else:
+                waiting.append((round_number, token))
+        self._reads = waiting
+
+    def _try_transfer(self) -> None:
+        if self._transfer is None:
+            return
+        target = self._transfer[0]
+        if self.match_of(target) == self._log.last_index:
+            self._send(m.TimeoutNow(**self._to(target)))
+
+    # Following
+
+    def _follow(self, message: m.Append | m.InstallSnapshot) -> bool:
+        if message.term < self._term:
+            self._reply(message, success=False, match=0, hint=self._log.last_index)
+            return False
+        if self._role is not RoleName.FOLLOWER or self._leader != message.sender:
+            self._become_follower(message.term, message.sender)
+        self._heard_at = self._now
+        self._reset_election(self._now)
+        return True
+
+    def _on_append(self, message: m.Append) -> None:
+        if not self._follow(message):
+            return
+        previous = message.previous_index
+        if previous < self._log.first_index - 1:
+            self._reply(message, success=True, match=self._log.first_index - 1, hint=0)
+            return
+        if self._log.term_at(previous) != message.previous_term:
+            hint = min(self._log.last_index, self._conflict_hint(previous))
+            self._reply(message, success=False, match=0, hint=hint)
+            return
+        self._accept(message.entries)
+        match = previous + len(message.entries)
+        self._commit = max(self._commit, min(message.commit, match))
+        self._reply(message, success=True, match=match, hint=0)
+
+    def _conflict_hint(self, previous: int) -> int:
+        """Step over a whole term that disagrees, so that a long divergence ends in few rounds."""
+        term = self._log.term_at(previous)
+        index = previous - 1
+        while term is not None and index > self._commit and self._log.term_at(index) == term:
+            index -= 1
+        return max(index, self._commit)
+
+    def _accept(self, entries: tuple[m.Entry, ...]) -> None:
+        for position, entry in enumerate(entries):
+            held = self._log.term_at(entry.index)
+            if held == entry.term:
+                continue
+            if held is not None:
+                self._log.truncate(entry.index)
+                self._note_truncated(entry.index)
+            self._log.append(list(entries[position:]))
+            self._refresh_members()
+            return
+
+    def _note_truncated(self, index: int) -> None:
+        if index <= self._taken:
+            earlier = index if self._truncate is None else self._truncate
+            self._truncate = min(earlier, index)
+            self._taken = index - 1
+            self._stable = min(self._stable, index - 1)
+
+    def _on_install(self, message: m.InstallSnapshot) -> None:
+        if not self._follow(message):
+            return
+        snapshot = message.snapshot
+        if snapshot.index > self._commit:
+            self._log.reset(snapshot.index, snapshot.term, snapshot.members)
+            self._commit = self._applied = self._taken = self._stable = snapshot.index
+            self._install = self._snapshot = snapshot
+            self._truncate = None
+            self._refresh_members()
+        self._reply(message, success=True, match=min(snapshot.index, self._commit), hint=0)
+
+    def _reply(self, message: m.Append | m.InstallSnapshot, **fields) -> None:
+        self._send(m.AppendReply(**self._to(message.sender), read=message.read, **fields))
+
+    # Sending
+
+    def _to(self, target: str, term: int | None = None) -> dict:
+        return {
+            "cluster": self._cluster,
+            "sender": self._id,
+            "target": target,
+            "term": self._term if term is None else term,
+        }
+
+    def _send(self, message: m.AnyMessage) -> None:
+        self._outbox.append(message)
--- /dev/null
+++ b/src/finchway/resources/_check.py
@@ -0,0 +1,202 @@
+"""Checks on resources that collect every finding with its place."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from finchway.exceptions import Finding, ResourceError
+from finchway.resources import _specs as s
+from finchway.resources._specs import OPERATOR_KINDS, SPECS, Name, Spec
+from finchway.resources._status import MoveStatus
+from finchway.resources._store import ResourceStore
+
+
+def parse_spec(kind: str, raw: Any, place: str = "spec") -> Spec:
+    """Turn decoded JSON or YAML into the spec of `kind`.
+
+    Raises `ResourceError` with one finding for each field that is wrong, missing or unknown.
+    """
+    spec_type = SPECS.get(kind)
+    if spec_type is None:
+        known = ", ".join(OPERATOR_KINDS)
+        raise ResourceError([Finding(place, f"unknown kind {kind!r}", f"one of {known}")])
+    findings = _find(spec_type, raw, place)
+    if findings:
+        raise ResourceError(findings, f"{kind} spec")
+    return msgspec.convert(raw, spec_type)
+
+
+def _find(spec_type: type[Spec], raw: Any, place: str) -> list[Finding]:
+    if not isinstance(raw, dict):
+        return [Finding(place, f"expected a mapping, got {type(raw).__name__}")]
+    fields = {field.encode_name: field for field in msgspec.structs.fields(spec_type)}
+    findings = [
+        Finding(f"{place}.{key}", "unknown field", f"known: {', '.join(fields)}")
+        for key in raw
+        if key not in fields
+    ]
+    for name, field in fields.items():
+        if name not in raw:
+            if field.required:
+                findings.append(Finding(f"{place}.{name}", "required field is missing"))
+            continue
+        findings += _find_value(field.type, raw[name], f"{place}.{name}")
+    return findings
+
+
+def _find_value(kind: Any, value: Any, place: str) -> list[Finding]:
+    args = getattr(kind, "__args__", ())
+    origin = getattr(kind, "__origin__", None)
+    if origin is list and isinstance(value, list):
+        return [
+            found
+            for index, item in enumerate(value)
+            for found in _find_value(args[0], item, f"{place}[{index}]")
+        ]
+    if origin is dict and isinstance(value, dict):
+        found = []
+        for key, item in value.items():
+            found += _find_value(args[0], key, f"{place}.{key}")
+            found += _find_value(args[1], item, f"{place}.{key}")
+        return found
+    if isinstance(kind, type) and issubclass(kind, Spec):
+        return _find(kind, value, place)
+    try:
+        msgspec.convert(value, kind)
+    except msgspec.ValidationError as error:
+        return [Finding(place, str(error))]
+    return []
+
+
+class Draft(msgspec.Struct, frozen=True):
+    """A resource as an operator wrote it, checked on its own but not yet accepted."""
+
+    kind: str
+    name: str
+    spec: Spec
+
+
+def parse_document(documents: list[Any], source: str) -> list[Draft]:
+    """Check a list of `{kind, name, spec}` mappings read from `source`.
+
+    Raises `ResourceError` with the findings of all documents together.
+    """
+    drafts: list[Draft] = []
+    findings: list[Finding] = []
+    for index, raw in enumerate(documents):
+        place = f"{source}[{index}]"
+        if not isinstance(raw, dict) or not {"kind", "name"} <= raw.keys():
+            findings.append(Finding(place, "expected a mapping with kind, name and spec"))
+            continue
+        kind, name = str(raw["kind"]), str(raw["name"])
+        if kind not in OPERATOR_KINDS:
+            findings.append(Finding(f"{place}.kind", f"unknown kind {kind!r}"))
+            continue
+        findings += check_name(name, f"{place}.name")
+        try:
+            drafts.append(Draft(kind, name, parse_spec(kind, raw.get("spec", {}), f"{place}.spec")))
+        except ResourceError as error:
+            findings += error.findings
+    if findings:
+        raise ResourceError(findings, source)
+    return drafts
+
+
+def check_name(name: str, place: str) -> list[Finding]:
+    """Check the name of a resource; an empty list means that it is well formed."""
+    return _find_value(Name, name, place)
+
+
+def check_references(kind: str, name: str, spec: Spec, store: ResourceStore) -> list[Finding]:
+    """Check that what a spec refers to exists in the store and that its numbers agree."""
+    found: list[Finding] = []
+    for field, target in _references(spec):
+        if store.get(target[0], target[1]) is None:
+            found.append(Finding(f"{kind}/{name}.{field}", f"no such {target[0]}: {target[1]!r}"))
+    return found + _check_rules(kind, name, spec, store)
+
+
+def _references(spec: Spec) -> list[tuple[str, tuple[str, str]]]:
+    match spec:
+        case s.Zone(region=region) | s.Site(region=region):
+            return [("region", ("region", region))]
+        case s.ClientBlocks(site=site):
+            return [("site", ("site", site))]
+        case s.Pool(service=service, region=region, upstreams=upstreams):
+            zones = [(f"upstreams[{i}].zone", ("zone", u.zone)) for i, u in enumerate(upstreams)]
+            return [("service", ("service", service)), ("region", ("region", region)), *zones]
+        case s.Capacity(service=service, region=region):
+            return [("service", ("service", service)), ("region", ("region", region))]
+        case s.Organisation(contracts=contracts):
+            return [
+                reference
+                for service, contract in contracts.items()
+                for reference in (
+                    (f"contracts.{service}", ("service", service)),
+                    (f"contracts.{service}.priority", ("priority", contract.priority)),
+                )
+            ]
+        case s.Move(service=service, source=source, target=target):
+            return [
+                ("service", ("service", service)),
+                ("source", ("region", source)),
+                ("target", ("region", target)),
+            ]
+    return []
+
+
+def _check_rules(kind: str, name: str, spec: Spec, store: ResourceStore) -> list[Finding]:
+    place = f"{kind}/{name}"
+    match spec:
+        case s.Move(source=source, target=target) if source == target:
+            return [Finding(f"{place}.target", "source and target are the same region")]
+        case s.Pool(region=region, upstreams=upstreams):
+            return _check_pool(name, region, upstreams, store)
+        case s.Drain(target=target):
+            what, _, which = target.partition("/")
+            if what != "upstream" and store.get(what, which) is None:
+                return [Finding(f"{place}.target", f"no such {what}: {which!r}")]
+            if what == "upstream" and not _upstream_exists(which, store):
+                return [Finding(f"{place}.target", f"no pool has an upstream {which!r}")]
+    return []
+
+
+def _check_pool(name: str, region: str, upstreams: list, store: ResourceStore) -> list[Finding]:
+    found = []
+    others = [pool for pool in store.of_kind("pool") if pool.name != name]
+    taken = {u.address: pool.name for pool in others for u in pool.spec.upstreams}
+    seen: set[str] = set()
+    for index, upstream in enumerate(upstreams):
+        where = f"pool/{name}.upstreams[{index}]"
+        if upstream.address in seen:
+            found.append(Finding(f"{where}.address", f"{upstream.address} is listed twice"))
+        if upstream.address in taken:
+            problem = f"{upstream.address} belongs to pool/{taken[upstream.address]}"
+            found.append(Finding(f"{where}.address", problem))
+        seen.add(upstream.address)
+        zone = store.get("zone", upstream.zone)
+        if zone is not None and zone.spec.region != region:
+            found.append(Finding(f"{where}.zone", f"{upstream.zone} is not in region {region}"))
+    return found
+
+
+def _upstream_exists(address: str, store: ResourceStore) -> bool:
+    pools = store.of_kind("pool")
+    return any(u.address == address for pool in pools for u in pool.spec.upstreams)
+
+
+def find_dependents(kind: str, name: str, store: ResourceStore) -> list[Finding]:
+    """List what still refers to a resource, as findings that speak against its deletion."""
+    held = store.get(kind, name)
+    if held is not None and isinstance(held.status, MoveStatus) and held.status.percent > 0:
+        problem = f"the move holds {held.status.percent:g}% of the callers"
+        hint = "set goal_percent to 0 and wait until it is done"
+        return [Finding(f"{kind}/{name}.status.percent", problem, hint)]
+    return [
+        Finding(f"{other.kind}/{other.name}.{field}", f"still refers to {kind}/{name}")
+        for other in store
+        for field, target in _references(other.spec)
+        if target == (kind, name)
+    ]
--- /dev/null
+++ b/src/finchway/state/_machine.py
@@ -0,0 +1,185 @@
+"""The state machine on the replicated log: resources, change answers, claims, history.
+
+It is deterministic: the same commands give the same state and the same `digest` on each replica.
+
+    machine = StateMachine()
+    result = machine.apply(PutResource(now_ms=0, kind="region", name="north", spec=b"{}"))
+"""
+
+from __future__ import annotations
+
+import hashlib
+
+import msgspec
+from msgspec import Struct
+
+from finchway.exceptions import ResourceError
+from finchway.resources import (
+    Change,
+    Operation,
+    Resource,
+    ResourceStore,
+    change_of,
+    check_references,
+    find_dependents,
+    parse_spec,
+)
+from finchway.state import _commands as c
+from finchway.state._changes import ChangeAnswers, StoredAnswer, digest_of
+from finchway.state._claims import Claim, Claims
+from finchway.state._history import History
+
+
+class _Image(Struct):
+    """The whole state, as it is stored in a snapshot."""
+
+    resources: list[Change]
+    revision: int
+    changes: list[Change]
+    compacted: int
+    answers: dict[str, StoredAnswer]
+    claims: dict[str, Claim]
+    now_ms: int
+
+
+class StateMachine:
+    """The replicated state."""
+
+    def __init__(self) -> None:
+        self._store = ResourceStore()
+        self._history = History()
+        self._answers = ChangeAnswers()
+        self._claims = Claims()
+        self._now_ms = 0
+
+    @property
+    def store(self) -> ResourceStore:
+        """The resources."""
+        return self._store
+
+    @property
+    def history(self) -> History:
+        """The recent changes."""
+        return self._history
+
+    @property
+    def claims(self) -> Claims:
+        """The claims on idempotency keys."""
+        return self._claims
+
+    @property
+    def revision(self) -> int:
+        """The revision of the newest accepted change."""
+        return self._store.revision
+
+    def apply(self, command: c.AnyCommand) -> c.AnyResult:
+        """Apply one committed command. Time never runs backwards, whatever leaders' clocks say."""
+        self._now_ms = max(self._now_ms, command.now_ms)
+        match command:
+            case c.PutResource():
+                return self._once(command, self._put)
+            case c.DeleteResource():
+                return self._once(command, self._delete)
+            case c.PutStatus():
+                return self._put_status(command)
+            case c.ClaimKey():
+                return self._claims.claim(command, self._now_ms)
+            case c.SettleClaim():
+                return self._claims.settle(command, self._now_ms)
+            case c.AbandonClaims(holder=holder):
+                self._claims.abandon(holder)
+            case c.Expire():
+                self._claims.expire(self._now_ms)
+                self._answers.expire(self._now_ms)
+        return c.Done()
+
+    def snapshot(self) -> bytes:
+        """Encode the whole state."""
+        return msgspec.msgpack.encode(self._image())
+
+    def restore(self, data: bytes) -> None:
+        """Take over the state of a snapshot; empty data stands for the empty state."""
+        if not data:
+            self.__init__()
+            return
+        image = msgspec.msgpack.decode(data, type=_Image)
+        self._store = ResourceStore([ch.resource() for ch in image.resources], image.revision)
+        self._history = History(image.changes, image.compacted)
+        self._answers = ChangeAnswers(image.answers)
+        self._claims = Claims(image.claims)
+        self._now_ms = image.now_ms
+
+    def digest(self) -> str:
+        """Return a digest of the whole state, equal on replicas that applied the same log."""
+        encoder = msgspec.msgpack.Encoder(order="sorted")
+        return hashlib.sha256(encoder.encode(self._image())).hexdigest()
+
+    def _image(self) -> _Image:
+        resources = sorted(self._store, key=lambda r: (r.kind, r.name))
+        return _Image(
+            [change_of(resource, Operation.PUT, 0) for resource in resources],
+            self.revision,
+            self._history.changes,
+            self._history.compacted,
+            self._answers.records,
+            self._claims.records,
+            self._now_ms,
+        )
+
+    def _once(self, command, change) -> c.AnyResult:
+        stored = self._answers.find(command)
+        if stored is not None:
+            return stored.answer if stored.digest == digest_of(command) else c.Reused()
+        held = self._store.get(command.kind, command.name)
+        generation = held.generation if held else 0
+        if command.expected is not None and command.expected != generation:
+            return c.Conflict(generation, encode_resource(held))
+        result = change(command, held)
+        if isinstance(result, c.Accepted):
+            self._answers.store(command, result, self._now_ms)
+        return result
+
+    def _put(self, command: c.PutResource, held: Resource | None) -> c.AnyResult:
+        try:
+            spec = parse_spec(command.kind, msgspec.json.decode(command.spec))
+        except ResourceError as error:
+            return c.Rejected([(f.place, f.problem) for f in error.findings])
+        if held is not None and held.spec == spec:
+            return c.Accepted(held.revision, held.generation, encode_resource(held))
+        findings = check_references(command.kind, command.name, spec, self._store)
+        if findings:
+            return c.Rejected([(f.place, f.problem) for f in findings])
+        generation = held.generation + 1 if held else 1
+        status = held.status if held else None
+        resource = Resource(command.kind, command.name, spec, generation, self.revision + 1, status)
+        return self._accept(resource, Operation.PUT)
+
+    def _delete(self, command: c.DeleteResource, held: Resource | None) -> c.AnyResult:
+        if held is None:
+            return c.Missing()
+        findings = find_dependents(command.kind, command.name, self._store)
+        if findings:
+            return c.Rejected([(f.place, f.problem) for f in findings])
+        gone = msgspec.structs.replace(held, revision=self.revision + 1)
+        return self._accept(gone, Operation.DELETE)
+
+    def _put_status(self, command: c.PutStatus) -> c.AnyResult:
+        held = self._store.get(command.kind, command.name)
+        if held is None:
+            return c.Missing()
+        if held.generation != command.generation:
+            return c.Conflict(held.generation, encode_resource(held))
+        if held.status == command.status:
+            return c.Done()
+        resource = msgspec.structs.replace(held, status=command.status, revision=self.revision + 1)
+        return self._accept(resource, Operation.PUT)
+
+    def _accept(self, resource: Resource, operation: Operation) -> c.Accepted:
+        self._store.put(resource, operation)
+        self._history.append(change_of(resource, operation, self._now_ms))
+        return c.Accepted(resource.revision, resource.generation, encode_resource(resource))
+
+
+def encode_resource(resource: Resource | None) -> bytes:
+    """Encode a resource as JSON for answers; `null` where there is none."""
+    return msgspec.json.encode(resource)
--- /dev/null
+++ b/src/finchway/transport/_http.py
@@ -0,0 +1,118 @@
+"""Small helpers for ASGI applications: reading requests, sending answers and problems."""
+
+from __future__ import annotations
+
+from typing import Any
+from urllib.parse import parse_qs
+
+import msgspec
+import trio
+from msgspec import Struct
+
+JSON = b"application/json"
+PROBLEM = b"application/problem+json"
+TEXT = b"text/plain; version=0.0.4"
+READ_TIMEOUT_S = 30.0
+
+
+class Problem(Struct, frozen=True, omit_defaults=True):
+    """An error as `application/problem+json`; `outcome` says whether the request ran."""
+
+    type: str
+    title: str
+    status: int
+    detail: str = ""
+    outcome: str = ""
+    findings: list[dict[str, str]] = []
+    winner: msgspec.Raw = msgspec.Raw(b"")
+    oldest: int = 0
+    retry_after_s: float = 0.0
+
+
+class BodyTooLargeError(Exception):
+    """The request body is larger than what is allowed."""
+
+
+class Request:
+    """One ASGI request with its headers and query decoded."""
+
+    __slots__ = ("_receive", "headers", "method", "path", "query", "scope")
+
+    def __init__(self, scope: dict[str, Any], receive) -> None:
+        self.scope = scope
+        self.method: str = scope["method"]
+        self.path: str = scope["path"]
+        self.headers = {
+            k.decode("latin-1").lower(): v.decode("latin-1") for k, v in scope["headers"]
+        }
+        query = parse_qs(scope["query_string"].decode("latin-1"))
+        self.query = {key: values[-1] for key, values in query.items()}
+        self._receive = receive
+
+    @property
+    def bearer(self) -> str:
+        """The bearer credential; empty if there is none."""
+        scheme, _, token = self.headers.get("authorization", "").partition(" ")
+        return token.strip() if scheme.lower() == "bearer" else ""
+
+    async def read(self, limit: int) -> bytes:
+        """Return the whole body; raises `BodyTooLargeError` beyond `limit` bytes."""
+        chunks: list[bytes] = []
+        size = 0
+        with trio.fail_after(READ_TIMEOUT_S):
+            while True:
+                event = await self._receive()
+                if event["type"] == "http.disconnect":
+                    raise ConnectionError("the caller has gone")
+                size += len(event.get("body", b""))
+                if size > limit:
+                    raise BodyTooLargeError
+                chunks.append(event.get("body", b""))
+                if not event.get("more_body"):
+                    return b"".join(chunks)
+
+
+async def send(respond, status: int, body: bytes, kind: bytes = JSON, headers=()) -> None:
+    """Send a whole answer."""
+    fields = [(b"content-type", kind), (b"content-length", str(len(body)).encode()), *headers]
+    await send_start(respond, status, fields)
+    await respond({"type": "http.response.body", "body": body, "more_body": False})
+
+
+async def send_start(respond, status: int, headers) -> None:
+    """Send the status line and the headers."""
+    await respond({"type": "http.response.start", "status": status, "headers": list(headers)})
+
+
+async def send_json(respond, value: Any, status: int = 200, headers=()) -> None:
+    """Send a value as JSON."""
+    await send(respond, status, msgspec.json.encode(value), JSON, headers)
+
+
+async def send_problem(respond, problem: Problem, headers=()) -> None:
+    """Send a problem; one with a time to come back carries `Retry-After` as well."""
+    extra = list(headers)
+    if problem.retry_after_s:
+        seconds = max(1, round(problem.retry_after_s))
+        extra.append((b"retry-after", str(seconds).encode()))
+    encoded = msgspec.json.encode(_without_empty_raw(problem))
+    await send(respond, problem.status, encoded, PROBLEM, extra)
+
+
+def _without_empty_raw(problem: Problem) -> dict[str, Any]:
+    fields = {f: getattr(problem, f) for f in problem.__struct_fields__}
+    always = ("type", "title", "status")
+    return {
+        name: v
+        for name, v in fields.items()
+        if name in always or (len(bytes(v)) if isinstance(v, msgspec.Raw) else v)
+    }
+
+
+async def run_lifespan(receive, respond) -> None:
+    """Answer the server's start and stop events, which finchway has no use for."""
+    while True:
+        event = await receive()
+        await respond({"type": f"{event['type']}.complete"})
+        if event["type"] == "lifespan.shutdown":
+            return
