--- /dev/null
+++ b/bench/deploy.py
@@ -0,0 +1,213 @@
+"""Starts a deployment on loopback for demos, tests and measurements, and ends it again."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import httpcore
+import msgspec
+
+from bench.fakes import FakesConfig, UpstreamConfig
+from bench.shapes import Shape, zones_of
+from finchway.cli._client import ApiClient
+from finchway.control import bootstrap
+from finchway.exceptions import FinchwayError
+
+CREDENTIAL = "operator-secret"
+START_LIMIT_S = 40.0
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports on loopback that were free a moment ago."""
+    sockets = [socket.socket() for _ in range(count)]
+    for sock in sockets:
+        sock.bind(("127.0.0.1", 0))
+    ports = [sock.getsockname()[1] for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return ports
+
+
+class Deployment:
+    """Processes of finchway and the fakes around them, in one folder."""
+
+    def __init__(self, folder: Path, shape: Shape, entries: int = 6, replicas: int = 1) -> None:
+        self.folder = folder
+        self.shape = shape
+        self.processes: dict[str, subprocess.Popen] = {}
+        self.commands: dict[str, list[str]] = {}
+        folder.mkdir(parents=True, exist_ok=True)
+        zones = [zone for zone, _ in zones_of(shape)]
+        workers = sum(service.workers for service in shape.services)
+        ports = iter(free_ports(entries * 2 + replicas * 2 + workers + 1))
+        self.entry = {f"e{i + 1}": f"127.0.0.1:{next(ports)}" for i in range(entries)}
+        self.entry_peer = {name: f"127.0.0.1:{next(ports)}" for name in self.entry}
+        self.entry_zone = {name: zones[i % len(zones)] for i, name in enumerate(self.entry)}
+        self.api = {f"c{i + 1}": f"127.0.0.1:{next(ports)}" for i in range(replicas)}
+        self.peer = {name: f"127.0.0.1:{next(ports)}" for name in self.api}
+        self.platform = f"127.0.0.1:{next(ports)}"
+        self.upstreams = self._spread_upstreams(ports, zones)
+
+    def _spread_upstreams(self, ports, zones: list[str]) -> list[tuple[str, str, UpstreamConfig]]:
+        regions = dict(zones_of(self.shape))
+        found = []
+        for service in self.shape.services:
+            for index in range(service.workers):
+                zone = zones[index % len(zones)]
+                address = f"127.0.0.1:{next(ports)}"
+                config = UpstreamConfig(address, service.name, regions[zone], 4, service.service_ms)
+                found.append((service.name, zone, config))
+        return found
+
+    @property
+    def client(self) -> ApiClient:
+        """A client of the resource API."""
+        return ApiClient(list(self.api.values()), CREDENTIAL)
+
+    def addresses(self) -> dict[tuple[str, str], list[str]]:
+        """Return the upstreams' addresses by service and availability zone."""
+        grouped: dict[tuple[str, str], list[str]] = {}
+        for service, zone, config in self.upstreams:
+            grouped.setdefault((service, zone), []).append(config.address)
+        return grouped
+
+    def start(self) -> None:
+        """Start everything and wait until the API answers."""
+        self.start_fakes()
+        names = list(self.api)
+        bootstrap(self.folder / names[0], names[0], self.peer[names[0]], names, CREDENTIAL)
+        for name in names:
+            self.start_control(name)
+        for name in self.entry:
+            self.start_entry(name)
+        self.wait(lambda: self.client.list("region"), "the API")
+
+    def start_fakes(self) -> None:
+        """Start the fake upstreams and the fake platform list."""
+        configs = [config for _, _, config in self.upstreams]
+        fakes = FakesConfig(configs, self.platform, list(self.entry))
+        path = self.folder / "fakes.json"
+        path.write_bytes(msgspec.json.encode(fakes))
+        self.spawn("fakes", [sys.executable, "-m", "bench.fakes", "--config", str(path)])
+
+    def start_control(self, name: str, *extra: str) -> None:
+        """Start one control replica."""
+        self._start_daemon(
+            name,
+            "--roles=control",
+            f"--api_address={self.api[name]}",
+            f"--peer_address={self.peer[name]}",
+            f"--data_folder={self.folder / name}",
+            *extra,
+        )
+
+    def start_entry(self, name: str, *extra: str) -> None:
+        """Start one entry."""
+        self._start_daemon(
+            name,
+            "--roles=entry",
+            f"--zone={self.entry_zone[name]}",
+            f"--entry_address={self.entry[name]}",
+            f"--peer_address={self.entry_peer[name]}",
+            *extra,
+        )
+
+    def _start_daemon(self, name: str, *flags: str) -> None:
+        peers = ",".join(self.peer.values())
+        command = [sys.executable, "-m", "finchway.daemon", f"--instance={name}", *flags]
+        command += [f"--control_peers={peers}", f"--platform_address={self.platform}"]
+        self.spawn(name, command)
+
+    def spawn(self, name: str, command: list[str]) -> None:
+        """Start one process; its output goes to a file in the folder."""
+        self.commands[name] = command
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self.processes[name] = subprocess.Popen(
+                command, stdout=log, stderr=log, cwd=Path(__file__).parent.parent
+            )
+
+    def kill(self, name: str, how: int = signal.SIGKILL) -> None:
+        """Send a signal to one of our processes; wait for its end if it is a kill."""
+        process = self.processes[name]
+        process.send_signal(how)
+        if how == signal.SIGKILL:
+            process.wait()
+
+    def restart(self, name: str) -> None:
+        """Start a process again with its earlier command."""
+        self.spawn(name, self.commands[name])
+
+    def apply(self, resources: list[dict[str, Any]]) -> int:
+        """Apply resources; returns the revision of the last one."""
+        client = self.client
+        answers = [client.put(item["kind"], item["name"], item["spec"]) for item in resources]
+        return max(answer["revision"] for answer in answers)
+
+    def wait_in_force(self, revision: int, entries: int) -> float:
+        """Wait until so many entries have applied a revision; returns the seconds it took."""
+
+        def check() -> bool:
+            listed = self.client.read("/v1/entries")["entries"]
+            ready = [e for e in listed if e["state"] == "live" and e["revision"] >= revision]
+            return len(ready) >= entries
+
+        return self.wait(check, f"revision {revision} in force at {entries} entries")
+
+    def wait_settled(self, shares: int) -> float:
+        """Wait until so many shares are settled."""
+
+        def check() -> bool:
+            items = self.client.list("share")["items"]
+            settled = [i for i in items if i["spec"]["previous"] is None]
+            return len(settled) >= shares and all(i["spec"]["current"]["members"] for i in settled)
+
+        return self.wait(check, f"{shares} shares settled")
+
+    def wait(self, check, what: str, limit_s: float = START_LIMIT_S) -> float:
+        """Poll until a check holds; returns the seconds it took."""
+        started = time.monotonic()
+        while True:
+            try:
+                if check():
+                    return time.monotonic() - started
+            except FinchwayError:
+                pass
+            if time.monotonic() - started > limit_s:
+                raise TimeoutError(f"waited {limit_s:g} s for {what}; logs are in {self.folder}")
+            time.sleep(0.05)
+
+    def stop(self) -> None:
+        """End all processes that were started here."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
+
+
+def fetch(address: str, path: str, body: Any = None) -> Any:
+    """Call a fake and decode its answer."""
+    content = msgspec.json.encode(body) if body is not None else b""
+    method = "POST" if body is not None else "GET"
+    response = httpcore.request(method, f"http://{address}{path}", content=content)
+    return msgspec.json.decode(response.content)
+
+
+def resident_mb(pid: int) -> float:
+    """Return the resident memory of a process in MB."""
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
+def cpu_seconds(pid: int) -> float:
+    """Return the processor time that a process has used."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
