--- a/src/finchway/entry/_dispatch.py
+++ b/src/finchway/entry/_dispatch.py
@@ -72,6 +72,7 @@
         timeline: Timeline,
         metrics: Metrics,
         may_serve: Callable[[], bool],
+        make_budget: Callable[[], RetryBudget] = RetryBudget,
     ) -> None:
         self._view = view
         self._client = client
@@ -79,6 +80,7 @@
         self._timeline = timeline
         self._metrics = metrics
         self._may_serve = may_serve
+        self._make_budget = make_budget
         self._budgets: dict[str, RetryBudget] = {}
         self._numbers = itertools.count(1)
         self._waiting: dict[int, _Waiting] = {}
@@ -142,7 +144,9 @@
                 self._timeline.record(EventKind.CLAIM_UNKNOWN, f"{call.service}/{call.key}")
 
     async def _attempts(self, call: Call, service: Service, body: Body, respond) -> None:
-        budget = self._budgets.setdefault(call.service, RetryBudget())
+        budget = self._budgets.get(call.service)
+        if budget is None:
+            budget = self._budgets[call.service] = self._make_budget()
         excluded: frozenset[str] = frozenset()
         for number in itertools.count(1):
             grant = await self._admit(call, excluded)
--- a/src/finchway/entry/_view.py
+++ b/src/finchway/entry/_view.py
@@ -37,15 +37,25 @@
 
 
 class EntryView:
-    """What one entry knows and decides with; it does no I/O and reads no clock."""
-
-    def __init__(self, instance: str, zone: str, rng: random.Random) -> None:
+    """What one entry knows and decides with; it does no I/O and reads no clock.
+
+    `holder` and `directory` can be given to measure other ways to share and to choose.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        zone: str,
+        rng: random.Random,
+        holder: Holder | None = None,
+        directory: Directory | None = None,
+    ) -> None:
         self._instance = instance
         self._zone = zone
         self._store = ResourceStore()
         self._routes = Routes(self._store)
-        self._holder = Holder(instance)
-        self._directory = Directory(rng)
+        self._holder = holder or Holder(instance)
+        self._directory = directory or Directory(rng)
         self._gate = Gate(self._holder, self._directory)
         self._organisations: dict[str, str] = {}
         self._capacities: dict[tuple[str, str], Capacity] = {}
--- a/src/finchway/observe/_metrics.py
+++ b/src/finchway/observe/_metrics.py
@@ -17,21 +17,15 @@
 
     def __init__(self, instance: str) -> None:
         labels = {"instance": instance}
-        self._registry = Registry()
-        self._requests = Counter("finchway_requests_total", "Requests by outcome", labels)
-        self._retries = Counter("finchway_retries_total", "Retries by service", labels)
-        self._steers = Counter("finchway_steers_total", "Steering answers", labels)
-        self._state = Gauge("finchway_state", "State by name", labels)
-        self._latency_gauge = Gauge("finchway_latency_seconds", "Latency by quantile", labels)
+        registry = self._registry = Registry()
+        self._requests = Counter("finchway_requests_total", "Requests by outcome", labels, registry)
+        self._retries = Counter("finchway_retries_total", "Retries by service", labels, registry)
+        self._steers = Counter("finchway_steers_total", "Steering answers", labels, registry)
+        self._state = Gauge("finchway_state", "State by name", labels, registry)
+        self._latency_gauge = Gauge(
+            "finchway_latency_seconds", "Latency by quantile", labels, registry
+        )
         self._latency: dict[tuple[str, str], HdrHistogram] = {}
-        for metric in (
-            self._requests,
-            self._retries,
-            self._steers,
-            self._state,
-            self._latency_gauge,
-        ):
-            self._registry.register(metric)
 
     def count_request(self, service: str, priority: str, outcome: str, seconds: float) -> None:
         """Count one request that has been answered, with its latency."""
