--- /dev/null
+++ b/tests/unit/test_settings.py
@@ -0,0 +1,95 @@
+"""Settings: flags win over the environment, and all findings come together with their place."""
+
+from __future__ import annotations
+
+import pytest
+from absl import flags
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from finchway._settings import Settings, define_flags, read_settings
+from finchway.daemon import main
+from finchway.exceptions import SettingsError
+
+GOOD = {
+    "FINCHWAY_INSTANCE": "e1",
+    "FINCHWAY_ROLES": "entry",
+    "FINCHWAY_ZONE": "za",
+    "FINCHWAY_ENTRY_ADDRESS": "127.0.0.1:7100",
+    "FINCHWAY_PEER_ADDRESS": "127.0.0.1:7200",
+    "FINCHWAY_CONTROL_PEERS": "127.0.0.1:7201,127.0.0.1:7202",
+}
+
+
+def read(arguments: list[str], environment: dict[str, str]) -> Settings:
+    values = flags.FlagValues()
+    define_flags(values)
+    values(["finchwayd", *arguments])
+    return read_settings(values, environment)
+
+
+def test_a_flag_wins_over_its_variable():
+    assert read([], GOOD).zone == "za"
+    assert read(["--zone=zb"], GOOD).zone == "zb"
+
+
+def test_all_findings_come_together_with_their_place():
+    environment = {
+        **GOOD,
+        "FINCHWAY_CONTROL_PEERS": "127.0.0.1:7201,example:1",
+        "FINCHWAY_LEASE_S": "soon",
+        "FINCHWAY_TYPO": "1",
+    }
+    with pytest.raises(SettingsError) as caught:
+        read(["--roles=entry,cook", "--entry_address=localhost:1", "--peer_address="], environment)
+    places = [finding.place for finding in caught.value.findings]
+    assert places == [
+        "FINCHWAY_TYPO",
+        "--roles",
+        "--entry_address",
+        "--peer_address",
+        "FINCHWAY_CONTROL_PEERS[1]",
+        "FINCHWAY_LEASE_S",
+    ]
+
+
+def test_settings_that_do_not_agree_are_found():
+    with pytest.raises(SettingsError, match="shorter than three heartbeats"):
+        read(["--lease_s=0.5", "--heartbeat_s=0.2"], GOOD)
+    with pytest.raises(SettingsError, match="given together"):
+        read([f"--tls_key={__file__}"], GOOD)
+
+
+def test_control_needs_its_own_settings():
+    with pytest.raises(SettingsError) as caught:
+        read(["--roles=control"], GOOD)
+    assert {f.place for f in caught.value.findings} == {"--api_address", "--data_folder"}
+
+
+def test_the_daemon_exits_with_2(capsys):
+    with pytest.raises(SystemExit) as caught:
+        main(["--roles=entry"])
+    assert caught.value.code == 2
+    text = capsys.readouterr().err
+    assert "--instance: is required" in text and "--peer_address: is required" in text
+    with pytest.raises(SystemExit) as caught:
+        main(["--no_such_flag=1"])
+    assert caught.value.code == 2
+
+
+def test_help_names_every_setting(capsys):
+    main(["--help"])
+    text = capsys.readouterr().out
+    assert "FINCHWAY_DATA_FOLDER" in text and "--entry_address" in text
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(
+    name=st.sampled_from(sorted(GOOD)),
+    value=st.text(st.characters(blacklist_characters="\x00", blacklist_categories=["Cs"])),
+)
+def test_any_text_is_read_or_refused_with_its_place(name, value):
+    try:
+        read([], {**GOOD, name: value})
+    except SettingsError as error:
+        assert all(f.place and f.problem for f in error.findings)
--- /dev/null
+++ b/tests/unit/test_shares.py
@@ -0,0 +1,214 @@
+"""Capacity shares: floors and loans together never exceed the slots, whatever happens."""
+
+from __future__ import annotations
+
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from finchway.policy import (
+    Demand,
+    Holder,
+    Lender,
+    LoanTiming,
+    floor_of,
+    floors_in_force,
+    next_division,
+    pool_in_force,
+    pool_of,
+    usable_slots,
+)
+from finchway.resources import Division, Share
+
+KEY = ("s", "r")
+TIMING = LoanTiming(ttl=2.0, margin=1.0)
+LONGEST = {"s": 2.0}
+
+MEMBERS = st.lists(st.sampled_from(["e1", "e2", "e3", "e4", "e5"]), unique=True, max_size=5)
+DIVISIONS = st.builds(
+    lambda members, slots, fraction: Division(
+        members=sorted(members), slots=slots, floor_fraction=fraction
+    ),
+    MEMBERS,
+    st.dictionaries(
+        st.sampled_from([f"10.0.0.{i}:80" for i in range(6)]), st.integers(1, 8), min_size=1
+    ),
+    st.floats(0, 1),
+)
+
+
+def share(current: Division, previous: Division | None = None, epoch: int = 1) -> Share:
+    return Share(service="s", region="r", epoch=epoch, current=current, previous=previous)
+
+
+def test_usable_slots_leave_the_headroom_free():
+    assert usable_slots(4, 0.25, 0.1) == 4
+    assert usable_slots(4, 0.25, 0.0) == 5
+    assert usable_slots(1, 0.0, 0.9) == 1
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(division=DIVISIONS)
+def test_floors_and_pool_are_the_whole(division):
+    total: dict[str, int] = dict(pool_of(division))
+    for member in division.members:
+        for address, count in floor_of(division, member).items():
+            total[address] = total.get(address, 0) + count
+    if division.members:
+        assert total == division.slots
+    else:
+        assert total == {}
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(old=DIVISIONS, new=DIVISIONS, lagging=st.sets(st.sampled_from(["e1", "e2", "e3"])))
+def test_floors_fit_while_some_entries_still_have_the_old_division(old, new, lagging):
+    """Step one: some hold the old floors, some already the smaller of both."""
+    before, between = share(old), share(new, old, 2)
+    members = {*old.members, *new.members}
+    for address in {*old.slots, *new.slots}:
+        held = sum(
+            floors_in_force(before if member in lagging else between, member).get(address, 0)
+            for member in members
+        )
+        assert held + pool_in_force(between).get(address, 0) <= old.slots.get(address, 0)
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(old=DIVISIONS, new=DIVISIONS, lagging=st.sets(st.sampled_from(["e1", "e2", "e3"])))
+def test_floors_fit_while_some_entries_have_not_grown_yet(old, new, lagging):
+    """Step two: everyone has shrunk; some still use the smaller floors, some the new ones."""
+    between, after = share(new, old, 2), share(new, None, 2)
+    for address in new.slots:
+        held = sum(
+            floors_in_force(between if member in lagging else after, member).get(address, 0)
+            for member in new.members
+        )
+        assert held + pool_in_force(after).get(address, 0) <= new.slots[address]
+
+
+class Model:
+    """A leader and holders that exchange heartbeats which may be lost; they act on their loans."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.division = Division(
+            members=["e1", "e2", "e3"],
+            slots={f"10.0.0.{i}:80": 4 for i in range(4)},
+            floor_fraction=0.5,
+        )
+        self.share = share(self.division)
+        self.holders = {f"e{i}": Holder(f"e{i}") for i in range(1, 5)}
+        for holder in self.holders.values():
+            holder.set_shares([self.share])
+        self.in_flight = {name: dict.fromkeys(self.division.slots, 0) for name in self.holders}
+        self.started: dict[str, list[tuple[float, str]]] = {name: [] for name in self.holders}
+        self.sequence = dict.fromkeys(self.holders, 0)
+        self.applied = dict.fromkeys(self.holders, 0)
+        self.now = 0.0
+        self.lender = Lender(TIMING, self.now)
+
+    def heartbeat(self, name: str, reply_lost: bool) -> None:
+        holder = self.holders[name]
+        self.sequence[name] += 1
+        used = holder.used_beyond_floor(KEY, self.in_flight[name])
+        wanted = sum(self.in_flight[name].values()) + self.rng.randrange(12)
+        demand = Demand("s", "r", {self.rng.randrange(3): wanted}, used)
+        loans = self.lender.lend(
+            f"{name}@1",
+            [demand],
+            self.applied[name],
+            self.sequence[name],
+            {KEY: self.share},
+            LONGEST,
+            self.now,
+        )
+        if not reply_lost:
+            holder.set_loans(loans, self.now)
+            self.applied[name] = self.sequence[name]
+
+    def work(self, name: str) -> None:
+        """Finish some work, and start as much as the limits allow."""
+        flight = self.in_flight[name]
+        kept = []
+        for began, address in self.started[name]:
+            if self.now - began >= LONGEST["s"] or self.rng.random() < 0.3:
+                flight[address] -= 1
+            else:
+                kept.append((began, address))
+        self.started[name] = kept
+        for address, limit in self.holders[name].limits(KEY, self.now).items():
+            while flight[address] < limit and self.rng.random() < 0.9:
+                flight[address] += 1
+                self.started[name].append((self.now, address))
+
+    def check(self) -> None:
+        for address, slots in self.division.slots.items():
+            total = sum(flight[address] for flight in self.in_flight.values())
+            assert total <= slots, f"{total} in flight at {address}, {slots} allowed"
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(
+    seed=st.integers(0, 10_000),
+    silent=st.sets(st.sampled_from(["e1", "e2", "e3", "e4"])),
+    loss=st.sampled_from([0.0, 0.3, 0.8]),
+    new_leader_at=st.integers(0, 80),
+)
+def test_loans_never_exceed_the_pool(seed, silent, loss, new_leader_at):
+    """Lost answers, holders that fall silent, and a new leader that knows nothing."""
+    model = Model(seed)
+    model.now = 10.0
+    for step in range(100):
+        model.now += 0.2
+        if step == new_leader_at:
+            model.lender = Lender(TIMING, model.now)
+        for name in model.holders:
+            quiet = name in silent and 30 <= step < 70
+            if not quiet and model.rng.random() > loss / 2:
+                model.heartbeat(name, reply_lost=model.rng.random() < loss)
+            model.work(name)
+            model.check()
+
+
+def test_without_control_the_floors_remain():
+    model = Model(1)
+    model.now = 10.0
+    model.heartbeat("e1", reply_lost=False)
+    holder = model.holders["e1"]
+    assert sum(holder.limits(KEY, model.now).values()) > sum(holder.floor(KEY).values())
+    assert holder.limits(KEY, model.now + TIMING.ttl) == holder.floor(KEY)
+    assert sum(holder.floor(KEY).values()) > 0
+
+
+def test_better_ranks_borrow_first():
+    lender = Lender(TIMING, 0.0)
+    division = Division(
+        members=["e1", "e2"], slots={f"10.0.0.{i}:80": 4 for i in range(4)}, floor_fraction=0.0
+    )
+    shares = {KEY: share(division)}
+
+    def lend(name: str, rank: int, number: int) -> int:
+        demand = Demand("s", "r", {rank: 20})
+        loans = lender.lend(name, [demand], number - 1, number, shares, LONGEST, 9 + number * 0.2)
+        return sum(sum(loan.slots.values()) for loan in loans)
+
+    for number in range(1, 6):
+        cheap = lend("e1@1", 2, number)
+        paid = lend("e2@1", 0, number)
+    assert (cheap, paid) == (0, 16)
+
+
+def test_a_division_changes_in_two_steps_and_waits_for_the_silent():
+    old = Division(members=["e1", "e2"], slots={"10.0.0.1:80": 4})
+    new = Division(members=["e1", "e2", "e3"], slots={"10.0.0.1:80": 4})
+    assert next_division(None, old, set(), set(), set()) == (1, old, Division())
+    settled = share(old)
+    assert next_division(settled, old, set(), set(), set()) is None
+    assert next_division(settled, new, set(), set(), {"e2"}) is None, "e2 cannot say it shrank"
+    assert next_division(settled, new, set(), set(), set()) == (2, new, old)
+    between = share(new, old, 2)
+    assert next_division(between, new, {"e1", "e2"}, set(), set()) is None
+    assert next_division(between, new, {"e1", "e2", "e3"}, set(), set()) == (2, new, None)
+    assert next_division(between, new, {"e1", "e3"}, {"e2"}, set()) == (2, new, None)
--- /dev/null
+++ b/tests/unit/test_state.py
@@ -0,0 +1,308 @@
+"""The state machine: races, resends, claims, history, and equal digests on every replica."""
+
+from __future__ import annotations
+
+import uuid
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from finchway.exceptions import GoneError
+from finchway.resources import MoveStatus as Moved
+from finchway.resources import Operation, Phase, ResourceStore
+from finchway.state import (
+    AbandonClaims,
+    Accepted,
+    ClaimKey,
+    ClaimState,
+    Conflict,
+    DeleteResource,
+    Expire,
+    History,
+    Missing,
+    PutResource,
+    PutStatus,
+    Rejected,
+    Reused,
+    SettleClaim,
+    StateMachine,
+    decode_command,
+    encode_command,
+)
+
+DAY_MS = 24 * 3600 * 1000
+
+
+def put(kind, name, spec, expected=None, change_id="", operator="ann", now_ms=0) -> PutResource:
+    return PutResource(
+        now_ms=now_ms,
+        kind=kind,
+        name=name,
+        spec=msgspec.json.encode(spec),
+        expected=expected,
+        change_id=change_id,
+        operator=operator,
+    )
+
+
+def claim(key="k", attempt="a1", digest="d", now_ms=0, retain_s=3600.0) -> ClaimKey:
+    return ClaimKey(
+        now_ms=now_ms,
+        service="s",
+        organisation="o",
+        key=key,
+        digest=digest,
+        attempt=attempt,
+        holder="e1@1",
+        retain_s=retain_s,
+    )
+
+
+def settle(outcome, key="k", attempt="a1", answer=b"", now_ms=0) -> SettleClaim:
+    return SettleClaim(
+        now_ms=now_ms,
+        service="s",
+        organisation="o",
+        key=key,
+        attempt=attempt,
+        outcome=outcome,
+        answer=answer,
+    )
+
+
+@pytest.fixture
+def machine() -> StateMachine:
+    machine = StateMachine()
+    machine.apply(put("region", "north", {}))
+    return machine
+
+
+def test_one_wins_among_equal_numbers_and_the_other_sees_the_winner(machine):
+    first = machine.apply(put("region", "south", {"latency_ms": {"north": 1}}, 0, "c1", "ann"))
+    second = machine.apply(put("region", "south", {"latency_ms": {"north": 2}}, 0, "c1", "bob"))
+    assert isinstance(first, Accepted)
+    assert isinstance(second, Conflict)
+    assert msgspec.json.decode(second.winner)["spec"] == {"latency_ms": {"north": 1.0}}
+
+
+def test_a_resend_gets_the_first_answer_also_after_a_snapshot(machine):
+    change = put("region", "south", {}, 0, "c1")
+    first = machine.apply(change)
+    machine.apply(put("region", "south", {"latency_ms": {"north": 3}}, 1, "c2"))
+    restored = StateMachine()
+    restored.restore(machine.snapshot())
+    for replica in (machine, restored):
+        assert replica.apply(change) == first
+        assert replica.store.get("region", "south").generation == 2
+
+
+def test_a_change_id_is_not_used_for_two_changes(machine):
+    machine.apply(put("region", "south", {}, 0, "c1"))
+    assert isinstance(machine.apply(put("region", "east", {}, 0, "c1")), Reused)
+
+
+def test_a_stored_answer_is_forgotten_after_its_time(machine):
+    change = put("region", "south", {}, 0, "c1")
+    machine.apply(change)
+    machine.apply(Expire(now_ms=DAY_MS + 1))
+    assert isinstance(machine.apply(change), Conflict)
+
+
+def test_references_are_checked_in_both_directions(machine):
+    result = machine.apply(put("zone", "z", {"region": "nowhere"}))
+    assert result == Rejected([("zone/z.region", "no such region: 'nowhere'")])
+    machine.apply(put("zone", "z", {"region": "north"}))
+    result = machine.apply(DeleteResource(now_ms=0, kind="region", name="north", operator="ann"))
+    assert result == Rejected([("zone/z.region", "still refers to region/north")])
+
+
+def test_a_move_that_holds_callers_cannot_be_deleted(machine):
+    machine.apply(put("region", "south", {}))
+    machine.apply(put("service", "s", {}))
+    machine.apply(put("move", "m", {"service": "s", "source": "north", "target": "south"}))
+    machine.apply(
+        PutStatus(
+            now_ms=0,
+            kind="move",
+            name="m",
+            generation=1,
+            status=Moved(phase=Phase.RUNNING, percent=10.0),
+        )
+    )
+    result = machine.apply(DeleteResource(now_ms=0, kind="move", name="m", operator="ann"))
+    assert isinstance(result, Rejected)
+    assert "10% of the callers" in result.findings[0][1]
+
+
+def test_a_status_for_an_older_generation_is_refused(machine):
+    machine.apply(put("drain", "d", {"target": "region/north"}))
+    machine.apply(put("region", "south", {}))
+    machine.apply(put("drain", "d", {"target": "region/south"}))
+    stale = PutStatus(now_ms=0, kind="drain", name="d", generation=1, status=None)
+    assert isinstance(machine.apply(stale), Conflict)
+    gone = PutStatus(now_ms=0, kind="drain", name="x", generation=1, status=None)
+    assert isinstance(machine.apply(gone), Missing)
+
+
+def test_a_claim_is_granted_to_one_attempt_only(machine):
+    assert machine.apply(claim(attempt="a1")).granted
+    assert machine.apply(claim(attempt="a1")).granted, "a repeated message is harmless"
+    other = machine.apply(claim(attempt="a2"))
+    assert (other.granted, other.state) == (False, ClaimState.CLAIMED)
+
+
+def test_a_finished_claim_gives_its_answer_to_a_resend(machine):
+    machine.apply(claim())
+    machine.apply(settle(ClaimState.DONE, answer=b"paid"))
+    again = machine.apply(claim(attempt="a2"))
+    assert (again.granted, again.state, again.answer) == (False, ClaimState.DONE, b"paid")
+    reused = machine.apply(claim(attempt="a3", digest="other"))
+    assert reused.mismatch and not reused.granted
+
+
+def test_a_released_key_may_be_claimed_again_but_not_by_a_late_copy(machine):
+    machine.apply(claim(attempt="a1"))
+    assert machine.apply(settle(ClaimState.RELEASED)).granted
+    assert not machine.apply(claim(attempt="a1")).granted
+    assert machine.apply(claim(attempt="a2")).granted
+    assert not machine.apply(settle(ClaimState.RELEASED, attempt="a1")).granted
+
+
+def test_a_release_that_overtakes_its_claim_wins(machine):
+    machine.apply(settle(ClaimState.RELEASED, attempt="a1"))
+    assert not machine.apply(claim(attempt="a1")).granted
+    assert machine.apply(claim(attempt="a2")).granted
+
+
+def test_an_unknown_claim_is_never_run_again_but_may_turn_out_done(machine):
+    machine.apply(claim())
+    machine.apply(AbandonClaims(now_ms=0, holder="e1@1"))
+    assert machine.apply(claim(attempt="a2")).state is ClaimState.UNKNOWN
+    assert not machine.apply(settle(ClaimState.RELEASED)).granted
+    assert not machine.apply(claim(attempt="a3")).granted
+    machine.apply(settle(ClaimState.DONE, answer=b"x"))
+    assert machine.apply(claim(attempt="a4")).answer == b"x"
+
+
+def test_an_open_claim_is_not_forgotten(machine):
+    machine.apply(claim(retain_s=1.0))
+    machine.apply(Expire(now_ms=DAY_MS))
+    assert not machine.apply(claim(attempt="a2", now_ms=DAY_MS)).granted
+
+
+def test_an_old_time_ordered_key_is_refused_after_its_record_is_gone(machine):
+    def key_at(ms: int) -> str:
+        return str(uuid.UUID(int=(ms << 80) | (7 << 76) | (2 << 62) | 5))
+
+    old, now = key_at(1_000), 2 * DAY_MS
+    machine.apply(claim(key=old, retain_s=3600.0))
+    machine.apply(settle(ClaimState.DONE, key=old))
+    machine.apply(Expire(now_ms=now))
+    assert len(machine.claims) == 0
+    late = machine.apply(claim(key=old, attempt="a2", now_ms=now))
+    assert late.expired and not late.granted
+    fresh = machine.apply(claim(key=key_at(now), attempt="a3", now_ms=now))
+    assert fresh.granted
+
+
+def test_history_has_no_gaps_and_says_when_it_is_gone():
+    machine = StateMachine()
+    machine._history = History(limit=8)
+    for number in range(30):
+        machine.apply(put("region", f"r{number}", {}))
+    since = machine.history.compacted
+    revisions = [change.revision for change in machine.history.since(since)]
+    assert revisions == list(range(since + 1, 31))
+    with pytest.raises(GoneError) as caught:
+        machine.history.since(since - 1)
+    assert caught.value.oldest == since
+
+
+def test_time_never_runs_backwards(machine):
+    machine.apply(Expire(now_ms=1_000))
+    machine.apply(put("region", "south", {}, now_ms=5))
+    assert machine.history.changes[-1].now_ms == 1_000
+
+
+NAMES = st.sampled_from(["north", "south", "east"])
+COMMANDS = st.one_of(
+    st.builds(
+        put,
+        kind=st.just("region"),
+        name=NAMES,
+        spec=st.fixed_dictionaries({"latency_ms": st.dictionaries(NAMES, st.floats(0, 9))}),
+        expected=st.one_of(st.none(), st.integers(0, 2)),
+        change_id=st.sampled_from(["", "c1", "c2", "c3"]),
+        now_ms=st.integers(0, 10),
+    ),
+    st.builds(
+        DeleteResource,
+        now_ms=st.just(0),
+        kind=st.just("region"),
+        name=NAMES,
+        expected=st.one_of(st.none(), st.integers(0, 2)),
+        change_id=st.sampled_from(["", "d1", "d2"]),
+        operator=st.just("ann"),
+    ),
+    st.builds(claim, key=st.sampled_from("kl"), attempt=st.sampled_from(["a1", "a2", "a3"])),
+    st.builds(
+        settle,
+        outcome=st.sampled_from(list(ClaimState)),
+        key=st.sampled_from("kl"),
+        attempt=st.sampled_from(["a1", "a2", "a3"]),
+    ),
+    st.builds(Expire, now_ms=st.integers(0, 3 * DAY_MS)),
+)
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(commands=st.lists(COMMANDS, max_size=30), cut=st.integers(0, 30))
+def test_replicas_agree_whatever_their_way(commands, cut):
+    """One replica applies all; another gets a snapshot midway; a store follows the history."""
+    one, other, follower = StateMachine(), StateMachine(), ResourceStore()
+    for number, command in enumerate(commands):
+        decoded = decode_command(encode_command(command))
+        assert other.apply(decoded) == one.apply(command)
+        if number == cut:
+            restored = StateMachine()
+            restored.restore(other.snapshot())
+            other = restored
+        assert one.digest() == other.digest()
+    for change in one.history.since(0):
+        assert follower.apply(change)
+        assert not follower.apply(change), "a change that comes twice is passed over"
+        assert change.operation in Operation
+    assert {(r.kind, r.name): r for r in follower} == {(r.kind, r.name): r for r in one.store}
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(
+    steps=st.lists(
+        st.tuples(
+            st.sampled_from(["claim", "done", "released", "unknown", "abandon"]),
+            st.sampled_from(["a1", "a2", "a3"]),
+        ),
+        max_size=20,
+    )
+)
+def test_at_most_one_attempt_ever_dispatches_without_a_release_between(steps):
+    machine = StateMachine()
+    running: str | None = None
+    released: set[str] = set()
+    for step, attempt in steps:
+        match step:
+            case "claim":
+                if machine.apply(claim(attempt=attempt)).granted:
+                    assert running in (None, attempt), "two attempts were granted"
+                    assert attempt not in released, "a released attempt was granted again"
+                    running = attempt
+            case "released":
+                if machine.apply(settle(ClaimState.RELEASED, attempt=attempt)).granted:
+                    released.add(attempt)
+                    running = None if running == attempt else running
+            case "abandon":
+                machine.apply(AbandonClaims(now_ms=0, holder="e1@1"))
+            case _:
+                machine.apply(settle(ClaimState(step), attempt=attempt))
