Prove the promises crossed with the failures; mend what they showed

Change: an outcome is never better than the worst of its attempts; leaving marks travel with heartbeats and come back as replicated marks on one incarnation; watchers picked by hashing ask for health each second, everyone does while the leader does not answer. A new leader lends as soon as the old loans are over if it has heard every registered life (was: plus the longest deadline); only registered lives borrow.

--- a/bench/world.py
+++ b/bench/world.py
@@ -27,10 +27,18 @@
     EntryIdentity,
     EntryView,
     Facts,
+    Prober,
     UpstreamError,
 )
+from finchway.entry._probe import HEALTH_PATH
 from finchway.exceptions import FinchwayError, TransportError
-from finchway.membership import Coordinator, Heartbeat, LeaseTiming, changes_since
+from finchway.membership import (
+    Coordinator,
+    Heartbeat,
+    LeaseTiming,
+    PlatformList,
+    changes_since,
+)
 from finchway.observe import LogicalClock, Metrics, Timeline
 from finchway.policy import Caller, Holder, LoanTiming, Outcome, RetryBudget, client_block
 from finchway.policy import Directory as UpstreamDirectory
@@ -199,8 +207,12 @@
         self.alive = True
         self.silent = False
         self.misleading = False
+        self.frozen = False
         self.leaving = False
-        self.cut_answers = 0
+        self.leaving_in_health = False
+        self.cut_every = 0
+        self.late_every = 0
+        self.served = 0
         self.cold_until = 0.0
         self.incarnation = "1"
         self.report = 0.0
@@ -209,9 +221,26 @@
     async def lag(self, delay_s: float) -> None:
         """Refresh the load report every `delay_s`, so that it lags."""
         while True:
-            self.report = 0.0 if self.misleading else self.in_flight / 4
+            if not self.frozen:
+                self.report = 0.0 if self.misleading else self.in_flight / 4
             await trio.sleep(delay_s)
 
+    def die(self) -> None:
+        """End the upstream; what it was running breaks off."""
+        self.alive = False
+
+    def restart(self) -> None:
+        """Come back as a new life, with a cold cache."""
+        self.alive = True
+        self.incarnation += "x"
+        self.cold_until = trio.current_time() + 2.0
+
+    def health(self) -> str:
+        """What the health endpoint answers."""
+        leaving = self.leaving or self.leaving_in_health
+        health = {"load": self.report, "leaving": leaving, "incarnation": self.incarnation}
+        return msgspec.json.encode(health).decode()
+
     def facts(self) -> Facts:
         """What the upstream says of itself."""
         return Facts(self.incarnation, self.report, self.leaving and not self.misleading)
@@ -236,6 +265,10 @@
             raise UpstreamError(Outcome.NOT_RUN, f"no connection to {address}")
         if upstream.silent:
             await trio.sleep_forever()
+        if target == HEALTH_PATH:
+            await trio.sleep(delay)
+            yield WorldReply(upstream.facts(), upstream.health())
+            return
         call, key = _fields(headers)
         upstream.in_flight += 1
         upstream.peak = max(upstream.peak, upstream.in_flight)
@@ -253,8 +286,10 @@
             upstream.in_flight -= 1
         if not upstream.alive:
             raise UpstreamError(Outcome.UNKNOWN, f"{address} died")
-        if upstream.cut_answers:
-            upstream.cut_answers -= 1
+        upstream.served += 1
+        if upstream.late_every and upstream.served % upstream.late_every == 0:
+            await trio.sleep(1.5)
+        if upstream.cut_every and upstream.served % upstream.cut_every == 0:
             raise UpstreamError(Outcome.UNKNOWN, f"{address} cut its answer")
         await trio.sleep(delay)
         yield WorldReply(upstream.facts(), call)
@@ -282,6 +317,13 @@
         self.is_whole = True
 
 
+class Listing(Struct):
+    """What the fake platform lists."""
+
+    live: list[str]
+    leaving: list[str]
+
+
 class Options(Struct):
     """How the world is built; the makers put baselines in place of the product's decisions."""
 
@@ -331,6 +373,10 @@
             lambda: self.view.gate.in_flight,
         )
         self.scope = trio.CancelScope()
+        self.scopes: set[trio.CancelScope] = set()
+        self.active = 0
+        self.closed = False
+        self.revisions: list[int] = []
         self.dispatcher: Dispatcher | None = None
         self.client = WorldClient(world, self.region)
 
@@ -351,11 +397,45 @@
                     self.world.options.make_budget,
                 )
                 nursery.start_soon(self.session.run)
+                prober = Prober(
+                    self.view,
+                    self.client,
+                    self.timeline,
+                    self.world.platform_list,
+                    self.name,
+                    lambda: self.session.is_in_touch,
+                )
                 nursery.start_soon(self.dispatcher.run)
+                nursery.start_soon(prober.run)
+                nursery.start_soon(self._note_revisions)
                 await trio.sleep_forever()
 
+    async def _note_revisions(self) -> None:
+        while True:
+            self.revisions.append(self.view.revision)
+            await trio.sleep(0.1)
+
+    @property
+    def is_serving(self) -> bool:
+        """Whether callers can connect."""
+        return self.dispatcher is not None and not self.closed
+
+    async def leave(self) -> None:
+        """Stop as planned: withdraw, wait out cached answers, finish, then end."""
+        self.session.start_leaving()
+        ttl_s = max(s.spec.steer_ttl_ms for s in self.view.store.of_kind("service")) / 1000
+        await trio.sleep(ttl_s + 1.0)
+        while self.active:
+            await trio.sleep(0.05)
+        self.closed = True
+        await self.session.beat(stopped=True)
+        self.kill()
+
     def kill(self) -> None:
         """End the entry at once; its requests in flight break off."""
+        self.closed = True
+        for scope in self.scopes:
+            scope.cancel()
         self.scope.cancel()
         self.world.network.handlers.pop(self.peer, None)
         self.dispatcher = None
@@ -375,7 +455,10 @@
         self.got: list[Got] = []
         self.leaving: list[Leaving] = []
         self.nursery: trio.Nursery | None = None
+        names = [f"e{i + 1}" for i in range(self.options.entries)]
+        self.listing = Listing(names, [])
         self._calls = 0
+        self._steered: dict[tuple[str, str], tuple[float, list[str]]] = {}
         self._lives: dict[str, int] = {}
 
     @asynccontextmanager
@@ -386,6 +469,7 @@
             self._make_upstreams()
             self._declare()
             nursery.start_soon(self.control.run)
+            nursery.start_soon(self._poll_platform)
             zones = [zone for zone, _ in zones_of(self.shape)]
             for index in range(self.options.entries):
                 self.start_entry(f"e{index + 1}", zones[index % len(zones)])
@@ -401,6 +485,18 @@
         self.nursery.start_soon(entry.run)
         return entry
 
+    async def platform_list(self) -> PlatformList:
+        """Answer as the platform does, which lags by a second."""
+        await trio.sleep(0.01)
+        listing = self.listing
+        return PlatformList(
+            live=[*listing.live], leaving=[*listing.leaving], as_of_ms=now_ms() - 1000
+        )
+
+    def platform_drops(self, name: str) -> None:
+        """Let the platform list an instance no longer."""
+        self.listing.live.remove(name)
+
     async def settle(self, limit_s: float = 60.0) -> None:
         """Wait until all shares are settled and every entry knows it."""
         with trio.fail_after(limit_s):
@@ -419,6 +515,11 @@
         known = all(entry.view.revision >= revision for entry in live)
         return known and bool(counted)
 
+    async def _poll_platform(self) -> None:
+        while True:
+            await trio.sleep(0.5)
+            self.control.coordinator.platform.record(await self.platform_list())
+
     async def call(
         self, service: str, priority: str, region: str, entry: str = "", key: str = "", number=-1
     ) -> Got:
@@ -427,19 +528,36 @@
         call_id = f"call{self._calls}"
         started = trio.current_time()
         client = client_of(region, self._calls if number < 0 else number, self.shape)
-        target = self.entries[entry] if entry else self._steer(service, region, client)
+        target = self.entries[entry] if entry else self._steer(service, client)
         got = Got(call_id, service, priority, started, 0.0, 0, "", key)
         if target is None or target.dispatcher is None:
             return self._note(got, started, error="no entry")
         await trio.sleep(self.shape.client_ms / 1000)
+        if not target.is_serving:
+            return self._note(got, started, error="no connection")
+        target.active += 1
+        try:
+            return await self._exchange(target, got, service, priority, client, key)
+        finally:
+            target.active -= 1
+
+    async def _exchange(self, target: Entry, got: Got, service, priority, client, key) -> Got:
+        started = got.started
+        if not target.session.is_confirmed:
+            return self._note(got, started, status=503, outcome="not-run", error="not-ready")
         answers: list[Answer] = []
 
         async def respond(answer: Answer) -> None:
             answers.append(answer)
 
-        call = self._make_call(target, service, priority, client, call_id, key)
+        call = self._make_call(target, service, priority, client, got.call, key)
+        finished = False
         try:
-            await target.dispatcher.serve(call, WholeBody(key.encode()), respond)
+            # A caller is outside the entry: it sees a broken connection if the entry dies.
+            with trio.CancelScope() as scope:
+                target.scopes.add(scope)
+                await target.dispatcher.serve(call, WholeBody(key.encode()), respond)
+                finished = True
         except CallError as error:
             await trio.sleep(self.shape.client_ms / 1000)
             return self._note(
@@ -447,9 +565,11 @@
             )
         except UpstreamError as error:
             return self._note(got, started, status=502, outcome=error.outcome.value)
-        await trio.sleep(self.shape.client_ms / 1000)
-        if not answers:
+        finally:
+            target.scopes.discard(scope)
+        if not finished or not answers:
             return self._note(got, started, error="broken off")
+        await trio.sleep(self.shape.client_ms / 1000)
         answer = answers[0]
         return self._note(
             got,
@@ -541,19 +661,20 @@
             key=key,
         )
 
-    def _steer(self, service: str, region: str, client: str) -> Entry | None:
-        """Ask any running entry which one to use, as a caller with a bootstrap list does."""
-        asked = next((e for e in self.entries.values() if e.dispatcher is not None), None)
-        if asked is None:
-            return None
-        routes = asked.view.routes
-        caller = Caller(client_block(client), "")
-        home = routes.home_region(client, asked.view.region)
-        for point in routes.steer(service, home, caller):
-            entry = self.entries.get(point.instance)
-            if entry is not None and entry.dispatcher is not None:
-                return entry
-        return None
+    def _steer(self, service: str, client: str) -> Entry | None:
+        """Use a steering answer as a caller does: cached for its time, first entry that is up."""
+        key = (service, client)
+        expires, names = self._steered.get(key, (0.0, []))
+        ready = (e for e in self.entries.values() if e.is_serving and e.session.is_confirmed)
+        asked = next(ready, None)
+        if trio.current_time() >= expires and asked is not None:
+            caller = Caller(client_block(client), "")
+            home = asked.view.routes.home_region(client, asked.view.region)
+            points = asked.view.routes.steer(service, home, caller)
+            names = [point.instance for point in points] or names
+            ttl_s = asked.view.service(service).steer_ttl_ms / 1000
+            self._steered[key] = (trio.current_time() + ttl_s, names)
+        return next((self.entries[n] for n in names if self.entries[n].is_serving), None)
 
     def _make_upstreams(self) -> None:
         zones = zones_of(self.shape)
--- a/src/finchway/daemon.py
+++ b/src/finchway/daemon.py
@@ -265,7 +265,14 @@
                 self._set_metrics,
             )
             self.app = EntryApp(self._view, self._dispatcher, self._metrics, state)
-            prober = Prober(self._view, self._client, self._timeline, source)
+            prober = Prober(
+                self._view,
+                self._client,
+                self._timeline,
+                source,
+                settings.instance,
+                lambda: self.session.is_in_touch,
+            )
             nursery.start_soon(self.session.run)
             nursery.start_soon(self._dispatcher.run)
             nursery.start_soon(prober.run)
--- a/src/finchway/entry/_dispatch.py
+++ b/src/finchway/entry/_dispatch.py
@@ -148,9 +148,13 @@
         if budget is None:
             budget = self._budgets[call.service] = self._make_budget()
         excluded: frozenset[str] = frozenset()
+        may_have_run = False
         for number in itertools.count(1):
-            grant = await self._admit(call, excluded)
             begun = _Begun()
+            try:
+                grant = await self._admit(call, excluded)
+            except CallError as error:
+                raise _after_attempts(error, may_have_run) from error
             try:
                 await self._attempt(call, grant, body, respond, begun)
                 budget.earn()
@@ -166,8 +170,10 @@
                     call.deadline - trio.current_time(),
                 )
                 expected = self._view.gate.mean_hold_s(call.service)
+                may_have_run = may_have_run or error.outcome is not Outcome.NOT_RUN
                 if not may_retry(attempt, budget, expected):
-                    raise _as_call_error(error, call, expected) from error
+                    final = _as_call_error(error, call, expected)
+                    raise _after_attempts(final, may_have_run) from error
                 self._metrics.count_retry(call.service)
                 excluded |= {grant.address}
 
@@ -326,6 +332,13 @@
     return None
 
 
+def _after_attempts(error: CallError, may_have_run: bool) -> CallError:
+    """Say `not-run` only if no earlier attempt of the same request may have run."""
+    if may_have_run and error.outcome is Outcome.NOT_RUN:
+        error.outcome = Outcome.UNKNOWN
+    return error
+
+
 def _as_call_error(error: UpstreamError, call: Call, expected_s: float) -> CallError:
     if error.outcome is Outcome.NOT_RUN:
         detail = f"no upstream took the request: {error.detail}"
--- a/src/finchway/entry/_probe.py
+++ b/src/finchway/entry/_probe.py
@@ -1,6 +1,8 @@
 """What an entry learns besides its own requests: upstreams' load and health, the platform's list.
 
-Only upstreams that this entry may use, and from which nothing was heard lately, are asked.
+Each upstream is asked by a few watchers, picked by hashing from the entries that share it; what
+they learn reaches the others through the leader. An entry also asks upstreams of its own that
+have said nothing lately, and all of its own while the leader does not answer it.
 """
 
 from __future__ import annotations
@@ -24,6 +26,8 @@
 _LOG = logging.getLogger(__name__)
 PROBE_INTERVAL_S = 0.5
 QUIET_S = 1.0
+WATCH_S = 1.0
+WATCHERS = 2
 PROBE_TIMEOUT_S = 0.5
 PLATFORM_INTERVAL_S = 1.0
 HEALTH_PATH = "/finchway/health"
@@ -51,8 +55,13 @@
         client: UpstreamClient,
         timeline: Timeline,
         platform: Callable[[], Awaitable[PlatformList]] | None,
+        instance: str,
+        in_touch: Callable[[], bool],
     ) -> None:
         self._view = view
+        self._instance = instance
+        self._in_touch = in_touch
+        self._asked_at: dict[str, float] = {}
         self._client = client
         self._timeline = timeline
         self._platform = platform
@@ -68,22 +77,26 @@
     async def _probe_forever(self) -> None:
         while True:
             async with trio.open_nursery() as nursery:
-                for address in self._quiet():
+                for address in self._due():
+                    self._asked_at[address] = trio.current_time()
                     nursery.start_soon(self._probe, address)
             await trio.sleep(PROBE_INTERVAL_S)
 
-    def _quiet(self) -> list[str]:
+    def _due(self) -> list[str]:
+        """Return the upstreams to ask now."""
         now = trio.current_time()
-        mine = {
-            address
-            for key in self._view.share_keys()
-            for address in self._view.holder.limits(key, now)
-        }
-        return [
-            state.address
-            for state in self._view.directory
-            if state.address in mine and (state.report is None or now - state.report.at > QUIET_S)
-        ]
+        watched = self._view.watched(WATCHERS, self._instance)
+        own = self._view.own_upstreams(now)
+        due = []
+        for state in self._view.directory:
+            address = state.address
+            asked_at = self._asked_at.get(address, float("-inf"))
+            if now - asked_at < WATCH_S or address not in own | watched:
+                continue
+            quiet = state.report is None or now - state.report.at > QUIET_S
+            if quiet or address in watched or not self._in_touch():
+                due.append(address)
+        return due
 
     async def _probe(self, address: str) -> None:
         health = await self._ask(address)
--- a/src/finchway/entry/_session.py
+++ b/src/finchway/entry/_session.py
@@ -28,6 +28,7 @@
 FELLOWS_ASKED = 2
 RELAY_TIMEOUT_S = 0.5
 RECENT_CHANGES = 2_000
+IN_TOUCH_S = 1.0
 
 
 class EntryIdentity(Struct, frozen=True):
@@ -75,6 +76,7 @@
         self._lease_until = float("-inf")
         self._contact_at = float("-inf")
         self._direct_at = float("-inf")
+        self._answered_at = float("-inf")
         self._confirmed = False
         self._had_lease = False
         self._leaving = False
@@ -90,6 +92,11 @@
         """Whether the leader has confirmed this entry's revision a moment ago."""
         return trio.current_time() < self._lease_until
 
+    @property
+    def is_in_touch(self) -> bool:
+        """Whether the leader answered a moment ago, so that news from others arrives."""
+        return trio.current_time() - self._answered_at < IN_TOUCH_S
+
     @property
     def is_isolated(self) -> bool:
         """Whether neither control nor any fellow has answered for too long."""
@@ -176,6 +183,7 @@
             shrunk=view.shrunk(),
             drains=view.drain_reports(),
             loads=view.loads(now),
+            marks=view.marks(),
             rates=[RateReport(o, s, rate) for o, s, rate in view.busy_rates(now)],
         )
 
@@ -226,8 +234,7 @@
             self._take(reply.changes)
 
     def _apply(self, reply: HeartbeatReply, sent_at: float) -> None:
-        now = trio.current_time()
-        self._contact_at = now
+        self._contact_at = self._answered_at = trio.current_time()
         if reply.snapshot is not None:
             self._install(reply.snapshot, reply.revision)
         else:
--- a/src/finchway/entry/_view.py
+++ b/src/finchway/entry/_view.py
@@ -7,7 +7,7 @@
 
 import random
 
-from finchway.membership import capacity_of
+from finchway.membership import UpstreamMark, capacity_of
 from finchway.policy import (
     DEMOTED_RANK,
     Caller,
@@ -24,6 +24,7 @@
     drained_instances,
     drained_upstreams,
     inbound_part,
+    rank,
 )
 from finchway.resources import (
     Capacity,
@@ -67,6 +68,8 @@
         self._drains: dict[str, list[str]] = {}
         self._pool_of: dict[str, tuple[str, str]] = {}
         self._instance_drained = False
+        self._watched: set[str] = set()
+        self._watched_at = -1
 
     @property
     def store(self) -> ResourceStore:
@@ -231,6 +234,33 @@
             reports.append(DrainReport(drain.name, count))
         return reports
 
+    def own_upstreams(self, now: float) -> set[str]:
+        """Return the upstreams that this entry may have requests in flight at."""
+        keys = self.share_keys()
+        return {address for key in keys for address in self._holder.limits(key, now)}
+
+    def watched(self, watchers: int, instance: str) -> set[str]:
+        """Return the upstreams whose health this entry is to watch for all that share them."""
+        if self._watched_at != self.revision:
+            self._watched_at = self.revision
+            self._watched = {
+                address
+                for share in self._store.of_kind("share")
+                for address in share.spec.current.slots
+                if instance in rank(address, share.spec.current.members)[:watchers]
+            }
+        return self._watched
+
+    def marks(self) -> list[UpstreamMark]:
+        """Return what the leader should know of upstreams that are leaving, or were."""
+        found = []
+        for state in self._directory:
+            held = self._store.get("leaving", state.address)
+            returned = held is not None and state.incarnation not in ("", held.spec.incarnation)
+            if state.leaving or returned:
+                found.append(UpstreamMark(state.address, state.incarnation, state.leaving))
+        return found
+
     def share_keys(self) -> list[tuple[str, str]]:
         """Return the service and region of every share."""
         return [(s.spec.service, s.spec.region) for s in self._store.of_kind("share")]
@@ -311,6 +341,10 @@
         }
         self._drains = drained_upstreams(store)
         self._directory.set_drained({a for group in self._drains.values() for a in group})
+        for mark in store.of_kind("leaving"):
+            state = self._directory.get(mark.name)
+            if state is not None and state.incarnation in ("", mark.spec.incarnation):
+                self._directory.mark_leaving(mark.name)
         self._instance_drained = self._instance in drained_instances(store)
         for service in store.of_kind("service"):
             self._gate.set_limit(service.name, service.spec.queue_limit)
--- a/src/finchway/membership/__init__.py
+++ b/src/finchway/membership/__init__.py
@@ -7,7 +7,13 @@
     changes_since,
     full_state,
 )
-from finchway.membership._heartbeat import Heartbeat, HeartbeatReply, RateReport, rate_key
+from finchway.membership._heartbeat import (
+    Heartbeat,
+    HeartbeatReply,
+    RateReport,
+    UpstreamMark,
+    rate_key,
+)
 from finchway.membership._platform import PlatformList, PlatformView
 from finchway.membership._registry import Known, LeaseTiming, Registry
 
@@ -22,6 +28,7 @@
     "PlatformView",
     "RateReport",
     "Registry",
+    "UpstreamMark",
     "capacity_of",
     "changes_since",
     "full_state",
--- a/src/finchway/membership/_coordinator.py
+++ b/src/finchway/membership/_coordinator.py
@@ -31,6 +31,7 @@
     Division,
     Instance,
     InstanceState,
+    Leaving,
     Operation,
     Resource,
     ResourceStore,
@@ -68,6 +69,11 @@
         self._platform = PlatformView()
         self._longest = _longest_requests(machine.store)
         self._lender = Lender(loans or LoanTiming(), now)
+        self._unheard = {
+            f"{i.name}@{i.spec.incarnation}"
+            for i in machine.store.of_kind("instance")
+            if i.spec.state is not InstanceState.GONE
+        }
         self._compiled = -1
         self._shares: dict[tuple[str, str], Share] = {}
         self._expire_at = now + EXPIRE_INTERVAL_S
@@ -94,8 +100,11 @@
         """
         self._compile()
         fresh = self._registry.record(heartbeat, now)
+        self._unheard.discard(heartbeat.holder)
+        if not self._unheard:
+            self._lender.learn_all()
         loans = []
-        if fresh and not heartbeat.stopped:
+        if fresh and not heartbeat.stopped and self._is_registered(heartbeat):
             loans = self._lender.lend(
                 heartbeat.holder,
                 heartbeat.demands,
@@ -118,12 +127,18 @@
             rates=self._rates(heartbeat),
         )
 
+    def _is_registered(self, heartbeat: Heartbeat) -> bool:
+        """Lend only to lives that the replicated state knows, so that a new leader knows them."""
+        held = self._store.get("instance", heartbeat.instance)
+        return held is not None and held.spec.incarnation == heartbeat.incarnation
+
     def plan(self, now: float, now_ms: int) -> list[AnyCommand]:
         """Return the commands that bring the produced state up to date."""
         self._compile()
         commands: list[AnyCommand] = []
         commands += self._plan_instances(now, now_ms)
         commands += self._plan_shares(now, now_ms)
+        commands += self._plan_marks(now, now_ms)
         commands += self._plan_drains(now, now_ms)
         commands += self._plan_moves(now, now_ms)
         if now >= self._expire_at:
@@ -334,7 +349,30 @@
         region = self._store.get("region", source)
         return region.spec.latency_ms.get(target, 1e9) if region else 1e9
 
-    # Drains and moves
+    # Leaving marks, drains and moves
+
+    def _plan_marks(self, now: float, now_ms: int) -> list[AnyCommand]:
+        """Tell all entries which upstreams are leaving, until a new life of them is seen."""
+        commands: dict[str, AnyCommand] = {}
+        for known in self._registry:
+            if self._registry.is_silent(known.heartbeat.instance, now):
+                continue
+            for mark in known.heartbeat.marks:
+                held = self._store.get("leaving", mark.address)
+                if mark.leaving and held is None:
+                    spec = Leaving(incarnation=mark.incarnation)
+                    commands[mark.address] = _put("leaving", mark.address, spec, now_ms)
+                elif not mark.leaving and held and held.spec.incarnation != mark.incarnation:
+                    commands.setdefault(
+                        mark.address,
+                        DeleteResource(
+                            now_ms=now_ms,
+                            kind="leaving",
+                            name=mark.address,
+                            operator=SYSTEM_OPERATOR,
+                        ),
+                    )
+        return list(commands.values())
 
     def _plan_drains(self, now: float, now_ms: int) -> list[AnyCommand]:
         commands: list[AnyCommand] = []
@@ -450,7 +488,7 @@
     return chosen
 
 
-def _put(kind: str, name: str, spec: Instance | Share, now_ms: int) -> PutResource:
+def _put(kind: str, name: str, spec: Instance | Share | Leaving, now_ms: int) -> PutResource:
     return PutResource(
         now_ms=now_ms,
         kind=kind,
--- a/src/finchway/membership/_heartbeat.py
+++ b/src/finchway/membership/_heartbeat.py
@@ -20,6 +20,14 @@
     rate: float
 
 
+class UpstreamMark(Struct, frozen=True):
+    """What an entry knows of one life of an upstream: whether it is leaving."""
+
+    address: str
+    incarnation: str
+    leaving: bool
+
+
 class Heartbeat(Struct, frozen=True, tag=True, kw_only=True):
     """An entry tells the leader that it lives, what it has applied and what it wants.
 
@@ -45,6 +53,7 @@
     drains: list[DrainReport] = []
     loads: dict[str, float] = {}
     rates: list[RateReport] = []
+    marks: list[UpstreamMark] = []
 
     @property
     def holder(self) -> str:
--- a/src/finchway/policy/_shares.py
+++ b/src/finchway/policy/_shares.py
@@ -184,6 +184,7 @@
     def __init__(self, timing: LoanTiming, now: float) -> None:
         self._timing = timing
         self._started = now
+        self._knows_all = False
         self._borrowers: dict[ShareKey, dict[str, _Borrower]] = {}
 
     def lend(
@@ -217,7 +218,7 @@
                 seq: slots for seq, slots in known.granted.items() if seq >= known.acked
             }
             borrowers[holder] = known
-            if now < self._started + self._whole_term(key[0], longest):
+            if not self._may_lend(key[0], longest, now):
                 continue
             slots = self._allot(holder, share, borrowers)
             known.granted[sequence] = slots
@@ -230,6 +231,17 @@
         borrower = self._borrowers.get(key, {}).get(entry)
         return _outstanding(borrower) if borrower else {}
 
+    def learn_all(self) -> None:
+        """Note that every life that may have borrowed before has reported what it uses."""
+        self._knows_all = True
+
+    def _may_lend(self, service: str, longest: dict[str, float], now: float) -> bool:
+        """Wait out the loans of an earlier leader, and the work of holders not heard since."""
+        loans_end = self._started + self._timing.ttl + self._timing.margin
+        if self._knows_all:
+            return now >= loans_end
+        return now >= loans_end + longest.get(service, 0.0)
+
     def _whole_term(self, service: str, longest: dict[str, float]) -> float:
         """Return after how long a loan that nobody renews has surely ended, its work included."""
         return self._timing.ttl + self._timing.margin + longest.get(service, 0.0)
--- a/src/finchway/resources/_specs.py
+++ b/src/finchway/resources/_specs.py
@@ -178,6 +178,15 @@
     state: InstanceState = InstanceState.LIVE
 
 
+class Leaving(Spec):
+    """A mark on one life of an upstream, written by the leader: it receives no new work.
+
+    Some entry has learnt it from the upstream or the platform; the mark tells all others.
+    """
+
+    incarnation: str = ""
+
+
 class Division(Spec):
     """How the slots of a service's upstreams in one region are divided among entries.
 
@@ -218,6 +227,7 @@
     "operator": Operator,
     "instance": Instance,
     "share": Share,
+    "leaving": Leaving,
 }
-SYSTEM_KINDS = frozenset({"instance", "share"})
+SYSTEM_KINDS = frozenset({"instance", "share", "leaving"})
 OPERATOR_KINDS = tuple(kind for kind in SPECS if kind not in SYSTEM_KINDS)
