--- a/bench/deploy.py
+++ b/bench/deploy.py
@@ -87,7 +87,11 @@
             self.start_control(name)
         for name in self.entry:
             self.start_entry(name)
-        self.wait(lambda: self.client.list("region"), "the API")
+        self.wait(self._replicas_joined, "all replicas to have a vote")
+
+    def _replicas_joined(self) -> bool:
+        answer = self.client.read("/v1/replicas")
+        return len(answer["members"]["voters"]) == len(self.api)
 
     def start_fakes(self) -> None:
         """Start the fake upstreams and the fake platform list."""
--- a/src/finchway/cli/_commands.py
+++ b/src/finchway/cli/_commands.py
@@ -243,7 +243,7 @@
 
 def credential(context: Context, arguments: list[str]) -> None:
     """Make a credential for an organisation or operator, and the digest to declare."""
-    token = context.option("credential") or secrets.token_urlsafe(24)
+    token = secrets.token_urlsafe(24)
     digest = hashlib.sha256(token.encode()).hexdigest()
     value = {"credential": token, "digest": digest}
     context.printer.line(value, f"credential {token}\ndigest {digest}")
--- a/src/finchway/control/_api.py
+++ b/src/finchway/control/_api.py
@@ -126,37 +126,46 @@
             case "GET", ["metrics"]:
                 await self._send_metrics(respond)
             case "GET", ["v1", "resources", kind]:
-                self._authorise(request, Role.READ)
+                await self._authorise(request, Role.READ)
                 await self._list(kind, respond)
             case "GET", ["v1", "resources", kind, name]:
-                self._authorise(request, Role.READ)
+                await self._authorise(request, Role.READ)
                 await self._get(kind, name, respond)
             case "PUT", ["v1", "resources", kind, name]:
-                operator = self._authorise(request, Role.CHANGE)
+                operator = await self._authorise(request, Role.CHANGE)
                 await self._put(request, kind, name, operator, respond)
             case "DELETE", ["v1", "resources", kind, name]:
-                operator = self._authorise(request, Role.CHANGE)
+                operator = await self._authorise(request, Role.CHANGE)
                 await self._delete(request, kind, name, operator, respond)
             case "GET", ["v1", "watch"]:
-                self._authorise(request, Role.READ)
+                await self._authorise(request, Role.READ, needs_quorum=False)
                 await self._watch(request, respond)
             case "GET", ["v1", "entries"]:
-                self._authorise(request, Role.READ)
+                await self._authorise(request, Role.READ, needs_quorum=False)
                 await send_json(respond, await self._server.at_leader(EntryQuery()))
             case "GET", ["v1", "replicas"]:
-                self._authorise(request, Role.READ)
+                await self._authorise(request, Role.READ, needs_quorum=False)
                 await self._replicas(respond)
             case "POST", ["v1", "replicas"]:
-                self._authorise(request, Role.CHANGE)
+                await self._authorise(request, Role.CHANGE)
                 await self._change_replicas(request, respond)
             case "GET", ["v1", "events"]:
-                self._authorise(request, Role.READ)
+                await self._authorise(request, Role.READ, needs_quorum=False)
                 await self._events(request, respond)
             case _:
                 raise NotFoundError(f"no such path: {request.method} {request.path}")
 
-    def _authorise(self, request: Request, needed: Role) -> str:
-        """Return the operator's name; raises `DeniedError`."""
+    async def _authorise(self, request: Request, needed: Role, needs_quorum: bool = True) -> str:
+        """Return the operator's name, as the newest state knows it.
+
+        Raises `DeniedError`, or `UnavailableError` without a quorum. What only shows how things
+        stand is answered without one too, from the state that this replica has.
+        """
+        try:
+            await self._server.confirm()
+        except UnavailableError:
+            if needs_quorum or self._server.runner.machine.revision == 0:
+                raise
         digest = hashlib.sha256(request.bearer.encode()).hexdigest()
         for operator in self._server.runner.machine.store.of_kind("operator"):
             if hmac.compare_digest(operator.spec.credential, digest):
@@ -183,13 +192,12 @@
 
     async def _list(self, kind: str, respond) -> None:
         _check_kind(kind, SPECS)
-        revision = await self._server.confirm()
-        items = self._server.runner.machine.store.of_kind(kind)
-        await send_json(respond, {"revision": revision, "items": items})
+        machine = self._server.runner.machine
+        items = machine.store.of_kind(kind)
+        await send_json(respond, {"revision": machine.revision, "items": items})
 
     async def _get(self, kind: str, name: str, respond) -> None:
         _check_kind(kind, SPECS)
-        await self._server.confirm()
         resource = self._server.runner.machine.store.get(kind, name)
         if resource is None:
             raise NotFoundError(f"no such {kind}: {name!r}")
@@ -278,7 +286,7 @@
         answers: list[Any] = []
         for member in members.voters + members.learners:
             answers.append(await self._ask_replica(member.id, member.address))
-        joiners = self._server.replicas.joiners
+        joiners = [j for j in self._server.replicas.joiners if members.find(j.id) is None]
         body = {"members": members, "replicas": answers, "asking": joiners}
         await send_json(respond, body)
 
--- a/src/finchway/control/_server.py
+++ b/src/finchway/control/_server.py
@@ -143,9 +143,10 @@
     async def confirm(self) -> int:
         """Bring this replica's state up to every change accepted before the call."""
         confirmed = await self.at_leader(Confirm())
-        with trio.fail_after(FORWARD_TIMEOUT_S):
+        with trio.move_on_after(FORWARD_TIMEOUT_S):
             await self._runner.wait_applied(confirmed.index)
-        return self._runner.machine.revision
+            return self._runner.machine.revision
+        raise UnavailableError("this replica is too far behind")
 
     async def at_leader(self, body: AnyBody) -> AnyBody:
         """Have a message answered by the leader, here or elsewhere.
--- /dev/null
+++ b/tests/process/test_control.py
@@ -0,0 +1,277 @@
+"""Control under kills, lost disks, damage and freezes, with real processes and files."""
+
+from __future__ import annotations
+
+import shutil
+import signal
+import threading
+import time
+import uuid
+
+import pytest
+
+from bench.deploy import CREDENTIAL, fetch
+from finchway.cli._client import ApiClient
+from finchway.exceptions import ConflictError, FinchwayError, GoneError
+from tests.linearizability import NEVER, Operation, State, is_linearizable
+
+pytestmark = pytest.mark.xdist_group("control")
+
+
+def put_region(deployment, name: str, latency: float) -> dict:
+    return deployment.client.put("region", name, {"latency_ms": {"north": latency}})
+
+
+def replicas(deployment) -> list[dict]:
+    return deployment.client.read("/v1/replicas")["replicas"]
+
+
+def leader(deployment) -> str:
+    """Wait for a leader and return its name."""
+    names = []
+
+    def found() -> bool:
+        names[:] = [r["id"].split("@")[0] for r in replicas(deployment) if r["role"] == "leader"]
+        return len(names) == 1
+
+    deployment.wait(found, "a leader")
+    return names[0]
+
+
+def wait_even(deployment, voters: int = 3) -> None:
+    """Wait until so many voters have applied the same log to the same digest."""
+
+    def even() -> bool:
+        answer = deployment.client.read("/v1/replicas")
+        ids = {f"{m['name']}@{m['incarnation']}" for m in answer["members"]["voters"]}
+        states = [r for r in answer["replicas"] if r["id"] in ids and "digest" in r]
+        same = len({(r["applied"], r["digest"]) for r in states}) == 1
+        return len(ids) == voters and len(states) == voters and same
+
+    deployment.wait(even, f"{voters} replicas with one state")
+
+
+def region_latency(deployment, name: str) -> float:
+    return deployment.client.get("region", name)["spec"]["latency_ms"]["north"]
+
+
+def test_killing_the_leader_loses_nothing(deployment):
+    put_region(deployment, "kept", 1.0)
+    name = leader(deployment)
+    deployment.kill(name)
+    assert region_latency(deployment, "kept") == 1.0
+    put_region(deployment, "kept", 2.0)
+    deployment.restart(name)
+    wait_even(deployment)
+    assert region_latency(deployment, "kept") == 2.0
+
+
+def test_killing_everything_at_once_loses_nothing(deployment):
+    revision = put_region(deployment, "all", 3.0)["revision"]
+    names = [*deployment.api, *deployment.entry]
+    for name in names:
+        deployment.processes[name].send_signal(signal.SIGKILL)
+    for name in names:
+        deployment.processes[name].wait()
+        deployment.restart(name)
+    deployment.wait(lambda: region_latency(deployment, "all") == 3.0, "the state to be back")
+    deployment.wait_in_force(revision, 2)
+    wait_even(deployment)
+
+
+def test_a_replica_with_an_emptied_disk_is_repaired_and_another_may_be_lost(deployment):
+    put_region(deployment, "repair", 4.0)
+    name = next(n for n in deployment.api if n != leader(deployment))
+    old = next(r["id"] for r in replicas(deployment) if r["id"].startswith(f"{name}@"))
+    deployment.kill(name)
+    shutil.rmtree(deployment.folder / name)
+    deployment.restart(name)
+
+    def repaired() -> bool:
+        members = deployment.client.read("/v1/replicas")["members"]["voters"]
+        ids = {f"{m['name']}@{m['incarnation']}" for m in members}
+        return len(ids) == 3 and old not in ids and any(i.startswith(f"{name}@") for i in ids)
+
+    deployment.wait(repaired, "the repair")
+    second = next(n for n in deployment.api if n != name)
+    deployment.kill(second)
+    assert region_latency(deployment, "repair") == 4.0
+    put_region(deployment, "repair", 5.0)
+    deployment.restart(second)
+    wait_even(deployment)
+    assert region_latency(deployment, "repair") == 5.0
+
+
+def test_a_replica_with_damaged_files_comes_back_as_a_new_one(deployment):
+    for number in range(20):
+        put_region(deployment, "damage", float(number))
+    name = next(n for n in deployment.api if n != leader(deployment))
+    deployment.kill(name)
+    log = next((deployment.folder / name / "log").glob("log-*.wal"))
+    data = bytearray(log.read_bytes())
+    data[len(data) // 3] ^= 0xFF
+    log.write_bytes(bytes(data))
+    deployment.restart(name)
+
+    def rejoined() -> bool:
+        return bool(list(deployment.folder.glob(f"{name}.damaged-*")))
+
+    deployment.wait(rejoined, "the damaged folder to be put aside")
+    wait_even(deployment)
+
+
+def test_a_frozen_leader_is_replaced_and_does_no_harm_when_it_wakes(deployment):
+    name = leader(deployment)
+    deployment.kill(name, signal.SIGSTOP)
+    others = [address for n, address in deployment.api.items() if n != name]
+    client = ApiClient(others, CREDENTIAL)
+    answer = client.put("region", "frozen", {"latency_ms": {"north": 6.0}})
+    deployment.kill(name, signal.SIGCONT)
+    wait_even(deployment)
+    awake = ApiClient([deployment.api[name]], CREDENTIAL)
+    assert awake.get("region", "frozen")["spec"]["latency_ms"]["north"] == 6.0
+    deployment.wait_in_force(answer["revision"], 2)
+
+
+def test_an_entry_that_restarts_after_hundreds_of_changes_has_the_newest(deployment):
+    deployment.kill("e1")
+    for number in range(300):
+        answer = put_region(deployment, f"many{number % 5}", float(number))
+    deployment.restart("e1")
+    deployment.wait_in_force(answer["revision"], 2)
+    metrics = deployment.client.read("/v1/entries")["entries"]
+    assert {e["instance"]: e["state"] for e in metrics}["e1"] == "live"
+
+
+def test_equal_numbers_race_and_one_wins(deployment):
+    put_region(deployment, "race", 0.0)
+    client = deployment.client
+    generation = client.get("region", "race")["generation"]
+    results: list = []
+
+    def change(number: int) -> None:
+        try:
+            spec = {"latency_ms": {"north": float(number)}}
+            results.append(deployment.client.put("region", "race", spec, generation))
+        except ConflictError as error:
+            results.append(error)
+
+    threads = [threading.Thread(target=change, args=(n,)) for n in range(1, 9)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    won = [r for r in results if isinstance(r, dict)]
+    lost = [r for r in results if isinstance(r, ConflictError)]
+    assert (len(won), len(lost)) == (1, 7)
+    assert all(f'"generation":{generation + 1}'.encode() in error.winner for error in lost)
+
+
+def test_a_resent_change_gets_its_first_answer_from_any_replica(deployment):
+    body = {"spec": {"latency_ms": {"north": 1.0}}, "expected": 0, "change_id": uuid.uuid4().hex}
+    answers = [
+        ApiClient([address], CREDENTIAL)._call("PUT", "/v1/resources/region/resent", body)
+        for address in deployment.api.values()
+    ]
+    assert answers[0] == answers[1] == answers[2]
+
+
+def test_a_watch_has_no_gaps_and_says_when_history_is_gone(deployment):
+    client = deployment.client
+    since = client.list("region")["revision"]
+    last = [put_region(deployment, "watched", float(n))["revision"] for n in range(5)][-1]
+    seen = []
+    for line in client.watch(since):
+        if "resource" in line:
+            seen.append(line["revision"])
+        if seen and seen[-1] >= last:
+            break
+    assert seen == list(range(since + 1, seen[-1] + 1))
+    with pytest.raises(FinchwayError):
+        next(iter(client.watch(10**9, "nothing")))
+
+
+def test_concurrent_changes_are_linearizable_while_leaders_die(deployment):
+    put_region(deployment, "register", 0.0)
+    start = deployment.client.get("region", "register")
+    operations: list[Operation] = []
+    stop = threading.Event()
+
+    def work(number: int) -> None:
+        address = list(deployment.api.values())[number % 3]
+        client = ApiClient([address], CREDENTIAL)
+        for step in range(12):
+            if stop.is_set():
+                return
+            operate(client, f"{number * 100 + step}.0")
+
+    def operate(client: ApiClient, value: str) -> None:
+        began = time.monotonic()
+        try:
+            seen = client.get("region", "register")
+        except FinchwayError:
+            return
+        found = str(seen["spec"]["latency_ms"]["north"])
+        operations.append(Operation("read", began, time.monotonic(), seen["generation"], found))
+        began = time.monotonic()
+        ok: bool | None = True
+        try:
+            spec = {"latency_ms": {"north": float(value)}}
+            client.put("region", "register", spec, seen["generation"])
+        except ConflictError:
+            ok = False
+        except FinchwayError:
+            ok = None
+        ended = NEVER if ok is None else time.monotonic()
+        operations.append(Operation("write", began, ended, seen["generation"], value, ok))
+
+    threads = [threading.Thread(target=work, args=(n,)) for n in range(4)]
+    for thread in threads:
+        thread.start()
+    for _ in range(2):
+        name = leader(deployment)
+        deployment.kill(name)
+        leader(deployment)
+        deployment.restart(name)
+    for thread in threads:
+        thread.join()
+    stop.set()
+    assert len([o for o in operations if o.kind == "write" and o.ok]) >= 5
+    state = State(start["generation"], "0.0")
+    assert is_linearizable(operations, state)
+
+
+def test_a_planned_stop_of_the_leader_hands_over(deployment):
+    name = leader(deployment)
+    deployment.kill(name, signal.SIGTERM)
+    assert deployment.processes[name].wait(timeout=30) == 0
+    put_region(deployment, "handover", 1.0)
+    assert leader(deployment) != name
+    deployment.restart(name)
+    wait_even(deployment)
+
+
+def test_a_drain_and_a_planned_stop_finish(deployment):
+    client = deployment.client
+    address = next(c.address for s, _, c in deployment.upstreams if s == "bays")
+    client.put("drain", "one", {"target": f"upstream/{address}"})
+    deployment.wait(
+        lambda: (client.get("drain", "one")["status"] or {}).get("phase") == "done", "the drain"
+    )
+    before = len(fetch(address, "/fake/report")["runs"])
+    client.delete("drain", "one")
+    assert len(fetch(address, "/fake/report")["runs"]) == before
+    deployment.kill("e2", signal.SIGTERM)
+    assert deployment.processes["e2"].wait(timeout=60) == 0
+
+    def withdrawn() -> bool:
+        entries = client.read("/v1/entries")["entries"]
+        return all(e["instance"] != "e2" or e["state"] == "gone" for e in entries)
+
+    deployment.wait(withdrawn, "e2 to be withdrawn")
+    deployment.restart("e2")
+    deployment.wait_in_force(client.list("region")["revision"], 2)
+
+
+def test_gone_history_names_where_to_restart():
+    assert GoneError(7).oldest == 7
