--- a/bench/world.py
+++ b/bench/world.py
@@ -192,6 +192,30 @@
         )
 
 
+class Gauge:
+    """A count with its peak, and its mean over time."""
+
+    def __init__(self) -> None:
+        self.level = 0
+        self.peak = 0
+        self._area = 0.0
+        self._since = self._changed = trio.current_time()
+
+    def add(self, step: int) -> None:
+        """Change the count."""
+        now = trio.current_time()
+        self._area += self.level * (now - self._changed)
+        self._changed = now
+        self.level += step
+        self.peak = max(self.peak, self.level)
+
+    @property
+    def mean(self) -> float:
+        """The mean count since the start."""
+        span = self._changed - self._since
+        return self._area / span if span > 0 else 0.0
+
+
 class Upstream:
     """A fake upstream on virtual time: slots, a queue, a load report that lags, failures."""
 
@@ -272,6 +296,8 @@
         call, key = _fields(headers)
         upstream.in_flight += 1
         upstream.peak = max(upstream.peak, upstream.in_flight)
+        gauge = self._world.region_gauge(upstream)
+        gauge.add(1)
         try:
             async with upstream.slots:
                 started = trio.current_time()
@@ -284,6 +310,7 @@
                 upstream.ran[upstream.ran.index(run)] = ended
         finally:
             upstream.in_flight -= 1
+            gauge.add(-1)
         if not upstream.alive:
             raise UpstreamError(Outcome.UNKNOWN, f"{address} died")
         upstream.served += 1
@@ -454,6 +481,8 @@
         self.entries: dict[str, Entry] = {}
         self.got: list[Got] = []
         self.leaving: list[Leaving] = []
+        self.gauges: dict[tuple[str, str], Gauge] = {}
+        self.skew = 1.0
         self.failed_regions: set[str] = set()
         self.nursery: trio.Nursery | None = None
         names = [f"e{i + 1}" for i in range(self.options.entries)]
@@ -614,12 +643,19 @@
             window_s=self.options.window_s,
         )
 
+    def region_gauge(self, upstream: Upstream) -> Gauge:
+        """Return what is in flight of a service in a region."""
+        return self.gauges.setdefault((upstream.service, upstream.region), Gauge())
+
     def limits(self) -> list[Limit]:
         """Return peaks and bounds of upstreams, and of services in regions."""
         found = []
         for share in self.control.machine.store.of_kind("share"):
             slots = share.spec.current.slots
             found += [Limit(a, self.upstreams[a].peak, n) for a, n in slots.items()]
+            gauge = self.gauges.get((share.spec.service, share.spec.region))
+            if gauge is not None:
+                found.append(Limit(share.name, gauge.peak, sum(slots.values())))
         return found
 
     def _shifts(self) -> list[Shift]:
@@ -675,6 +711,9 @@
             names = [point.instance for point in points] or names
             ttl_s = asked.view.service(service).steer_ttl_ms / 1000
             self._steered[key] = (trio.current_time() + ttl_s, names)
+        if self.skew > 1.0 and self.rng.random() < (self.skew - 1) / (self.skew + 1):
+            # Uneven load: the first half of the entries by name gets that many times the others'.
+            names = sorted(names)
         return next((self.entries[n] for n in names if self.entries[n].is_serving), None)
 
     def _make_upstreams(self) -> None:
