Let a failed region's callers move within the cap; round shares once

Cause: (1) an entry offered its failed region first, got a slot there at once and failed, so it never asked for slots elsewhere; (2) slots were rounded down at each upstream, which lost 10 of 90; (3) loans moved to other upstreams at every heartbeat and left slots idle meanwhile. Change: a failed region takes no requests, callers within the cap go to the next region, spilling asks for leftovers only; slots are rounded once for a pool; a loan keeps the upstreams that it has.

--- a/src/finchway/entry/_view.py
+++ b/src/finchway/entry/_view.py
@@ -181,8 +181,9 @@
     ) -> tuple[str, ...]:
         """Return the regions that may serve a request, in order of preference.
 
-        The assigned region comes first unless it is down; the nearest other region that is up
-        follows only for callers within the open part of the cap.
+        The nearest other region that is up follows the assigned one, for callers within the open
+        part of the cap. While the assigned region is down it takes no requests at all: those
+        callers go to the other region, and the rest are refused. Health answers open it again.
         """
         order = self._routes.candidates(service, home, caller)
         if not order:
@@ -195,8 +196,8 @@
                 ramp.record(rank)
                 open_to = ramp.allows(rank, caller_position(service, assigned, caller))
                 spill = (target,) if open_to else ()
-                return (*spill, assigned) if source_down and spill else (assigned, *spill)
-        return (assigned,)
+                return spill if source_down else (assigned, *spill)
+        return () if source_down else (assigned,)
 
     def record_result(self, address: str, succeeded: bool, now: float) -> tuple[bool, bool]:
         """Note how a request at an upstream ended; returns (ejected now, region state changed)."""
--- a/src/finchway/membership/_coordinator.py
+++ b/src/finchway/membership/_coordinator.py
@@ -312,10 +312,9 @@
         for pool in self._store.of_kind("pool"):
             key = (pool.spec.service, pool.spec.region)
             headroom = capacity_of(self._store, *key).headroom
-            for upstream in pool.spec.upstreams:
-                allowed = usable_slots(upstream.slots, pool.spec.queue_allowance, headroom)
-                allowed = min(allowed, upstream.connections)
-                slots.setdefault(key, {})[upstream.address] = allowed
+            declared = {u.address: min(u.slots, u.connections) for u in pool.spec.upstreams}
+            allowed = usable_slots(declared, pool.spec.queue_allowance, headroom)
+            slots.setdefault(key, {}).update(allowed)
         divisions = {}
         for key, usable in slots.items():
             service = self._store.get("service", key[0])
--- a/src/finchway/policy/_gate.py
+++ b/src/finchway/policy/_gate.py
@@ -20,6 +20,8 @@
 
 DEADLINE_REASON = "the deadline cannot be met"
 FULL_REASON = "the queue is full of better priorities"
+# A request that would only spill into a region asks for what the region's own ranks leave over.
+SPILL_RANKS = 1_000
 NO_REGION_REASON = "no region serves this request now"
 
 
@@ -160,8 +162,10 @@
             if held_region == region and count:
                 wanted[rank] = wanted.get(rank, 0) + count
         for ticket in lane.queue:
-            if ticket.regions and ticket.regions[0] == region:
-                wanted[ticket.rank] = wanted.get(ticket.rank, 0) + 1
+            if region in ticket.regions:
+                spilling = SPILL_RANKS if ticket.regions[0] != region else 0
+                rank = ticket.rank + spilling
+                wanted[rank] = wanted.get(rank, 0) + 1
         key = (service, region)
         used = self._holder.used_beyond_floor(key, self.held(key))
         return Demand(service, region, wanted, used)
--- a/src/finchway/policy/_shares.py
+++ b/src/finchway/policy/_shares.py
@@ -22,9 +22,22 @@
     return f"{service}.{region}"
 
 
-def usable_slots(slots: int, queue_allowance: float, headroom: float) -> int:
-    """Return how many requests may be in flight at one upstream; at least one."""
-    return max(1, int(slots * (1 + queue_allowance) * (1 - headroom) + 1e-9))
+def usable_slots(slots: Slots, queue_allowance: float, headroom: float) -> Slots:
+    """Return how many requests may be in flight at each upstream of a pool; at least one.
+
+    The whole is rounded down once; the upstreams that get one more of the rest are picked by a
+    hash, so that the choice is the same everywhere. None gets more than its own capacity.
+    """
+    exact = {a: n * (1 + queue_allowance) * (1 - headroom) for a, n in slots.items()}
+    usable = {address: max(1, int(value + 1e-9)) for address, value in exact.items()}
+    left = int(sum(exact.values()) + 1e-9) - sum(usable.values())
+    for address in rank("usable", exact):
+        if left <= 0:
+            break
+        if usable[address] < exact[address]:
+            usable[address] += 1
+            left -= 1
+    return usable
 
 
 def floor_total(address: str, slots: int, fraction: float) -> int:
@@ -254,7 +267,9 @@
                 for address, count in _outstanding(borrower).items():
                     free[address] = free.get(address, 0) - count
         target = self._target(entry, share, borrowers, sum(pool.values()))
-        return _spread(entry, {a: c for a, c in free.items() if c > 0}, target)
+        granted = borrowers[entry].granted
+        held = granted[max(granted)] if granted else {}
+        return _spread(entry, {a: c for a, c in free.items() if c > 0}, target, held)
 
     def _target(self, entry: str, share: Share, borrowers: dict[str, _Borrower], total: int) -> int:
         """Return how many slots of the pool this entry should have.
@@ -306,9 +321,20 @@
     return needs
 
 
-def _spread(entry: str, free: Slots, target: int) -> Slots:
-    """Take up to `target` slots from those free, evenly, from upstreams that suit the entry."""
-    order = rank(entry, free)
+def _spread(entry: str, free: Slots, target: int, held: Slots) -> Slots:
+    """Take up to `target` of the free slots: those held already first, then evenly.
+
+    A slot that moves to another upstream stays taken until its work is done, so moving slots
+    that could stay would leave capacity idle.
+    """
+    taken = _take_evenly(entry, smaller(held, free), target)
+    rest = {address: count - taken.get(address, 0) for address, count in free.items()}
+    more = _take_evenly(entry, rest, target - sum(taken.values()))
+    return {a: taken.get(a, 0) + more.get(a, 0) for a in {*taken, *more}}
+
+
+def _take_evenly(entry: str, free: Slots, target: int) -> Slots:
+    order = rank(entry, [address for address, count in free.items() if count > 0])
     taken: Slots = {}
     while target > 0 and order:
         for address in list(order):
