Give owners their lent slots back when control is silent; rest refusers

A re-division could not settle while entries used loans. Change: each slot has an owner; the leader lends it only while the owner has acknowledged an answer lately, and the owner takes it back once every such loan has surely ended; "shrunk" means within the present limits; loans run 1 s (was 2) with 0.5 s margin; a refusal rests an upstream for 50 to 500 ms; each test worker has a range of ports; what follows from a share is worked out once. Unit model of lost answers, silence, one-way cuts and a new leader: no slot is ever used twice.

--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -37,14 +37,14 @@
 class LocalLimitsHolder(Holder):
     """Each entry takes all slots for its own: limits without any sharing."""
 
-    def set_shares(self, shares: list[Share]) -> None:
+    def set_shares(self, shares: list[Share], longest: dict[str, float]) -> None:
         """Own every slot of every share."""
         self._floors = {
             (share.service, share.region): dict(share.current.slots) for share in shares
         }
         self._both = {}
 
-    def has_shrunk(self, key, in_flight) -> bool:
+    def fits(self, key, in_flight, now) -> bool:
         """Never wait for others."""
         return True
 
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -17,6 +17,8 @@
 from finchway.cli._output import table
 
 LOAD_S = 6.0
+# Without control, owners take their slots back after some seconds; that part is measured too.
+CONTROL_LOST_S = 14.0
 WARM_S = 1.0
 
 
@@ -165,7 +167,9 @@
                     nursery.start_soon(drain_one, world, service.name, drain_s)
                 rates = dict.fromkeys(PRIORITIES, rate)
                 world.skew = 3.0 if case.skewed else 1.0
-                await world.load(service.name, rates, LOAD_S, spread)
+                lost = case.situation == "control lost"
+                seconds = CONTROL_LOST_S if lost else LOAD_S
+                await world.load(service.name, rates, seconds, spread)
 
     run_virtual(main)
     return figures(case, world, service.name, drain_s[0], time.perf_counter() - started)
--- a/bench/world.py
+++ b/bench/world.py
@@ -357,7 +357,7 @@
     entries: int = 12
     seed: int = 1
     report_lag_s: float = 0.1
-    make_holder: Callable[[str], Holder] | None = None
+    make_holder: Callable[..., Holder] | None = None
     make_directory: Callable[[random.Random], UpstreamDirectory] | None = None
     make_budget: Callable[[], RetryBudget] = RetryBudget
     use_ranks: bool = True
@@ -380,7 +380,8 @@
         self.region = dict(zones_of(world.shape))[zone]
         options = world.options
         rng = random.Random(f"{options.seed}/{name}/{life}")
-        holder = options.make_holder(name) if options.make_holder else None
+        make_holder = options.make_holder or Holder
+        holder = make_holder(name, LoanTiming(), trio.current_time())
         directory = options.make_directory(rng) if options.make_directory else None
         self.view = EntryView(name, zone, rng, holder, directory)
         self.clock = LogicalClock()
--- a/src/finchway/_settings.py
+++ b/src/finchway/_settings.py
@@ -72,8 +72,8 @@
     _Flag("isolated_after_s", "10", "Seconds without control and fellows until an entry stops."),
     _Flag("lease_s", "3", "Seconds for which a heartbeat confirms an entry."),
     _Flag("heartbeat_s", "0.2", "Seconds between an entry's heartbeats."),
-    _Flag("loan_s", "2", "Seconds for which slots are lent."),
-    _Flag("clock_margin_s", "1", "Margin in seconds for clocks that run at different speeds."),
+    _Flag("loan_s", "1", "Seconds for which slots are lent."),
+    _Flag("clock_margin_s", "0.5", "Margin in seconds for clocks that run at different speeds."),
     _Flag("election_s", "1", "Shortest election time of the replicated log in seconds."),
     _Flag("drain_limit_s", "120", "Longest planned stop in seconds, whatever is in flight."),
 )
--- a/src/finchway/daemon.py
+++ b/src/finchway/daemon.py
@@ -33,7 +33,7 @@
 from finchway.exceptions import FinchwayError, StorageDamagedError
 from finchway.membership import Heartbeat, LeaseTiming
 from finchway.observe import EventKind, LogicalClock, Metrics, Timeline, configure_logs
-from finchway.policy import LoanTiming
+from finchway.policy import Holder, LoanTiming
 from finchway.replication import (
     Identity,
     Member,
@@ -218,7 +218,9 @@
         self._settings = settings
         self._timeline = timeline
         self._metrics = metrics
-        self._view = EntryView(settings.instance, settings.zone, rng)
+        timing = LoanTiming(ttl=settings.loan_s, margin=settings.clock_margin_s)
+        holder = Holder(settings.instance, timing, trio.current_time())
+        self._view = EntryView(settings.instance, settings.zone, rng, holder)
         self._client = UpstreamClient()
         identity = EntryIdentity(
             settings.instance,
--- a/src/finchway/entry/_dispatch.py
+++ b/src/finchway/entry/_dispatch.py
@@ -237,6 +237,7 @@
         async with opened as reply:
             self._note_facts(grant.address, reply.facts)
             if reply.facts.not_run:
+                self._view.directory.record_refusal(grant.address, trio.current_time())
                 raise UpstreamError(
                     Outcome.NOT_RUN, f"{grant.address} refused it before running", healthy=True
                 )
--- a/src/finchway/entry/_session.py
+++ b/src/finchway/entry/_session.py
@@ -180,7 +180,7 @@
             in_flight=self._in_flight(),
             loans_applied=self._loans_applied,
             demands=view.gate.demands(view.share_keys()),
-            shrunk=view.shrunk(),
+            shrunk=view.shrunk(now),
             drains=view.drain_reports(),
             loads=view.loads(now),
             marks=view.marks(),
--- a/src/finchway/entry/_view.py
+++ b/src/finchway/entry/_view.py
@@ -266,13 +266,13 @@
         """Return the service and region of every share."""
         return [(s.spec.service, s.spec.region) for s in self._store.of_kind("share")]
 
-    def shrunk(self) -> dict[str, int]:
+    def shrunk(self, now: float) -> dict[str, int]:
         """Return the epoch of each unsettled share that this entry's work already fits."""
         return {
             share.name: share.spec.epoch
             for share in self._store.of_kind("share")
             if share.spec.previous is not None
-            and self._gate.has_shrunk((share.spec.service, share.spec.region))
+            and self._gate.has_shrunk((share.spec.service, share.spec.region), now)
         }
 
     def loads(self, now: float, fresh_s: float = 2.0) -> dict[str, float]:
@@ -316,7 +316,10 @@
         store = self._store
         warm = self._routes.revision == 0
         self._routes = Routes(store)
-        self._holder.set_shares([share.spec for share in store.of_kind("share")])
+        self._holder.set_shares(
+            [share.spec for share in store.of_kind("share")],
+            {s.name: s.spec.deadline_ms / 1000 for s in store.of_kind("service")},
+        )
         self._organisations = {
             digest: organisation.name
             for organisation in store.of_kind("organisation")
--- a/src/finchway/policy/_choice.py
+++ b/src/finchway/policy/_choice.py
@@ -17,6 +17,8 @@
 EJECTION_S = 2.0
 MAX_EJECTION_S = 60.0
 EJECTED_FRACTION = 0.5
+REST_S = 0.05
+MAX_REST_S = 0.5
 
 
 class LoadReport(Struct, frozen=True):
@@ -37,6 +39,8 @@
     failures: int = 0
     ejections: int = 0
     ejected_until: float = float("-inf")
+    refusals: int = 0
+    rests_until: float = float("-inf")
     leaving: bool = False
     drained: bool = False
     incarnation: str = ""
@@ -82,6 +86,17 @@
         if state:
             state.failures = 0
             state.ejections = 0
+            state.refusals = 0
+
+    def record_refusal(self, address: str, now: float) -> None:
+        """Let an upstream rest that refused a request before running it.
+
+        It answers fast and looks idle, so without a rest it would draw ever more requests.
+        """
+        state = self._states.get(address)
+        if state:
+            state.rests_until = now + min(MAX_REST_S, REST_S * 2**state.refusals)
+            state.refusals += 1
 
     def record_failure(self, address: str, peers: list[str], now: float) -> bool:
         """Note a failed request; True if the upstream is ejected now.
@@ -156,7 +171,7 @@
         state = self._states.get(address)
         if state is None or state.leaving or state.drained:
             return False
-        return now >= state.ejected_until
+        return now >= max(state.ejected_until, state.rests_until)
 
     def _free(self, address: str, limit: int, now: float) -> int:
         if not self.is_usable(address, now):
--- a/src/finchway/policy/_gate.py
+++ b/src/finchway/policy/_gate.py
@@ -151,9 +151,9 @@
         """Return what is in flight at each of a share's upstreams."""
         return {a: count for a, count in self._held.get(key, {}).items() if count}
 
-    def has_shrunk(self, key: ShareKey) -> bool:
-        """Tell whether what is in flight fits the floors, so that others' may grow."""
-        return not self._holder.used_beyond_floor(key, self.held(key))
+    def has_shrunk(self, key: ShareKey, now: float) -> bool:
+        """Tell whether what is in flight fits the entry's limits, so that others' may grow."""
+        return self._holder.fits(key, self.held(key), now)
 
     def _demand(self, service: str, region: str) -> Demand:
         lane = self._lane(service)
--- a/src/finchway/policy/_shares.py
+++ b/src/finchway/policy/_shares.py
@@ -1,13 +1,22 @@
 """Capacity shares: no region and no upstream is sent more than its capacity by all entries.
 
-The unit is one slot of one upstream. A part of the slots is owned outright by member entries
-(floors); the leader lends the rest for a short time (loans). A floor needs no control; a loan ends
-on the holder's clock before the lender counts it as returned. A new division comes into force in
-two steps: every entry shrinks to the smaller of its floors, then the floors grow.
+The unit is one slot of one upstream. Each slot has an owner among the member entries. A part of
+an owner's slots is its floor, which it always uses; the rest the leader lends, to whom it serves
+best, for a short time. A loan ends on the holder's clock before the lender counts it as returned.
+
+When control falls silent, loans end and each owner takes all its slots back. For that the leader
+lends an owner's slots only while the owner has acknowledged an answer lately, and the owner waits
+until all loans of its slots have surely ended, the work under them included. So an entry that is
+cut off alone does no harm, and without any control the whole capacity stays in use.
+
+A new division comes into force in two steps: every entry shrinks to the smaller of what it has
+under both, then it grows.
 """
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from msgspec import Struct
 
 from finchway.policy._hashing import position, rank
@@ -50,28 +59,26 @@
 
 
 def floor_of(division: Division, member: str) -> Slots:
-    """Return the slots that a member owns; empty for an entry that is no member."""
+    """Return the slots that a member always uses; empty for an entry that is no member."""
+    return _part_of(division, member, lambda a, n: floor_total(a, n, division.floor_fraction))
+
+
+def owned_by(division: Division, member: str) -> Slots:
+    """Return the slots that a member owns: its floor, and what the leader lends of its slots."""
+    return _part_of(division, member, lambda address, slots: slots)
+
+
+def _part_of(division: Division, member: str, count: Callable[[str, int], int]) -> Slots:
+    """Deal the first `count` slots of each upstream in turn; return what the member gets."""
     if member not in division.members:
         return {}
-    owned: Slots = {}
+    part: Slots = {}
     for address, slots in division.slots.items():
         order = rank(address, division.members)
-        place = order.index(member)
-        total = floor_total(address, slots, division.floor_fraction)
-        count = len(range(place, total, len(order)))
-        if count:
-            owned[address] = count
-    return owned
-
-
-def pool_of(division: Division) -> Slots:
-    """Return the slots that no member owns, which the leader lends."""
-    if not division.members:
-        return {}
-    return {
-        address: slots - floor_total(address, slots, division.floor_fraction)
-        for address, slots in division.slots.items()
-    }
+        dealt = len(range(order.index(member), count(address, slots), len(order)))
+        if dealt:
+            part[address] = dealt
+    return part
 
 
 def floors_in_force(share: Share, member: str) -> Slots:
@@ -82,10 +89,20 @@
     return smaller(current, floor_of(share.previous, member))
 
 
-def pool_in_force(share: Share) -> Slots:
-    """Return what may be lent under a share, the smaller of both while it is not settled."""
-    current = pool_of(share.current)
-    return current if share.previous is None else smaller(current, pool_of(share.previous))
+def owned_in_force(share: Share, member: str) -> Slots:
+    """Return what a member owns under a share, the smaller of both while it is not settled."""
+    current = owned_by(share.current, member)
+    if share.previous is None:
+        return current
+    return smaller(current, owned_by(share.previous, member))
+
+
+def lendable(share: Share, owner: str) -> Slots:
+    """Return the slots of an owner that the leader may lend."""
+    floor = floors_in_force(share, owner)
+    owned = owned_in_force(share, owner)
+    rest = {address: count - floor.get(address, 0) for address, count in owned.items()}
+    return {address: count for address, count in rest.items() if count > 0}
 
 
 def smaller(one: Slots, other: Slots) -> Slots:
@@ -121,20 +138,58 @@
     used: Slots = {}
 
 
+class LoanTiming(Struct, frozen=True):
+    """Times of loans in seconds.
+
+    A loan runs for `ttl`; `margin` allows for clocks that differ. The leader lends an owner's
+    slots for `touch` after it sent an answer that the owner has acknowledged.
+    """
+
+    ttl: float = 1.0
+    margin: float = 0.5
+    touch: float = 1.0
+
+    def reclaim_after(self, longest_request: float) -> float:
+        """Return how long after its last answered heartbeat an owner takes its slots back."""
+        return self.touch + self.ttl + 2 * self.margin + longest_request
+
+
 class Holder:
-    """One entry's side: its floors and the loans that are still good."""
+    """One entry's side: its floors, the loans that are still good, and what it owns besides.
 
-    __slots__ = ("_both", "_expires", "_floors", "_loans", "_member")
+    `started` is when this life of the entry began; an earlier life may have let the leader lend
+    until then.
+    """
 
-    def __init__(self, member: str) -> None:
+    __slots__ = (
+        "_answered",
+        "_both",
+        "_expires",
+        "_floors",
+        "_loans",
+        "_longest",
+        "_member",
+        "_owned",
+        "_timing",
+    )
+
+    def __init__(self, member: str, timing: LoanTiming | None = None, started: float = 0.0) -> None:
         self._member = member
+        self._timing = timing or LoanTiming()
+        self._answered = started
+        self._owned: dict[ShareKey, Slots] = {}
+        self._longest: dict[str, float] = {}
         self._floors: dict[ShareKey, Slots] = {}
         self._loans: dict[ShareKey, Slots] = {}
         self._both: dict[ShareKey, Slots] = {}
         self._expires = float("-inf")
 
-    def set_shares(self, shares: list[Share]) -> None:
-        """Take over the floors of all shares at a new revision."""
+    def set_shares(self, shares: list[Share], longest: dict[str, float]) -> None:
+        """Take over all shares at a new revision, and the longest request of each service."""
+        self._longest = longest
+        self._owned = {
+            (share.service, share.region): owned_in_force(share, self._member) for share in shares
+        }
         self._floors = {
             (share.service, share.region): floors_in_force(share, self._member) for share in shares
         }
@@ -145,6 +200,7 @@
         self._loans = {(loan.service, loan.region): loan.slots for loan in loans}
         ttl = min((loan.ttl for loan in loans), default=0.0)
         self._expires = sent_at + ttl
+        self._answered = max(self._answered, sent_at)
         self._both = {}
 
     def floor(self, key: ShareKey) -> Slots:
@@ -154,6 +210,8 @@
     def limits(self, key: ShareKey, now: float) -> Slots:
         """Return how many requests this entry may have in flight at each upstream now."""
         if now >= self._expires:
+            if now >= self._answered + self._timing.reclaim_after(self._longest.get(key[0], 0.0)):
+                return self._owned.get(key, {})
             return self._floors.get(key, {})
         both = self._both.get(key)
         if both is None:
@@ -163,6 +221,11 @@
             self._both[key] = both
         return both
 
+    def fits(self, key: ShareKey, in_flight: Slots, now: float) -> bool:
+        """Tell whether what is in flight is within the limits, so that others may grow."""
+        limits = self.limits(key, now)
+        return all(count <= limits.get(address, 0) for address, count in in_flight.items())
+
     def used_beyond_floor(self, key: ShareKey, in_flight: Slots) -> Slots:
         """Return what is in flight at each upstream beyond the floor."""
         floors = self._floors.get(key, {})
@@ -179,11 +242,21 @@
     acked: int = 0
 
 
-class LoanTiming(Struct, frozen=True):
-    """Times of loans in seconds: how long one runs, and the margin for clocks that differ."""
+class _Dealt(Struct):
+    """What follows from one share: each member's floor, and what may be lent of its slots."""
+
+    share: Share
+    floors: dict[str, int]
+    lendable: dict[str, Slots]
+
 
-    ttl: float = 2.0
-    margin: float = 1.0
+def _deal(share: Share) -> _Dealt:
+    members = share.current.members
+    return _Dealt(
+        share,
+        {m: sum(floors_in_force(share, m).values()) for m in members},
+        {m: lendable(share, m) for m in members},
+    )
 
 
 class Lender:
@@ -198,6 +271,9 @@
         self._timing = timing
         self._started = now
         self._knows_all = False
+        self._sent: dict[str, dict[int, float]] = {}
+        self._touched: dict[str, float] = {}
+        self._dealt: dict[ShareKey, _Dealt] = {}
         self._borrowers: dict[ShareKey, dict[str, _Borrower]] = {}
 
     def lend(
@@ -217,6 +293,7 @@
         `sequence` the number of this one, `longest` the longest request of each service in
         seconds.
         """
+        self._note_touch(holder, acked, sequence, now)
         wanted = {(demand.service, demand.region): demand for demand in demands}
         loans = []
         for key, share in shares.items():
@@ -233,7 +310,7 @@
             borrowers[holder] = known
             if not self._may_lend(key[0], longest, now):
                 continue
-            slots = self._allot(holder, share, borrowers)
+            slots = self._allot(holder, share, borrowers, now)
             known.granted[sequence] = slots
             if slots:
                 loans.append(Loan(key[0], key[1], slots, self._timing.ttl))
@@ -259,8 +336,36 @@
         """Return after how long a loan that nobody renews has surely ended, its work included."""
         return self._timing.ttl + self._timing.margin + longest.get(service, 0.0)
 
-    def _allot(self, entry: str, share: Share, borrowers: dict[str, _Borrower]) -> Slots:
-        pool = pool_in_force(share)
+    def _note_touch(self, holder: str, acked: int, sequence: int, now: float) -> None:
+        """Note when the newest answer was sent that this life of an owner has acknowledged."""
+        sent = self._sent.setdefault(holder, {})
+        if acked in sent:
+            member = member_of(holder)
+            self._touched[member] = max(self._touched.get(member, 0.0), sent[acked])
+        self._sent[holder] = {seq: at for seq, at in sent.items() if seq >= acked}
+        self._sent[holder][sequence] = now
+
+    def _pool(self, share: Share, now: float) -> Slots:
+        """Return what may be lent now: the slots of owners that are in touch."""
+        pool: Slots = {}
+        for owner, slots in self._deal_once(share).lendable.items():
+            if now - self._touched.get(owner, float("-inf")) < self._timing.touch:
+                for address, count in slots.items():
+                    pool[address] = pool.get(address, 0) + count
+        return pool
+
+    def _deal_once(self, share: Share) -> _Dealt:
+        """Work out what follows from a share, once for each of its revisions."""
+        key = (share.service, share.region)
+        dealt = self._dealt.get(key)
+        if dealt is None or dealt.share is not share:
+            dealt = self._dealt[key] = _deal(share)
+        return dealt
+
+    def _allot(
+        self, entry: str, share: Share, borrowers: dict[str, _Borrower], now: float
+    ) -> Slots:
+        pool = self._pool(share, now)
         free = dict(pool)
         for name, borrower in borrowers.items():
             if name != entry:
@@ -278,8 +383,9 @@
         is left then goes to the members in equal parts, ready for a burst.
         """
         members = share.current.members
+        floors = self._deal_once(share).floors
         needs = {
-            name: _needs_by_rank(b.demand, sum(floors_in_force(share, member_of(name)).values()))
+            name: _needs_by_rank(b.demand, floors.get(member_of(name), 0))
             for name, b in borrowers.items()
         }
         left = total
