--- a/bench/world.py
+++ b/bench/world.py
@@ -43,7 +43,14 @@
 from finchway.policy import Caller, Holder, LoanTiming, Outcome, RetryBudget, client_block
 from finchway.policy import Directory as UpstreamDirectory
 from finchway.state import DeleteResource, PutResource, StateMachine
-from finchway.transport import Changes, FetchChanges, Submit, Submitted
+from finchway.transport import (
+    Changes,
+    FetchChanges,
+    HeartbeatBatch,
+    HeartbeatBatchReply,
+    Submit,
+    Submitted,
+)
 
 PLAN_INTERVAL_S = 0.1
 CONTROL = "control"
@@ -133,6 +140,7 @@
         self.lease = lease
         self.commit_s = 2 * network.shape.region_ms / 1000
         self.available = True
+        self.asked = 0
         self.coordinator: Coordinator | None = None
         self.shifts: list[Shift] = []
         network.handlers[CONTROL] = self.handle
@@ -144,11 +152,19 @@
 
     async def handle(self, body: Any, sender: str) -> Any:
         """Answer an entry."""
+        self.asked += 1
         if not self.available:
             await trio.sleep_forever()
         match body:
             case Heartbeat():
                 return self.coordinator.answer(body, trio.current_time())
+            case HeartbeatBatch(heartbeats=heartbeats):
+                now = trio.current_time()
+                answers = [
+                    self.coordinator.answer(h, now, index == 0)
+                    for index, h in enumerate(heartbeats)
+                ]
+                return HeartbeatBatchReply(replies=answers)
             case Submit(command=command):
                 await trio.sleep(self.commit_s)
                 if not self.available:
@@ -368,6 +384,7 @@
     lease: LeaseTiming = LeaseTiming()
     isolated_after_s: float = 10.0
     measure_bytes: bool = False
+    relay_above: int = 32
 
 
 class Entry:
@@ -399,6 +416,7 @@
             rng,
             options.isolated_after_s,
             lambda: self.view.gate.in_flight,
+            options.relay_above,
         )
         self.scope = trio.CancelScope()
         self.scopes: set[trio.CancelScope] = set()
--- a/src/finchway/_settings.py
+++ b/src/finchway/_settings.py
@@ -46,6 +46,7 @@
     clock_margin_s: float
     election_s: float
     drain_limit_s: float
+    relay_above: int
 
 
 class _Flag(Struct, frozen=True):
@@ -75,6 +76,7 @@
     _Flag("loan_s", "1", "Seconds for which slots are lent."),
     _Flag("clock_margin_s", "0.5", "Margin in seconds for clocks that run at different speeds."),
     _Flag("election_s", "1", "Shortest election time of the replicated log in seconds."),
+    _Flag("relay_above", "32", "Live entries above which heartbeats go through relays."),
     _Flag("drain_limit_s", "120", "Longest planned stop in seconds, whatever is in flight."),
 )
 
@@ -143,6 +145,7 @@
             clock_margin_s=self._seconds("clock_margin_s", 0.0),
             election_s=self._seconds("election_s", 0.1),
             drain_limit_s=self._seconds("drain_limit_s", 0.0),
+            relay_above=self._count("relay_above"),
         )
         self._check_together(settings)
         if self._findings:
@@ -226,6 +229,13 @@
             self._add(name, f"{value!r} is not known", f"one of {', '.join(choices)}")
         return value
 
+    def _count(self, name: str) -> int:
+        value = self._raw[name]
+        if not value.isdigit():
+            self._add(name, f"{value!r} is not a whole number")
+            return 0
+        return int(value)
+
     def _seconds(self, name: str, least: float) -> float:
         try:
             value = float(self._raw[name])
--- a/src/finchway/control/_server.py
+++ b/src/finchway/control/_server.py
@@ -110,7 +110,10 @@
             case Heartbeat():
                 return self._on_heartbeat(body)
             case HeartbeatBatch(heartbeats=heartbeats):
-                replies = [self._on_heartbeat(h, with_changes=False) for h in heartbeats]
+                replies = [
+                    self._on_heartbeat(heartbeat, with_changes=index == 0)
+                    for index, heartbeat in enumerate(heartbeats)
+                ]
                 return HeartbeatBatchReply(replies=replies)
             case Submit(command=command):
                 return Submitted(result=await self._runner.submit(command))
--- a/src/finchway/daemon.py
+++ b/src/finchway/daemon.py
@@ -240,6 +240,7 @@
             rng,
             settings.isolated_after_s,
             lambda: self._view.gate.in_flight,
+            settings.relay_above,
         )
         self.started = trio.Event()
         self.app: EntryApp | None = None
--- /dev/null
+++ b/src/finchway/entry/_relay.py
@@ -0,0 +1,102 @@
+"""Relays: in a large deployment, heartbeats reach the leader in batches through fellow entries.
+
+Live entries of an availability zone are put in an order by hashing and cut into groups; the first
+of each group is its relay. The leader then answers batches, with changes for the first heartbeat
+of each, which is the relay's own; the relay adds the changes that its members lack from its own.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import trio
+from msgspec import Struct
+
+from finchway.exceptions import TransportError
+from finchway.membership import Heartbeat, HeartbeatReply
+from finchway.policy import rank
+from finchway.resources import InstanceState, ResourceStore
+from finchway.transport import HeartbeatBatch, HeartbeatBatchReply
+
+GROUP_SIZE = 36
+FLUSH_S = 0.15
+
+
+def is_relay(store: ResourceStore, instance: str, zone: str, above: int) -> bool:
+    """Tell whether relays are used and this entry is one."""
+    live = [i for i in store.of_kind("instance") if i.spec.state is InstanceState.LIVE]
+    known = any(i.name == instance for i in live)
+    return known and len(live) > above and relay_of(store, instance, zone, above) is None
+
+
+def relay_of(store: ResourceStore, instance: str, zone: str, above: int) -> str | None:
+    """Return the peer address of an entry's relay; None if it talks to control itself.
+
+    Relays are used only when more than `above` entries are live.
+    """
+    live = [i for i in store.of_kind("instance") if i.spec.state is InstanceState.LIVE]
+    if len(live) <= above:
+        return None
+    peers = {i.name: i.spec.peer for i in live if i.spec.zone == zone}
+    order = rank(f"relay/{zone}", peers)
+    if instance not in peers:
+        return peers[order[0]] if order else None
+    head = order[order.index(instance) // GROUP_SIZE * GROUP_SIZE]
+    return None if head == instance else peers[head]
+
+
+class _Pending(Struct, eq=False):
+    """A member's heartbeat that waits for its batch."""
+
+    heartbeat: Heartbeat
+    event: trio.Event
+    reply: HeartbeatReply | None = None
+
+
+Ask = Callable[[HeartbeatBatch], Awaitable[HeartbeatBatchReply | None]]
+
+
+class RelayDesk:
+    """Gathers the heartbeats of a group and sends them on together."""
+
+    def __init__(self, own: str, ask: Ask) -> None:
+        self._own = own
+        self._ask = ask
+        self._pending: list[_Pending] = []
+        self._wake = trio.Event()
+        self._batches = 0
+
+    @property
+    def batches(self) -> int:
+        """How many batches have been sent."""
+        return self._batches
+
+    async def pass_on(self, heartbeat: Heartbeat) -> HeartbeatReply:
+        """Send a member's heartbeat with the next batch; raises `TransportError` if it is lost."""
+        pending = _Pending(heartbeat, trio.Event())
+        self._pending.append(pending)
+        self._wake.set()
+        await pending.event.wait()
+        if pending.reply is None:
+            raise TransportError("control did not answer the batch")
+        return pending.reply
+
+    async def run(self) -> None:
+        """Send batches until cancelled; each waits a moment for more members."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                await self._wake.wait()
+                await trio.sleep(FLUSH_S)
+                self._wake = trio.Event()
+                batch, self._pending = self._pending, []
+                if batch:
+                    nursery.start_soon(self._send, batch)
+
+    async def _send(self, batch: list[_Pending]) -> None:
+        self._batches += 1
+        batch.sort(key=lambda pending: pending.heartbeat.instance != self._own)
+        answer = await self._ask(HeartbeatBatch(heartbeats=[p.heartbeat for p in batch]))
+        replies = answer.replies if answer is not None else [None] * len(batch)
+        for pending, reply in zip(batch, replies, strict=True):
+            pending.reply = reply
+            pending.event.set()
--- a/src/finchway/entry/_session.py
+++ b/src/finchway/entry/_session.py
@@ -12,16 +12,18 @@
 import random
 from collections.abc import Callable
 
+import msgspec
 import trio
 from msgspec import Struct
 
+from finchway.entry._relay import FLUSH_S, RelayDesk, is_relay, relay_of
 from finchway.entry._view import EntryView
 from finchway.exceptions import FinchwayError, NotLeaderError
 from finchway.membership import Heartbeat, HeartbeatReply, LeaseTiming, RateReport, full_state
 from finchway.observe import EventKind, Timeline
 from finchway.resources import Change
 from finchway.state import AnyCommand, AnyResult
-from finchway.transport import AnyBody, Changes, FetchChanges, Link, Submit
+from finchway.transport import AnyBody, Changes, FetchChanges, HeartbeatBatch, Link, Submit
 
 _LOG = logging.getLogger(__name__)
 REQUEST_TIMEOUT_S = 0.6
@@ -29,6 +31,9 @@
 RELAY_TIMEOUT_S = 0.5
 RECENT_CHANGES = 2_000
 IN_TOUCH_S = 1.0
+RELAY_ABOVE = 32
+RELAY_PAUSE_S = 2.0
+MEMBER_TIMEOUT_S = RELAY_TIMEOUT_S + 2 * FLUSH_S
 
 
 class EntryIdentity(Struct, frozen=True):
@@ -60,6 +65,7 @@
         rng: random.Random,
         isolated_after: float,
         in_flight: Callable[[], int],
+        relay_above: int = RELAY_ABOVE,
     ) -> None:
         self._identity = identity
         self._view = view
@@ -71,6 +77,9 @@
         self._rng = rng
         self._isolated_after = isolated_after
         self._in_flight = in_flight
+        self._relay_above = relay_above
+        self._relays_from = float("-inf")
+        self._relay = RelayDesk(identity.instance, self._ask_control)
         self._sequence = 0
         self._loans_applied = 0
         self._lease_until = float("-inf")
@@ -114,7 +123,12 @@
         self._leaving = True
 
     async def run(self) -> None:
-        """Send heartbeats until cancelled."""
+        """Send heartbeats until cancelled, and those of fellows that this entry relays for."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._relay.run)
+            await self._beat_forever()
+
+    async def _beat_forever(self) -> None:
         while True:
             started = trio.current_time()
             await self.beat()
@@ -126,10 +140,12 @@
         """Send one heartbeat and apply its answer; False if nobody confirmed it."""
         heartbeat = self._heartbeat(stopped)
         sent_at = trio.current_time()
-        reply = await self._ask_control(heartbeat)
-        if reply is not None:
-            self._direct_at = trio.current_time()
-        elif not stopped:
+        reply = None if stopped else await self._ask_relay(heartbeat)
+        if reply is None:
+            reply = await self._ask_control(heartbeat)
+            if reply is not None:
+                self._direct_at = trio.current_time()
+        if reply is None and not stopped:
             reply = await self._ask_fellows(heartbeat)
         if reply is None:
             return False
@@ -154,7 +170,7 @@
         """Answer a fellow entry: pass its heartbeat on, or give it the changes that it lacks."""
         match body:
             case Heartbeat() if self._is_relay():
-                return await self._link.request(self._target, body, RELAY_TIMEOUT_S)
+                return self._with_changes(body, await self._relay.pass_on(body))
             case FetchChanges(since=since):
                 return self._changes_since(since)
         raise FinchwayError(f"this entry cannot answer {type(body).__name__} now")
@@ -187,10 +203,44 @@
             rates=[RateReport(o, s, rate) for o, s, rate in view.busy_rates(now)],
         )
 
-    async def _ask_control(self, heartbeat: Heartbeat) -> HeartbeatReply | None:
+    async def _ask_relay(self, heartbeat: Heartbeat) -> HeartbeatReply | None:
+        """Ask this entry's relay, if it has one that has not failed it lately."""
+        if trio.current_time() < self._relays_from:
+            return None
+        identity = self._identity
+        relay = relay_of(self._view.store, identity.instance, identity.zone, self._relay_above)
+        if relay is None:
+            return await self._ask_as_relay(heartbeat)
+        try:
+            return await self._link.request(relay, heartbeat, MEMBER_TIMEOUT_S)
+        except FinchwayError as error:
+            _LOG.debug("relay at %s: %s", relay, error)
+            self._relays_from = trio.current_time() + RELAY_PAUSE_S
+            return None
+
+    async def _ask_as_relay(self, heartbeat: Heartbeat) -> HeartbeatReply | None:
+        """Send the own heartbeat with those of the group, if this entry is a relay."""
+        identity = self._identity
+        if not is_relay(self._view.store, identity.instance, identity.zone, self._relay_above):
+            return None
+        try:
+            reply = await self._relay.pass_on(heartbeat)
+        except FinchwayError:
+            return None
+        self._direct_at = trio.current_time()
+        return reply
+
+    def _with_changes(self, heartbeat: Heartbeat, reply: HeartbeatReply) -> HeartbeatReply:
+        """Add to an answer of the leader the changes that the member lacks and this entry has."""
+        own = self._changes_since(heartbeat.revision)
+        return msgspec.structs.replace(
+            reply, changes=own.changes, snapshot=own.snapshot, snapshot_revision=own.revision
+        )
+
+    async def _ask_control(self, body: Heartbeat | HeartbeatBatch) -> AnyBody | None:
         for _ in range(2):
             try:
-                return await self._link.request(self._target, heartbeat, REQUEST_TIMEOUT_S)
+                return await self._link.request(self._target, body, REQUEST_TIMEOUT_S)
             except NotLeaderError as error:
                 if not self._follow(error):
                     return None
@@ -236,7 +286,7 @@
     def _apply(self, reply: HeartbeatReply, sent_at: float) -> None:
         self._contact_at = self._answered_at = trio.current_time()
         if reply.snapshot is not None:
-            self._install(reply.snapshot, reply.revision)
+            self._install(reply.snapshot, reply.snapshot_revision)
         else:
             self._take(reply.changes)
         if self._view.revision < reply.revision:
--- a/src/finchway/membership/_coordinator.py
+++ b/src/finchway/membership/_coordinator.py
@@ -123,6 +123,7 @@
             lease_s=self._lease.lease,
             changes=changes,
             snapshot=snapshot,
+            snapshot_revision=self._machine.revision,
             loans=loans,
             rates=self._rates(heartbeat),
         )
--- a/src/finchway/membership/_heartbeat.py
+++ b/src/finchway/membership/_heartbeat.py
@@ -64,9 +64,10 @@
 class HeartbeatReply(Struct, frozen=True, tag=True, kw_only=True):
     """The leader confirms a revision and lends slots.
 
-    `changes` follow the revision that the entry has; `snapshot` replaces them when it is too far
-    behind. The lease runs for `lease_s` from the moment the heartbeat was sent. `rates` gives
-    the part of each paid rate that this entry may let through, by organisation and service.
+    `changes` follow the revision that the entry has; `snapshot`, the state at
+    `snapshot_revision`, replaces them when it is too far behind. The lease runs for `lease_s`
+    from the moment the heartbeat was sent. `rates` gives the part of each paid rate that this
+    entry may let through, by organisation and service.
     """
 
     sequence: int
@@ -74,6 +75,7 @@
     lease_s: float
     changes: list[Change] = []
     snapshot: list[Change] | None = None
+    snapshot_revision: int = 0
     loans: list[Loan] = []
     rates: dict[str, float] = {}
 
