Measure slopes at the two-year size; lend per share, steer per region

Cause: the leader looked at all shares and all entries for each heartbeat (quadratic), each steering answer looked at all entries, and every change rebuilt the table of client blocks; an idle entry woke 50 times a second. Change: a heartbeat touches the shares that concern it; entries are grouped once a revision for each service and region; client blocks are taken over unless they changed; waiting requests wake the dispatcher.

--- a/bench/control.py
+++ b/bench/control.py
@@ -180,12 +180,18 @@
     deployment.kill(entry)
     started = time.perf_counter()
     deployment.restart(entry)
-    revision = deployment.client.list("region")["revision"]
-    deployment.wait_in_force(revision, len(deployment.entry))
-    found.append(("kill -9 of an entry until it is in force again", _since(started)))
+    deployment.wait(lambda: _is_ready(deployment.entry[entry]), "the entry to be ready")
+    found.append(("kill -9 and restart of an entry until it is ready", _since(started)))
     return found
 
 
+def _is_ready(address: str) -> bool:
+    try:
+        return httpcore.request("GET", f"http://{address}/readyz").status == 200
+    except httpcore.NetworkError:
+        return False
+
+
 def _since(started: float) -> str:
     return f"{time.perf_counter() - started:.2f} s"
 
--- a/src/finchway/entry/_dispatch.py
+++ b/src/finchway/entry/_dispatch.py
@@ -84,10 +84,14 @@
         self._budgets: dict[str, RetryBudget] = {}
         self._numbers = itertools.count(1)
         self._waiting: dict[int, _Waiting] = {}
+        self._someone_waits = trio.Event()
 
     async def run(self) -> None:
         """Serve waiting requests whenever slots come free or deadlines pass."""
         while True:
+            if not self._waiting:
+                await self._someone_waits.wait()
+            self._someone_waits = trio.Event()
             self.pump()
             await trio.sleep(PUMP_INTERVAL_S)
 
@@ -194,6 +198,7 @@
 
     async def _wait(self, service: str, ticket: Ticket) -> Grant | Refusal:
         waiting = self._waiting[ticket.sequence] = _Waiting()
+        self._someone_waits.set()
         try:
             await waiting.event.wait()
             return waiting.decision
--- a/src/finchway/entry/_view.py
+++ b/src/finchway/entry/_view.py
@@ -315,7 +315,7 @@
     def _compile(self, now: float) -> None:
         store = self._store
         warm = self._routes.revision == 0
-        self._routes = Routes(store)
+        self._routes = Routes(store, self._routes)
         self._holder.set_shares(
             [share.spec for share in store.of_kind("share")],
             {s.name: s.spec.deadline_ms / 1000 for s in store.of_kind("service")},
--- a/src/finchway/membership/_coordinator.py
+++ b/src/finchway/membership/_coordinator.py
@@ -75,6 +75,8 @@
             if i.spec.state is not InstanceState.GONE
         }
         self._compiled = -1
+        self._wanted_at = -1
+        self._wanted: dict[tuple[str, str], Division] = {}
         self._shares: dict[tuple[str, str], Share] = {}
         self._expire_at = now + EXPIRE_INTERVAL_S
 
@@ -309,6 +311,13 @@
         }
 
     def _wanted_divisions(self) -> dict[tuple[str, str], Division]:
+        """Return the division of each share that the resources ask for, once a revision."""
+        if self._wanted_at != self._machine.revision:
+            self._wanted_at = self._machine.revision
+            self._wanted = self._divide()
+        return self._wanted
+
+    def _divide(self) -> dict[tuple[str, str], Division]:
         slots: dict[tuple[str, str], dict[str, int]] = {}
         for pool in self._store.of_kind("pool"):
             key = (pool.spec.service, pool.spec.region)
--- a/src/finchway/policy/_routing.py
+++ b/src/finchway/policy/_routing.py
@@ -42,9 +42,13 @@
 
 
 class Routes:
-    """Routing tables compiled from the resources at one revision."""
+    """Routing tables compiled from the resources at one revision.
 
-    def __init__(self, store: ResourceStore) -> None:
+    `previous` are the tables before it; the client blocks are taken over from them unless they
+    have changed, since building a million of them takes seconds.
+    """
+
+    def __init__(self, store: ResourceStore, previous: Routes | None = None) -> None:
         self._revision = store.revision
         self._latency = {r.name: r.spec.latency_ms for r in store.of_kind("region")}
         self._zone_region = {z.name: z.spec.region for z in store.of_kind("zone")}
@@ -55,11 +59,15 @@
         self._members = {
             share.name: frozenset(share.spec.current.members) for share in store.of_kind("share")
         }
-        self._blocks = BlockTable.build(
-            (block, chunk.spec.site)
-            for chunk in store.of_kind("client-blocks")
-            for block in chunk.spec.blocks
-        )
+        self._groups: dict[tuple[str, str], list[list[EntryPoint]]] = {}
+        chunks = store.of_kind("client-blocks")
+        self._blocks_version = [(chunk.name, chunk.revision) for chunk in chunks]
+        if previous is not None and previous._blocks_version == self._blocks_version:
+            self._blocks = previous._blocks
+        else:
+            self._blocks = BlockTable.build(
+                (block, chunk.spec.site) for chunk in chunks for block in chunk.spec.blocks
+            )
 
     @property
     def revision(self) -> int:
@@ -137,25 +145,32 @@
         whole region.
         """
         assigned = self.assigned(service, home, caller) or home
-        members = self._members.get(share_name(service, assigned), frozenset())
-        order: list[EntryPoint] = []
-        for group in self._grouped(assigned, members):
-            weights = {point.instance: 1.0 for point in group}
-            by_name = {point.instance: point for point in group}
-            ranked = rank_weighted(f"{service}\x00{caller.block}", weights)
-            order += [by_name[name] for name in ranked]
-        named = order[:limit]
-        elsewhere = [point for point in order[limit:] if point.region != named[0].region]
-        if elsewhere and all(point.region == named[0].region for point in named):
-            named[-1] = elsewhere[0]
+        named: list[EntryPoint] = []
+        for group in self._grouped(service, assigned):
+            # A group is ranked only when it is needed; the loop ends with one of another region.
+            ranked = _rank_points(f"{service}\x00{caller.block}", group)
+            if len(named) < limit:
+                named += ranked[: limit - len(named)]
+            elsewhere = [p for p in ranked if p.region != named[0].region]
+            if any(p.region != named[0].region for p in named):
+                break
+            if len(named) == limit and elsewhere:
+                named[-1] = elsewhere[0]
+                break
         return named
 
-    def _grouped(self, region: str, members: frozenset[str]) -> list[list[EntryPoint]]:
-        groups: dict[tuple[bool, float], list[EntryPoint]] = {}
-        for point in self._points:
-            key = (point.instance not in members, self.distance_ms(region, point.region))
-            groups.setdefault(key, []).append(point)
-        return [groups[key] for key in sorted(groups)]
+    def _grouped(self, service: str, region: str) -> list[list[EntryPoint]]:
+        """Return the entries for a region in groups, best first, worked out once a revision."""
+        key = (service, region)
+        if key not in self._groups:
+            members = self._members.get(share_name(service, region), frozenset())
+            groups: dict[tuple[bool, float, str], list[EntryPoint]] = {}
+            for point in self._points:
+                distance = self.distance_ms(region, point.region)
+                place = (point.instance not in members, distance, point.region)
+                groups.setdefault(place, []).append(point)
+            self._groups[key] = [groups[place] for place in sorted(groups)]
+        return self._groups[key]
 
     def _entry_points(self, store: ResourceStore) -> list[EntryPoint]:
         drained = drained_instances(store)
@@ -166,6 +181,11 @@
         ]
 
 
+def _rank_points(key: str, group: list[EntryPoint]) -> list[EntryPoint]:
+    by_name = {point.instance: point for point in group}
+    return [by_name[name] for name in rank_weighted(key, dict.fromkeys(by_name, 1.0))]
+
+
 def caller_position(service: str, region: str, caller: Caller) -> float:
     """Return a caller's stable place in [0, 1) among the callers of a service in a region."""
     return position(service, region, caller.block)
--- a/src/finchway/policy/_shares.py
+++ b/src/finchway/policy/_shares.py
@@ -274,6 +274,9 @@
         self._sent: dict[str, dict[int, float]] = {}
         self._touched: dict[str, float] = {}
         self._dealt: dict[ShareKey, _Dealt] = {}
+        self._indexed: dict[ShareKey, Share] = {}
+        self._by_member: dict[str, set[ShareKey]] = {}
+        self._lent: dict[str, set[ShareKey]] = {}
         self._borrowers: dict[ShareKey, dict[str, _Borrower]] = {}
 
     def lend(
@@ -296,22 +299,27 @@
         self._note_touch(holder, acked, sequence, now)
         wanted = {(demand.service, demand.region): demand for demand in demands}
         loans = []
-        for key, share in shares.items():
+        for key in self._keys_of(holder, wanted, shares):
+            share = shares[key]
             demand = wanted.get(key) or Demand(key[0], key[1])
             borrowers = self._borrowers.setdefault(key, {})
             over = now - self._whole_term(key[0], longest)
             for silent in [name for name, b in borrowers.items() if b.heard_at < over]:
                 del borrowers[silent]
+                self._lent.pop(silent, None)
             known = borrowers.get(holder) or _Borrower(demand, {}, now)
             known.demand, known.heard_at, known.acked = demand, now, max(known.acked, acked)
             known.granted = {
                 seq: slots for seq, slots in known.granted.items() if seq >= known.acked
             }
             borrowers[holder] = known
+            self._lent.setdefault(holder, set()).add(key)
             if not self._may_lend(key[0], longest, now):
                 continue
             slots = self._allot(holder, share, borrowers, now)
             known.granted[sequence] = slots
+            if not slots and not _outstanding(known) and not wanted.get(key):
+                self._lent[holder].discard(key)
             if slots:
                 loans.append(Loan(key[0], key[1], slots, self._timing.ttl))
         return loans
@@ -321,6 +329,20 @@
         borrower = self._borrowers.get(key, {}).get(entry)
         return _outstanding(borrower) if borrower else {}
 
+    def _keys_of(
+        self, holder: str, wanted: dict[ShareKey, Demand], shares: dict[ShareKey, Share]
+    ) -> list[ShareKey]:
+        """Return the shares that concern a holder: as a member, by demand, or by a loan."""
+        if shares is not self._indexed:
+            self._indexed = shares
+            self._by_member = {}
+            for key, share in shares.items():
+                for member in share.current.members:
+                    self._by_member.setdefault(member, set()).add(key)
+        own = self._by_member.get(member_of(holder), set())
+        lent = self._lent.get(holder, set())
+        return sorted((own | lent | wanted.keys()) & shares.keys())
+
     def learn_all(self) -> None:
         """Note that every life that may have borrowed before has reported what it uses."""
         self._knows_all = True
