--- a/src/finchway/membership/__init__.py
+++ b/src/finchway/membership/__init__.py
@@ -1,9 +1,7 @@
 """Who is live, leaving or silent, and the leader's decisions that follow from it."""
 
 from finchway.membership._coordinator import (
-    SYSTEM_OPERATOR,
     Coordinator,
-    capacity_of,
     changes_since,
     full_state,
 )
@@ -15,6 +13,7 @@
     rate_key,
 )
 from finchway.membership._platform import PlatformList, PlatformView
+from finchway.membership._progress import SYSTEM_OPERATOR, capacity_of
 from finchway.membership._registry import Known, LeaseTiming, Registry
 
 __all__ = [
--- a/src/finchway/membership/_coordinator.py
+++ b/src/finchway/membership/_coordinator.py
@@ -11,27 +11,28 @@
 from finchway.exceptions import GoneError
 from finchway.membership._heartbeat import Heartbeat, HeartbeatReply, rate_key
 from finchway.membership._platform import PlatformView
+from finchway.membership._progress import (
+    SYSTEM_OPERATOR,
+    capacity_of,
+    plan_drains,
+    plan_marks,
+    plan_moves,
+    put_command,
+)
 from finchway.membership._registry import LeaseTiming, Registry
 from finchway.policy import (
-    DrainView,
     Lender,
     LoanTiming,
-    ShiftView,
     drained_instances,
     next_division,
-    next_drain_status,
-    next_move_status,
     rank,
-    recent_percent,
     share_name,
     usable_slots,
 )
 from finchway.resources import (
-    Capacity,
     Division,
     Instance,
     InstanceState,
-    Leaving,
     Operation,
     Resource,
     ResourceStore,
@@ -43,12 +44,9 @@
     AnyCommand,
     DeleteResource,
     Expire,
-    PutResource,
-    PutStatus,
     StateMachine,
 )
 
-SYSTEM_OPERATOR = "system"
 DELTA_LIMIT = 200
 EXPIRE_INTERVAL_S = 10.0
 
@@ -141,9 +139,10 @@
         commands: list[AnyCommand] = []
         commands += self._plan_instances(now, now_ms)
         commands += self._plan_shares(now, now_ms)
-        commands += self._plan_marks(now, now_ms)
-        commands += self._plan_drains(now, now_ms)
-        commands += self._plan_moves(now, now_ms)
+        store, registry = self._store, self._registry
+        commands += plan_marks(store, registry, now, now_ms)
+        commands += plan_drains(store, registry, now, now_ms)
+        commands += plan_moves(self._machine, registry, self.in_force(now), now_ms)
         if now >= self._expire_at:
             self._expire_at = now + EXPIRE_INTERVAL_S
             commands.append(Expire(now_ms=now_ms))
@@ -225,7 +224,7 @@
             return []
         if held is not None and held.spec == spec:
             return []
-        commands: list[AnyCommand] = [_put("instance", heartbeat.instance, spec, now_ms)]
+        commands: list[AnyCommand] = [put_command("instance", heartbeat.instance, spec, now_ms)]
         if held is not None and (
             held.spec.incarnation != spec.incarnation or state is InstanceState.GONE
         ):
@@ -243,10 +242,10 @@
         if self._platform.is_gone(resource.name) or self._platform.is_gone(spec.address):
             gone = msgspec.structs.replace(spec, state=InstanceState.GONE)
             abandon = AbandonClaims(now_ms=now_ms, holder=holder)
-            return [_put("instance", resource.name, gone, now_ms), abandon]
+            return [put_command("instance", resource.name, gone, now_ms), abandon]
         if spec.state is not InstanceState.SILENT:
             silent = msgspec.structs.replace(spec, state=InstanceState.SILENT)
-            return [_put("instance", resource.name, silent, now_ms)]
+            return [put_command("instance", resource.name, silent, now_ms)]
         return []
 
     def _plan_gone(self, resource: Resource, now_ms: int) -> list[AnyCommand]:
@@ -291,7 +290,7 @@
                     current=current,
                     previous=previous,
                 )
-                commands.append(_put("share", share_name(*key), spec, now_ms))
+                commands.append(put_command("share", share_name(*key), spec, now_ms))
         for key in self._shares.keys() - wanted.keys():
             commands.append(
                 DeleteResource(
@@ -358,98 +357,6 @@
         region = self._store.get("region", source)
         return region.spec.latency_ms.get(target, 1e9) if region else 1e9
 
-    # Leaving marks, drains and moves
-
-    def _plan_marks(self, now: float, now_ms: int) -> list[AnyCommand]:
-        """Tell all entries which upstreams are leaving, until a new life of them is seen."""
-        commands: dict[str, AnyCommand] = {}
-        for known in self._registry:
-            if self._registry.is_silent(known.heartbeat.instance, now):
-                continue
-            for mark in known.heartbeat.marks:
-                held = self._store.get("leaving", mark.address)
-                if mark.leaving and held is None:
-                    spec = Leaving(incarnation=mark.incarnation)
-                    commands[mark.address] = _put("leaving", mark.address, spec, now_ms)
-                elif not mark.leaving and held and held.spec.incarnation != mark.incarnation:
-                    commands.setdefault(
-                        mark.address,
-                        DeleteResource(
-                            now_ms=now_ms,
-                            kind="leaving",
-                            name=mark.address,
-                            operator=SYSTEM_OPERATOR,
-                        ),
-                    )
-        return list(commands.values())
-
-    def _plan_drains(self, now: float, now_ms: int) -> list[AnyCommand]:
-        commands: list[AnyCommand] = []
-        for drain in self._store.of_kind("drain"):
-            status = next_drain_status(drain.status, self._drain_view(drain, now), now_ms)
-            if status != drain.status:
-                commands.append(_status("drain", drain, status, now_ms))
-        return commands
-
-    def _drain_view(self, drain: Resource, now: float) -> DrainView:
-        reports: dict[str, int] = {}
-        unaware = []
-        for instance in self._store.of_kind("instance"):
-            if instance.spec.state is InstanceState.GONE:
-                continue
-            known = self._registry.get(instance.name)
-            counts = {r.drain: r.in_flight for r in known.heartbeat.drains} if known else {}
-            if self._registry.is_silent(instance.name, now) or drain.name not in counts:
-                unaware.append(instance.name)
-            else:
-                reports[instance.name] = counts[drain.name]
-        return DrainView(reports, unaware)
-
-    def _plan_moves(self, now: float, now_ms: int) -> list[AnyCommand]:
-        moves = self._store.of_kind("move")
-        commands: list[AnyCommand] = []
-        in_force = self.in_force(now)
-        pending: set[tuple[str, str]] = set()
-        for move in moves:
-            percent = move.status.percent if move.status else 0.0
-            source, target = move.spec.source, move.spec.target
-            into = target if move.spec.goal_percent >= percent else source
-            if (move.spec.service, into) in pending:
-                continue
-            capacity = capacity_of(self._store, move.spec.service, into)
-            pairs = [(other.spec, other.status) for other in moves]
-            accepted_ms = self._accepted_ms(move)
-            view = ShiftView(
-                cap_percent=capacity.inbound_percent,
-                window_s=capacity.window_s,
-                recent_percent=recent_percent(
-                    pairs, move.spec.service, into, capacity.window_s, now_ms
-                ),
-                in_force=in_force >= move.revision,
-                free_fraction=self._free_fraction(move.spec.service, into, capacity.headroom),
-                accepted_ms=accepted_ms,
-            )
-            status = next_move_status(move.spec, move.status, view, now_ms)
-            if status != move.status:
-                commands.append(_status("move", move, status, now_ms))
-                pending.add((move.spec.service, into))
-        return commands
-
-    def _accepted_ms(self, move: Resource) -> int:
-        """Return when a move began; one that has made steps has waited its window already."""
-        if move.status is not None and move.status.steps:
-            return 0
-        changes = self._machine.history.changes
-        times = [c.now_ms for c in changes if (c.kind, c.name) == ("move", move.name)]
-        return times[0] if times else 0
-
-    def _free_fraction(self, service: str, region: str, headroom: float) -> float | None:
-        name = share_name(service, region)
-        loads = [
-            known.heartbeat.loads[name] for known in self._registry if name in known.heartbeat.loads
-        ]
-        return 1 - headroom - sum(loads) / len(loads) if loads else None
-
 
 def changes_since(machine: StateMachine, revision: int) -> tuple[list, list | None]:
     """Return (changes, None) after a revision, or ([], whole state) if that is shorter."""
@@ -468,14 +375,6 @@
     return [change_of(resource, Operation.PUT, 0) for resource in resources]
 
 
-def capacity_of(store: ResourceStore, service: str, region: str) -> Capacity:
-    """Return the declared limits of a service in a region, or the defaults."""
-    for capacity in store.of_kind("capacity"):
-        if (capacity.spec.service, capacity.spec.region) == (service, region):
-            return capacity.spec
-    return Capacity(service=service, region=region)
-
-
 def _longest_requests(store: ResourceStore) -> dict[str, float]:
     return {s.name: s.spec.deadline_ms / 1000 for s in store.of_kind("service")}
 
@@ -495,23 +394,3 @@
             if group and len(chosen) < count:
                 chosen.append(group.pop(0))
     return chosen
-
-
-def _put(kind: str, name: str, spec: Instance | Share | Leaving, now_ms: int) -> PutResource:
-    return PutResource(
-        now_ms=now_ms,
-        kind=kind,
-        name=name,
-        spec=msgspec.json.encode(spec),
-        operator=SYSTEM_OPERATOR,
-    )
-
-
-def _status(kind: str, resource: Resource, status, now_ms: int) -> PutStatus:
-    return PutStatus(
-        now_ms=now_ms,
-        kind=kind,
-        name=resource.name,
-        generation=resource.generation,
-        status=status,
-    )
--- a/src/finchway/policy/__init__.py
+++ b/src/finchway/policy/__init__.py
@@ -25,14 +25,11 @@
 )
 from finchway.policy._gate import Decision, Gate, Grant
 from finchway.policy._hashing import position, rank, rank_weighted
+from finchway.policy._holder import Demand, Holder, Loan, LoanTiming
+from finchway.policy._lender import Lender
 from finchway.policy._retries import MAX_ATTEMPTS, Attempt, Outcome, RetryBudget, may_retry
 from finchway.policy._routing import Caller, EntryPoint, Routes, caller_position, client_block
 from finchway.policy._shares import (
-    Demand,
-    Holder,
-    Lender,
-    Loan,
-    LoanTiming,
     ShareKey,
     Slots,
     floor_of,
--- a/src/finchway/policy/_gate.py
+++ b/src/finchway/policy/_gate.py
@@ -16,7 +16,8 @@
     retry_after,
 )
 from finchway.policy._choice import Directory
-from finchway.policy._shares import Demand, Holder, ShareKey, Slots
+from finchway.policy._holder import Demand, Holder
+from finchway.policy._shares import ShareKey, Slots
 
 DEADLINE_REASON = "the deadline cannot be met"
 FULL_REASON = "the queue is full of better priorities"
--- a/src/finchway/replication/__init__.py
+++ b/src/finchway/replication/__init__.py
@@ -3,7 +3,7 @@
 Drive a `Core` with time and messages, store what `take` returns in `Storage`, send, apply.
 """
 
-from finchway.replication._core import Core, Ready, Restored, RoleName, Timing
+from finchway.replication._core import Core
 from finchway.replication._identity import (
     Identity,
     create_identity,
@@ -22,6 +22,7 @@
     Message,
     Snapshot,
 )
+from finchway.replication._ready import Ready, Restored, RoleName, Timing
 from finchway.replication._storage import Files, Storage, decode_record, encode_record
 
 __all__ = [
--- a/src/finchway/replication/_storage.py
+++ b/src/finchway/replication/_storage.py
@@ -17,7 +17,7 @@
 
 from finchway.exceptions import StorageDamagedError, StorageError
 from finchway.replication import _messages as m
-from finchway.replication._core import Ready, Restored
+from finchway.replication._ready import Ready, Restored
 
 _HEADER = struct.Struct("<4sIIQB")
 _MAGIC = b"fwr1"
