Choose upstreams by own counts alone; reported load did not earn its place

Change: two drawn at random, fewer own requests wins; reported load stays for the headroom of moves and is now a baseline in bench/.

--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -27,11 +27,16 @@
         return self._rng.choice(usable) if usable else None
 
 
-class OwnCountsDirectory(Directory):
-    """Two random choices by own counts alone, without load reports."""
+class ReportedLoadDirectory(Directory):
+    """Two random choices by own counts and reported load, which counts less the older it is."""
 
     def _score(self, address, limit, now):
-        return self._states[address].in_flight / max(1, limit)
+        state = self._states[address]
+        own = state.in_flight / max(1, limit)
+        if state.report is None:
+            return own + 0.5
+        trust = 0.5 ** (max(0.0, now - state.report.at) / 0.2)
+        return own + trust * state.report.load + (1 - trust) * 0.5
 
 
 class LocalLimitsHolder(Holder):
--- a/src/finchway/policy/_choice.py
+++ b/src/finchway/policy/_choice.py
@@ -1,8 +1,8 @@
-"""Which upstream serves a request: own counts first, reported load second.
+"""Which upstream serves a request: the one with fewer own requests of two drawn at random.
 
-A report counts less the older it is, and a missing one means unknown, never idle. Good health
-overrides neither a failed request nor a leaving mark. Ejection is bounded, so that a misleading
-signal cannot empty a region.
+Reported load is no part of the choice: with one or two slots at an upstream it did not help, and
+a report lags or misleads. Good health overrides neither a failed request nor a leaving mark.
+Ejection is bounded, so that a misleading signal cannot empty a region.
 """
 
 from __future__ import annotations
@@ -11,8 +11,6 @@
 
 from msgspec import Struct
 
-LOAD_HALF_LIFE_S = 0.2
-UNKNOWN_LOAD = 0.5
 FAILURES_TO_EJECT = 3
 EJECTION_S = 2.0
 MAX_EJECTION_S = 60.0
@@ -181,10 +179,4 @@
         return cold_limit - state.in_flight
 
     def _score(self, address: str, limit: int, now: float) -> float:
-        state = self._states[address]
-        own = state.in_flight / max(1, limit)
-        if state.report is None:
-            return own + UNKNOWN_LOAD
-        age = max(0.0, now - state.report.at)
-        trust = 0.5 ** (age / LOAD_HALF_LIFE_S)
-        return own + trust * state.report.load + (1 - trust) * UNKNOWN_LOAD
+        return self._states[address].in_flight / max(1, limit)
