Show what is in force in the watch; check failover's cap; plant two faults

Change: watch lines say which revision is in force everywhere; a scenario measures which part of a failed region's callers is served elsewhere in two windows, also with control cut off; a lender that forgets what is in use, and a new leader that lends at once, each make the model fail. Seen: failover's parts stay within 10% a window and its sampling; the second planted fault was found only once a borrower was silent at the change of leaders, which the model now plays.

--- a/src/finchway/cli/_commands.py
+++ b/src/finchway/cli/_commands.py
@@ -127,6 +127,7 @@
     since = context.option("since")
     if since is None:
         since = api.list(kind or "service")["revision"]
+    shown = -1
     for line in api.watch(since, kind):
         if "resource" in line:
             resource = line["resource"]
@@ -134,6 +135,9 @@
             status = status_text(resource.get("status"))
             text = f"{line['revision']:>6} {line['operation']:<6} {what} {status}"
             context.printer.line(line, text)
+        elif "in_force" in line and line["in_force"] != shown:
+            shown = line["in_force"]
+            context.printer.line(line, f"{shown:>6} in force at every serving entry")
 
 
 def drain(context: Context, arguments: list[str]) -> None:
--- a/src/finchway/control/_api.py
+++ b/src/finchway/control/_api.py
@@ -260,12 +260,24 @@
         try:
             while True:
                 revision = await self._send_changes(revision, kind, respond)
+                in_force = await self._in_force()
+                if in_force is not None:
+                    await _send_line(respond, {"in_force": in_force, "revision": revision})
                 with trio.move_on_after(WATCH_HEARTBEAT_S):
                     await self._server.runner.wait_revision(revision)
         except GoneError as error:
             await _send_line(respond, {"gone": True, "oldest": error.oldest})
         await respond({"type": "http.response.body", "body": b"", "more_body": False})
 
+    async def _in_force(self) -> int | None:
+        """Return the revision that is in force everywhere; None if no leader says it now."""
+        try:
+            answer = await self._server.at_leader(EntryQuery())
+        except UnavailableError:
+            return None
+        serving = [e.revision for e in answer.entries if e.state not in ("silent", "gone")]
+        return min(serving, default=answer.revision)
+
     async def _send_changes(self, revision: int, kind: str, respond) -> int:
         changes = self._server.runner.machine.history.since(revision)
         for change in changes:
--- a/tests/features/promises.feature
+++ b/tests/features/promises.feature
@@ -26,6 +26,20 @@
       | the leader changes and also an entry dies                        |
       | control is cut off in silence and also a region fails            |
 
+  Scenario Outline: Failover of a whole region stays under the cap, without any message
+    Given the Lankaspark deployment with a cap of 20 percent in 10 seconds
+    And callers look up bays 300 times a second
+    When the upstreams of kandy fail for good, and <fault>
+    And 26 seconds pass
+    Then callers of kandy were served elsewhere, step by step under the cap
+    And every promise was kept
+
+    Examples:
+      | fault                         |
+      | nothing fails                 |
+      | control is cut off in silence |
+      | the leader changes            |
+
   Scenario Outline: No steering decision overloads a region
     Given the Lankaspark deployment with small capacity
     And callers look up bays 1.5 times as often as capacity allows, mostly in colombo
--- a/tests/features/test_promises.py
+++ b/tests/features/test_promises.py
@@ -130,6 +130,19 @@
     story.actions.append(fail)
 
 
+@when(parsers.parse("the upstreams of kandy fail for good, and {fault}"))
+def _(story, fault):
+    async def fail(world: World) -> None:
+        await trio.sleep(2.0)
+        story.notes["failed_at"] = trio.current_time()
+        for upstream in world.upstreams.values():
+            if upstream.region == "kandy":
+                upstream.die()
+        await inject(world, fault)
+
+    story.actions.append(fail)
+
+
 @when(parsers.parse("{seconds:d} seconds pass"))
 def _(story, seconds):
     story.seconds = float(seconds)
@@ -211,6 +224,22 @@
     assert max(e.view.routes.move_percent_into(SERVICE, "kandy") for e in world.entries.values())
 
 
+@then("callers of kandy were served elsewhere, step by step under the cap")
+def _(story):
+    """The cap of 20% is divided among two other regions: 10% of kandy's callers a window."""
+    story.run()
+    failed_at = story.notes["failed_at"]
+    parts = []
+    for window in range(2):
+        start = failed_at + 10.0 * window + 1.5
+        calls = [g for g in story.history.got if g.home == "kandy"]
+        calls = [g for g in calls if start <= g.started < start + 8.0]
+        served = sum(1 for g in calls if g.region not in ("", "kandy"))
+        parts.append(100 * served / len(calls))
+    assert 4.0 < parts[0] <= 20.0, parts
+    assert parts[0] + 3.0 < parts[1] <= 40.0, parts
+
+
 @then("no caller was moved back")
 def _(story):
     story.run()
--- a/tests/process/test_control.py
+++ b/tests/process/test_control.py
@@ -181,10 +181,12 @@
     since = client.list("region")["revision"]
     last = [put_region(deployment, "watched", float(n))["revision"] for n in range(5)][-1]
     seen = []
+    in_force = 0
     for line in client.watch(since):
         if "resource" in line:
             seen.append(line["revision"])
-        if seen and seen[-1] >= last:
+        in_force = line.get("in_force", in_force)
+        if in_force >= last:
             break
     assert seen == list(range(since + 1, seen[-1] + 1))
     with pytest.raises(FinchwayError):
--- a/tests/unit/test_shares.py
+++ b/tests/unit/test_shares.py
@@ -4,6 +4,7 @@
 
 import random
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -177,6 +178,45 @@
             model.check()
 
 
+class ForgetsUse(Lender):
+    """A planted fault: what a holder still uses after its loan is lent again."""
+
+    def lend(self, holder, demands, *rest):
+        blind = [Demand(d.service, d.region, d.wanted) for d in demands]
+        return super().lend(holder, blind, *rest)
+
+
+class LendsAtOnce(Lender):
+    """A planted fault: a new leader does not wait for its predecessor's loans to end."""
+
+    def _may_lend(self, service, longest, now):
+        return True
+
+
+@pytest.mark.parametrize("faulty", [ForgetsUse, LendsAtOnce])
+def test_planted_faults_in_lending_are_found(faulty):
+    def play(lender_type, seed: int) -> None:
+        model = Model(seed)
+        model.now = 10.0
+        model.lender = lender_type(TIMING, 0.0)
+        for step in range(100):
+            model.now += 0.2
+            if step == 50:
+                model.lender = lender_type(TIMING, model.now)
+            for name in model.holders:
+                # The guest, which works on loans alone, is not heard by the new leader at first.
+                if name != "e4" or not 50 <= step < 56:
+                    model.heartbeat(name, reply_lost=model.rng.random() < 0.3)
+                model.work(name)
+                model.check()
+
+    for seed in range(5):
+        play(Lender, seed)
+    with pytest.raises(AssertionError, match="in flight at"):
+        for seed in range(30):
+            play(faulty, seed)
+
+
 def test_without_control_loans_end_and_owners_take_their_slots_back():
     model = Model(1)
     model.now = 10.0
