End an entry and its claims in one step; refuse at once without prospect

The leader ended an entry's life and its open claims by two commands; one that died between them left the claims open for good, so their keys answered "in progress" for ever. An operator who deleted an instance did the same. An entry without slots and without control let requests wait until their deadline. Change: the state machine ends the claims in the step that ends the life (new incarnation, gone, or deleted); the command for it is gone. Such requests are refused at once, with the time to come back. The demo and the control bench start their clients by one function.

--- a/bench/client.py
+++ b/bench/client.py
@@ -18,6 +18,7 @@
 from msgspec import Struct
 
 from bench.history import Got
+from bench.shapes import client_of
 
 _FAILED = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException)
 _RESENDS = 4
@@ -46,6 +47,27 @@
     limit: int = 200_000
 
 
+def start_clients(deployment, name: str, streams: list[Stream], count: int, seconds: float):
+    """Start client processes that share the streams; returns their names and output files.
+
+    `deployment` is a `bench.deploy.Deployment`; callers are spread over its regions.
+    """
+    shape = deployment.shape
+    blocks = [client_of(region, n, shape) for region in shape.regions for n in range(40)]
+    entries = list(deployment.entry.values())
+    started = []
+    for number in range(count):
+        shared = [msgspec.structs.replace(s, rate=s.rate / count) for s in streams]
+        output = deployment.folder / f"{name}{number}.out"
+        config = ClientConfig(entries, shared, seconds, str(output), blocks, number + 1)
+        path = deployment.folder / f"{name}{number}.json"
+        path.write_bytes(msgspec.json.encode(config))
+        command = [sys.executable, "-m", "bench.client", "--config", str(path)]
+        deployment.spawn(f"{name}{number}", command)
+        started.append((f"{name}{number}", output))
+    return started
+
+
 class Steering:
     """Cached steering answers, by service and client block."""
 
--- a/bench/control.py
+++ b/bench/control.py
@@ -18,16 +18,14 @@
 import msgspec
 import trio
 
-from bench.client import ClientConfig, Stream
+from bench.client import Stream, start_clients
 from bench.deploy import CREDENTIAL, Deployment, cpu_seconds, resident_mb
 from bench.policy import at
 from bench.shapes import (
     KALABAW,
     LANKASPARK,
     Shape,
-    client_of,
     credential_of,
-    resources_of,
 )
 from finchway.cli._client import ApiClient
 from finchway.cli._output import table
@@ -145,31 +143,19 @@
     print(table(headings, rows))
 
 
-def start_load(deployment: Deployment) -> list[str]:
-    """Start three load clients that send the three services' requests for some seconds."""
-    shape = deployment.shape
-    blocks = [client_of(region, n, shape) for region in shape.regions for n in range(40)]
-    names = []
-    for number in range(LOAD_CLIENTS):
-        streams = [
-            Stream(
-                service.name,
-                credential_of("gold"),
-                "gold",
-                BUSY_RATE / LOAD_CLIENTS * part,
-                service.once_only,
-                service.body_bytes // 10,
-            )
-            for service, part in zip(shape.services, (0.85, 0.1, 0.05), strict=True)
-        ]
-        output = str(deployment.folder / f"load{number}.out")
-        entries = list(deployment.entry.values())
-        config = ClientConfig(entries, streams, 13.0, output, blocks, number + 1)
-        path = deployment.folder / f"load{number}.json"
-        path.write_bytes(msgspec.json.encode(config))
-        names.append(f"load{number}")
-        deployment.spawn(names[-1], [sys.executable, "-m", "bench.client", "--config", str(path)])
-    return names
+def busy_streams(shape: Shape) -> list[Stream]:
+    """Return a load of the three services, most of it look-ups."""
+    return [
+        Stream(
+            service.name,
+            credential_of("gold"),
+            "gold",
+            BUSY_RATE * part,
+            service.once_only,
+            service.body_bytes // 10,
+        )
+        for service, part in zip(shape.services, (0.85, 0.1, 0.05), strict=True)
+    ]
 
 
 def leader_of(deployment: Deployment) -> str | None:
@@ -275,19 +261,16 @@
     """Print what real processes show."""
     deployment = Deployment(folder, shape, entries=12, replicas=3)
     try:
-        deployment.start()
-        revision = deployment.apply(resources_of(shape, deployment.addresses()))
-        deployment.wait_in_force(revision, 12)
-        deployment.wait_settled(9)
+        deployment.start_declared()
         time.sleep(5.0)
         print("\nidle, 12 entries and 3 replicas:")
         headings = ["ROLE", "OF A CORE", "RESIDENT MB", "KB/S SENT AND RECEIVED"]
         print(table(headings, measure_cost(deployment, 8.0)))
-        load = start_load(deployment)
+        load = start_clients(deployment, "load", busy_streams(shape), LOAD_CLIENTS, 13.0)
         time.sleep(3.0)
         print(f"\nbusy, {BUSY_RATE:g} requests/s of three services over all entries:")
         print(table(headings, measure_cost(deployment, 8.0)))
-        for name in load:
+        for name, _ in load:
             deployment.processes[name].wait(timeout=60)
         times = measure_in_force(deployment)
         p50, p99 = at(times, 0.5), at(times, 0.99)
--- a/bench/demo.py
+++ b/bench/demo.py
@@ -16,11 +16,11 @@
 
 import msgspec
 
-from bench.client import ClientConfig, Stream
+from bench.client import Stream, start_clients
 from bench.deploy import Deployment, fetch
 from bench.fakes import Report
 from bench.history import Got, History, Leaving, Limit, Ran, check, peak_in_flight
-from bench.shapes import LANKASPARK, PRIORITIES, client_of, credential_of, resources_of
+from bench.shapes import LANKASPARK, PRIORITIES, credential_of, resources_of
 from finchway.cli._output import table
 
 SECONDS = 16.0
@@ -31,34 +31,20 @@
 RATES = {"bays": 30.0, "reservations": 8.0, "uploads": 3.0}
 
 
-def start_clients(deployment: Deployment) -> list[Path]:
-    """Start the client processes; each writes its calls to a file."""
-    shape = deployment.shape
-    blocks = [client_of(region, n, shape) for region in shape.regions for n in range(30)]
-    outputs = []
-    for number in range(CLIENTS):
-        streams = [
-            Stream(
-                service.name,
-                credential_of(priority),
-                priority,
-                RATES[service.name] / CLIENTS,
-                service.once_only,
-                service.body_bytes,
-            )
-            for service in shape.services
-            for priority in PRIORITIES
-        ]
-        output = deployment.folder / f"client{number}.out"
-        config = ClientConfig(
-            list(deployment.entry.values()), streams, SECONDS, str(output), blocks, number + 1
+def demo_streams(deployment: Deployment) -> list[Stream]:
+    """Return the mixed load: three services, each with three priorities."""
+    return [
+        Stream(
+            service.name,
+            credential_of(priority),
+            priority,
+            RATES[service.name],
+            service.once_only,
+            service.body_bytes,
         )
-        path = deployment.folder / f"client{number}.json"
-        path.write_bytes(msgspec.json.encode(config))
-        command = [sys.executable, "-m", "bench.client", "--config", str(path)]
-        deployment.spawn(f"client{number}", command)
-        outputs.append(output)
-    return outputs
+        for service in deployment.shape.services
+        for priority in PRIORITIES
+    ]
 
 
 class Drains:
@@ -183,13 +169,13 @@
         print(f"{len(deployment.upstreams)} fake upstreams; revision {revision} was in force")
         print(f"everywhere {in_force:.2f} s after it was accepted; {SECONDS:g} s of load follow\n")
         drains = Drains(deployment)
-        outputs = start_clients(deployment)
+        clients = start_clients(deployment, "client", demo_streams(deployment), CLIENTS, SECONDS)
         operator = threading.Thread(target=drains.run)
         operator.start()
-        for number in range(CLIENTS):
-            deployment.processes[f"client{number}"].wait(timeout=60)
+        for name, _ in clients:
+            deployment.processes[name].wait(timeout=60)
         operator.join()
-        calls = read_calls(outputs)
+        calls = read_calls([output for _, output in clients])
         history = build_history(deployment, calls, read_reports(deployment), drains)
     finally:
         deployment.stop()
--- a/bench/deploy.py
+++ b/bench/deploy.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from bench.fakes import FakesConfig, UpstreamConfig
-from bench.shapes import Shape, zones_of
+from bench.shapes import Shape, resources_of, zones_of
 from finchway.cli._client import ApiClient
 from finchway.control import bootstrap
 from finchway.exceptions import FinchwayError
@@ -113,6 +113,13 @@
             self.start_entry(name)
         self.wait(self._replicas_joined, "all replicas to have a vote")
 
+    def start_declared(self) -> None:
+        """Start everything, declare the shape, and wait until all of it is in force."""
+        self.start()
+        revision = self.apply(resources_of(self.shape, self.addresses()))
+        self.wait_in_force(revision, len(self.entry))
+        self.wait_settled(len(self.shape.services) * len(self.shape.regions))
+
     def _replicas_joined(self) -> bool:
         answer = self.client.read("/v1/replicas")
         return len(answer["members"]["voters"]) == len(self.api)
--- a/bench/proxy.py
+++ b/bench/proxy.py
@@ -11,7 +11,7 @@
 
 from bench.deploy import Deployment, cpu_seconds, resident_mb
 from bench.policy import at
-from bench.shapes import ServiceShape, Shape, credential_of, resources_of
+from bench.shapes import ServiceShape, Shape, credential_of
 from finchway.cli._output import table
 
 SHAPE = Shape(
@@ -41,10 +41,7 @@
     deployment = Deployment(folder, SHAPE, entries=1, replicas=1)
     rows = []
     try:
-        deployment.start()
-        revision = deployment.apply(resources_of(SHAPE, deployment.addresses()))
-        deployment.wait_in_force(revision, 1)
-        deployment.wait_settled(2)
+        deployment.start_declared()
         entry = deployment.processes["e1"]
         idle_mb = resident_mb(entry.pid)
         upstream = f"http://{deployment.upstreams[0][2].address}/call"
--- a/src/finchway/membership/_coordinator.py
+++ b/src/finchway/membership/_coordinator.py
@@ -40,7 +40,6 @@
     change_of,
 )
 from finchway.state import (
-    AbandonClaims,
     AnyCommand,
     DeleteResource,
     Expire,
@@ -224,13 +223,7 @@
             return []
         if held is not None and held.spec == spec:
             return []
-        commands: list[AnyCommand] = [put_command("instance", heartbeat.instance, spec, now_ms)]
-        if held is not None and (
-            held.spec.incarnation != spec.incarnation or state is InstanceState.GONE
-        ):
-            holder = f"{held.name}@{held.spec.incarnation}"
-            commands.append(AbandonClaims(now_ms=now_ms, holder=holder))
-        return commands
+        return [put_command("instance", heartbeat.instance, spec, now_ms)]
 
     def _plan_unheard(self, resource: Resource, now: float, now_ms: int) -> list[AnyCommand]:
         spec: Instance = resource.spec
@@ -238,11 +231,9 @@
             return self._plan_gone(resource, now_ms)
         if not self._registry.is_silent(resource.name, now):
             return []
-        holder = f"{resource.name}@{spec.incarnation}"
         if self._platform.is_gone(resource.name) or self._platform.is_gone(spec.address):
             gone = msgspec.structs.replace(spec, state=InstanceState.GONE)
-            abandon = AbandonClaims(now_ms=now_ms, holder=holder)
-            return [put_command("instance", resource.name, gone, now_ms), abandon]
+            return [put_command("instance", resource.name, gone, now_ms)]
         if spec.state is not InstanceState.SILENT:
             silent = msgspec.structs.replace(spec, state=InstanceState.SILENT)
             return [put_command("instance", resource.name, silent, now_ms)]
--- a/src/finchway/policy/_gate.py
+++ b/src/finchway/policy/_gate.py
@@ -23,6 +23,7 @@
 FULL_REASON = "the queue is full of better priorities"
 # A request that would only spill into a region asks for what the region's own ranks leave over.
 SPILL_RANKS = 1_000
+NO_SLOT_REASON = "this entry has no slots of the service and cannot borrow any now"
 NO_REGION_REASON = "no region serves this request now"
 
 
@@ -94,8 +95,8 @@
                 return grant, []
         slots = self._usable_slots(service, ticket.regions, now)
         wait_s = lane.rate.wait_s(ahead, slots)
-        if slots == 0:
-            wait_s = max(wait_s, 1.0)
+        if not slots and not self._has_prospect(service, ticket.regions, now):
+            return Refusal(NO_SLOT_REASON, 1.0), []
         if slots and now + wait_s + lane.rate.mean_s > ticket.deadline:
             return Refusal(DEADLINE_REASON, retry_after(wait_s)), []
         evicted = lane.queue.push(ticket)
@@ -213,6 +214,11 @@
         held[address] = held.get(address, 0) + 1
         return Grant(service, region, address, rank, now)
 
+    def _has_prospect(self, service: str, regions: tuple[str, ...], now: float) -> bool:
+        """Tell whether waiting makes sense: slots may be lent, or upstreams only rest."""
+        held = any(self._holder.limits((service, region), now) for region in regions)
+        return held or self._holder.may_borrow(now)
+
     def _usable_slots(self, service: str, regions: tuple[str, ...], now: float) -> int:
         return sum(
             count
--- a/src/finchway/policy/_holder.py
+++ b/src/finchway/policy/_holder.py
@@ -113,6 +113,10 @@
             self._both[key] = both
         return both
 
+    def may_borrow(self, now: float) -> bool:
+        """Tell whether the leader answered lately, so that slots may come with its next answer."""
+        return now - self._answered < self._timing.touch + self._timing.ttl
+
     def fits(self, key: ShareKey, in_flight: Slots, now: float) -> bool:
         """Tell whether what is in flight is within the limits, so that others may grow."""
         limits = self.limits(key, now)
--- a/src/finchway/state/__init__.py
+++ b/src/finchway/state/__init__.py
@@ -2,7 +2,6 @@
 
 from finchway.state._claims import Claim, Claims, key_time_ms
 from finchway.state._commands import (
-    AbandonClaims,
     Accepted,
     AnyCommand,
     AnyResult,
@@ -27,7 +26,6 @@
 from finchway.state._machine import StateMachine, encode_resource
 
 __all__ = [
-    "AbandonClaims",
     "Accepted",
     "AnyCommand",
     "AnyResult",
--- a/src/finchway/state/_commands.py
+++ b/src/finchway/state/_commands.py
@@ -86,19 +86,11 @@
     answer: bytes = b""
 
 
-class AbandonClaims(Command):
-    """Mark the open claims of an entry that is gone as unknown."""
-
-    holder: str
-
-
 class Expire(Command):
     """Forget change ids and claims whose time is over."""
 
 
-AnyCommand = (
-    PutResource | DeleteResource | PutStatus | ClaimKey | SettleClaim | AbandonClaims | Expire
-)
+AnyCommand = PutResource | DeleteResource | PutStatus | ClaimKey | SettleClaim | Expire
 
 
 class Accepted(Struct, frozen=True, tag=True):
--- a/src/finchway/state/_machine.py
+++ b/src/finchway/state/_machine.py
@@ -16,9 +16,12 @@
 from finchway.exceptions import ResourceError
 from finchway.resources import (
     Change,
+    Instance,
+    InstanceState,
     Operation,
     Resource,
     ResourceStore,
+    Spec,
     change_of,
     check_references,
     find_dependents,
@@ -86,8 +89,6 @@
                 return self._claims.claim(command, self._now_ms)
             case c.SettleClaim():
                 return self._claims.settle(command, self._now_ms)
-            case c.AbandonClaims(holder=holder):
-                self._claims.abandon(holder)
             case c.Expire():
                 self._claims.expire(self._now_ms)
                 self._answers.expire(self._now_ms)
@@ -151,6 +152,8 @@
             return c.Rejected([(f.place, f.problem) for f in findings])
         generation = held.generation + 1 if held else 1
         status = held.status if held else None
+        if held is not None and _ends_life(held.spec, spec):
+            self._abandon_claims(held)
         resource = Resource(command.kind, command.name, spec, generation, self.revision + 1, status)
         return self._accept(resource, Operation.PUT)
 
@@ -160,9 +163,15 @@
         findings = find_dependents(command.kind, command.name, self._store)
         if findings:
             return c.Rejected([(f.place, f.problem) for f in findings])
+        if isinstance(held.spec, Instance):
+            self._abandon_claims(held)
         gone = msgspec.structs.replace(held, revision=self.revision + 1)
         return self._accept(gone, Operation.DELETE)
 
+    def _abandon_claims(self, instance: Resource) -> None:
+        """Mark the open claims of one life of an entry as unknown, in the step that ends it."""
+        self._claims.abandon(f"{instance.name}@{instance.spec.incarnation}")
+
     def _put_status(self, command: c.PutStatus) -> c.AnyResult:
         held = self._store.get(command.kind, command.name)
         if held is None:
@@ -180,6 +189,13 @@
         return c.Accepted(resource.revision, resource.generation, encode_resource(resource))
 
 
+def _ends_life(held: Spec, spec: Spec) -> bool:
+    """Tell whether a spec says that the earlier life of an entry is over."""
+    if not isinstance(held, Instance) or not isinstance(spec, Instance):
+        return False
+    return held.incarnation != spec.incarnation or spec.state is InstanceState.GONE
+
+
 def encode_resource(resource: Resource | None) -> bytes:
     """Encode a resource as JSON for answers; `null` where there is none."""
     return msgspec.json.encode(resource)
--- a/tests/process/conftest.py
+++ b/tests/process/conftest.py
@@ -6,7 +6,7 @@
 import pytest
 
 from bench.deploy import Deployment
-from bench.shapes import ServiceShape, Shape, credential_of, resources_of
+from bench.shapes import ServiceShape, Shape, credential_of
 
 SMALL = Shape(
     "small",
@@ -59,10 +59,7 @@
 def deployment(tmp_path_factory):
     made = Deployment(tmp_path_factory.mktemp("deployment"), SMALL, entries=2, replicas=3)
     try:
-        made.start()
-        revision = made.apply(resources_of(SMALL, made.addresses()))
-        made.wait_in_force(revision, 2)
-        made.wait_settled(3)
+        made.start_declared()
         yield made
     finally:
         made.stop()
--- a/tests/process/test_security.py
+++ b/tests/process/test_security.py
@@ -9,7 +9,7 @@
 import trustme
 
 from bench.deploy import CREDENTIAL, Deployment
-from bench.shapes import credential_of, resources_of
+from bench.shapes import credential_of
 from finchway.cli import run
 from finchway.cli._client import ApiClient
 from finchway.exceptions import SettingsError
@@ -38,10 +38,7 @@
     ]
     made.ca_file = str(folder / "ca.pem")
     try:
-        made.start()
-        revision = made.apply(resources_of(SMALL, made.addresses()))
-        made.wait_in_force(revision, 1)
-        made.wait_settled(3)
+        made.start_declared()
         yield made
     finally:
         made.stop()
--- a/tests/unit/test_policy.py
+++ b/tests/unit/test_policy.py
@@ -91,6 +91,13 @@
         [(late, decision)] = made.pump(1.0)
         assert late.sequence == 9 and isinstance(decision, Refusal)
 
+    def test_without_slots_and_control_a_request_is_refused_at_once(self):
+        made = Gate(Holder("e9"), directory())
+        made.set_limit("s", 4)
+        assert made.offer("s", ticket(1), 0.5)[0] is None, "the leader may lend at any moment"
+        decision, _ = made.offer("s", ticket(2), 60.0)
+        assert isinstance(decision, Refusal) and "cannot borrow" in decision.reason
+
     def test_without_a_region_a_request_is_refused(self):
         lost = Ticket(1, 0, 10.0, 0.0, ())
         assert isinstance(gate().offer("s", lost, 0.0)[0], Refusal)
--- a/tests/unit/test_state.py
+++ b/tests/unit/test_state.py
@@ -13,7 +13,6 @@
 from finchway.resources import MoveStatus as Moved
 from finchway.resources import Operation, Phase, ResourceStore
 from finchway.state import (
-    AbandonClaims,
     Accepted,
     ClaimKey,
     ClaimState,
@@ -72,6 +71,17 @@
     )
 
 
+def entry(incarnation="1", state="live") -> PutResource:
+    """The command that registers the entry which makes the claims."""
+    address = "10.0.0.1:1"
+    fields = {"address": address, "peer": address, "zone": "z", "incarnation": incarnation}
+    return put("instance", "e1", {**fields, "state": state})
+
+
+def end_of_entry() -> DeleteResource:
+    return DeleteResource(now_ms=0, kind="instance", name="e1", operator="ann")
+
+
 @pytest.fixture
 def machine() -> StateMachine:
     machine = StateMachine()
@@ -185,8 +195,11 @@
 
 
 def test_an_unknown_claim_is_never_run_again_but_may_turn_out_done(machine):
+    machine.apply(entry())
     machine.apply(claim())
-    machine.apply(AbandonClaims(now_ms=0, holder="e1@1"))
+    machine.apply(entry(state="silent"))
+    assert machine.apply(claim(attempt="a2")).state is ClaimState.CLAIMED
+    machine.apply(entry(state="gone"))
     assert machine.apply(claim(attempt="a2")).state is ClaimState.UNKNOWN
     assert not machine.apply(settle(ClaimState.RELEASED)).granted
     assert not machine.apply(claim(attempt="a3")).granted
@@ -194,6 +207,15 @@
     assert machine.apply(claim(attempt="a4")).answer == b"x"
 
 
+@pytest.mark.parametrize("end", [entry("2"), entry("1", "gone"), end_of_entry()])
+def test_the_end_of_an_entry_and_of_its_claims_is_one_step(machine, end):
+    """A leader that dies right after it must leave nothing undone."""
+    machine.apply(entry("1"))
+    machine.apply(claim())
+    machine.apply(end)
+    assert machine.apply(claim(attempt="a2")).state is ClaimState.UNKNOWN
+
+
 def test_an_open_claim_is_not_forgotten(machine):
     machine.apply(claim(retain_s=1.0))
     machine.apply(Expire(now_ms=DAY_MS))
@@ -311,6 +333,7 @@
                     released.add(attempt)
                     running = None if running == attempt else running
             case "abandon":
-                machine.apply(AbandonClaims(now_ms=0, holder="e1@1"))
+                machine.apply(entry())
+                machine.apply(end_of_entry())
             case _:
                 machine.apply(settle(ClaimState(step), attempt=attempt))
