--- a/src/finchway/entry/_upstream.py
+++ b/src/finchway/entry/_upstream.py
@@ -17,10 +17,6 @@
 from finchway.entry._call import Facts, Headers, UpstreamError
 from finchway.policy import Outcome
 
-NOT_RUN_HEADER = b"finchway-outcome"
-LOAD_HEADER = b"finchway-load"
-LEAVING_HEADER = b"finchway-leaving"
-INCARNATION_HEADER = b"finchway-incarnation"
 _CONNECT_TIMEOUT_S = 1.0
 _KEEPALIVE_S = 30.0
 _MAX_IDLE = 16
--- a/src/finchway/membership/_registry.py
+++ b/src/finchway/membership/_registry.py
@@ -63,8 +63,3 @@
         known = self._entries.get(instance)
         heard_at = known.heard_at if known else self._started
         return now - heard_at > self._timing.lease + self._timing.margin
-
-    def silent_for(self, instance: str, now: float) -> float:
-        """Return for how many seconds an entry has not been heard."""
-        known = self._entries.get(instance)
-        return now - (known.heard_at if known else self._started)
--- a/src/finchway/policy/_admission.py
+++ b/src/finchway/policy/_admission.py
@@ -108,13 +108,6 @@
         self._tickets = [ticket for ticket in self._tickets if ticket.deadline > now]
         return late
 
-    def wanted_by_rank(self) -> dict[int, int]:
-        """Count the waiting tickets by rank."""
-        counts: dict[int, int] = {}
-        for ticket in self._tickets:
-            counts[ticket.rank] = counts.get(ticket.rank, 0) + 1
-        return counts
-
 
 def retry_after(wait_s: float) -> float:
     """Turn an expected wait into the time that a refused caller is told to stay away."""
--- a/src/finchway/policy/_gate.py
+++ b/src/finchway/policy/_gate.py
@@ -135,11 +135,6 @@
         """Take a ticket back whose caller has gone; False if it was decided already."""
         return self._lane(service).queue.remove(ticket)
 
-    def next_deadline(self) -> float | None:
-        """Return when the next waiting ticket expires."""
-        deadlines = [t.deadline for lane in self._lanes.values() for t in lane.queue]
-        return min(deadlines, default=None)
-
     def demands(self, keys: list[ShareKey]) -> list[Demand]:
         """Return what this entry wants of each share; only those it wants anything of."""
         demands = []
--- a/src/finchway/policy/_lender.py
+++ b/src/finchway/policy/_lender.py
@@ -108,11 +108,6 @@
                 loans.append(Loan(key[0], key[1], slots, self._timing.ttl))
         return loans
 
-    def outstanding(self, key: ShareKey, entry: str) -> Slots:
-        """Return what must be counted as lent to an entry."""
-        borrower = self._borrowers.get(key, {}).get(entry)
-        return _outstanding(borrower) if borrower else {}
-
     def _keys_of(
         self, holder: str, wanted: dict[ShareKey, Demand], shares: dict[ShareKey, Share]
     ) -> list[ShareKey]:
--- a/src/finchway/policy/_retries.py
+++ b/src/finchway/policy/_retries.py
@@ -33,11 +33,6 @@
         self._reserve = reserve
         self._tokens = reserve
 
-    @property
-    def tokens(self) -> float:
-        """How many retries are left."""
-        return self._tokens
-
     def earn(self) -> None:
         """Count a success."""
         self._tokens = min(self._reserve * 4, self._tokens + self._fraction)
--- a/src/finchway/transport/_link.py
+++ b/src/finchway/transport/_link.py
@@ -37,6 +37,7 @@
 _RECONNECT_MS = 50
 _RECONNECT_MAX_MS = 1_000
 _SEND_RETRY_S = 0.02
+UNUSED_S = 120.0
 _MAX_MESSAGE_BYTES = 256 * 1024 * 1024
 
 Handler = Callable[[AnyBody, str], Awaitable[AnyBody | None]]
@@ -71,7 +72,9 @@
         handler: Handler,
         clock: LogicalClock,
         keys: Keys | None = None,
+        unused_s: float = UNUSED_S,
     ) -> None:
+        self._unused_s = unused_s
         self._name = name
         self._address = address
         self._handler = handler
@@ -80,6 +83,7 @@
         self._context = zmq.Context()
         self._server: zmq.Socket | None = None
         self._peers: dict[str, zmq.Socket] = {}
+        self._used_at: dict[str, float] = {}
         self._waiting: dict[int, _Answer] = {}
         self._numbers = itertools.count(1)
         self._nursery: trio.Nursery | None = None
@@ -87,6 +91,11 @@
         self._sent_bytes = 0
         self._received_bytes = 0
 
+    @property
+    def peers(self) -> list[str]:
+        """The addresses that connections are open to."""
+        return sorted(self._peers)
+
     @property
     def sent_bytes(self) -> int:
         """How many bytes of messages have been sent."""
@@ -112,6 +121,7 @@
                 except zmq.ZMQError as error:
                     raise TransportError(f"cannot bind {self._address}: {error}") from error
                 nursery.start_soon(self._read, self._server)
+                nursery.start_soon(self._close_unused)
                 task_status.started()
                 await trio.sleep_forever()
         finally:
@@ -141,12 +151,6 @@
         """Send a message that needs no answer; False if it was dropped."""
         return self._send(address, 0, body)
 
-    def forget(self, address: str) -> None:
-        """Close the connection to a peer that is no longer part of the system."""
-        socket = self._peers.pop(address, None)
-        if socket is not None:
-            socket.close(linger=0)
-
     def _open(self, kind: int) -> zmq.Socket:
         socket = self._context.socket(kind)
         socket.linger = 0
@@ -156,7 +160,19 @@
         socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, _SILENCE_MS)
         return socket
 
+    async def _close_unused(self) -> None:
+        """Close connections to peers that nothing was sent to for long; many come and go."""
+        while True:
+            await trio.sleep(self._unused_s / 4)
+            oldest = trio.current_time() - self._unused_s
+            for address in [a for a, at in self._used_at.items() if at < oldest]:
+                del self._used_at[address]
+                socket = self._peers.pop(address)
+                trio.lowlevel.notify_closing(socket.get(zmq.FD))
+                socket.close(linger=0)
+
     def _peer(self, address: str) -> zmq.Socket:
+        self._used_at[address] = trio.current_time()
         socket = self._peers.get(address)
         if socket is None:
             socket = self._open(zmq.DEALER)
