Let the tool wait six seconds for the API

Cause: following the README from a fresh clone, apply gave up after 2.8 s while finchwayd was still importing for the first time. Change: twelve tries instead of six, half a second apart.

--- a/src/finchway/cli/_client.py
+++ b/src/finchway/cli/_client.py
@@ -28,7 +28,7 @@
 )
 
 _TIMEOUTS = {"connect": 2.0, "read": 10.0, "write": 5.0, "pool": 2.0}
-_TRIES = 6
+_TRIES = 12
 _RETRY_S = 0.5
 _FAILED = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException)
 
