Let the tool's variables stand beside the daemon's

Cause: following the README, finchwayd refused to start because FINCHWAY_CREDENTIAL, which the tool reads, was set in the same shell. Seen: a test of it, and the README's tour in a fresh clone.

--- a/src/finchway/_settings.py
+++ b/src/finchway/_settings.py
@@ -20,6 +20,10 @@
 _ROLES = (ENTRY, CONTROL)
 _LEVELS = ("debug", "info", "warning", "error")
 _PREFIX = "FINCHWAY_"
+# Variables of the operators' tool, which may be set in the same shell.
+TOOL_VARIABLES = frozenset(
+    {"FINCHWAY_API", "FINCHWAY_CREDENTIAL", "FINCHWAY_CA_FILE", "FINCHWAY_OUTPUT"}
+)
 
 
 class Settings(Struct, frozen=True, kw_only=True):
@@ -115,7 +119,7 @@
                 self._places[flag.name] = variable
             else:
                 self._raw[flag.name] = flag.default
-        known = {_PREFIX + flag.name.upper() for flag in _FLAGS}
+        known = TOOL_VARIABLES | {_PREFIX + flag.name.upper() for flag in _FLAGS}
         for variable in sorted(set(environment) - known):
             if variable.startswith(_PREFIX):
                 self._findings.append(Finding(variable, "no such setting", "see finchwayd --help"))
--- a/tests/unit/test_settings.py
+++ b/tests/unit/test_settings.py
@@ -7,7 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from finchway._settings import Settings, define_flags, read_settings
+from finchway._settings import TOOL_VARIABLES, Settings, define_flags, read_settings
 from finchway.daemon import main
 from finchway.exceptions import SettingsError
 
@@ -53,6 +53,11 @@
     ]
 
 
+def test_variables_of_the_tool_are_no_fault():
+    tool = dict.fromkeys(TOOL_VARIABLES, "x")
+    assert read([], {**GOOD, **tool}).instance == "e1"
+
+
 def test_settings_that_do_not_agree_are_found():
     with pytest.raises(SettingsError, match="shorter than three heartbeats"):
         read(["--lease_s=0.5", "--heartbeat_s=0.2"], GOOD)
