--- a/tests/process/test_control.py
+++ b/tests/process/test_control.py
@@ -13,8 +13,10 @@
 from bench.deploy import CREDENTIAL, fetch
 from finchway.cli._client import ApiClient
 from finchway.exceptions import ConflictError, FinchwayError, GoneError
+from finchway.state._history import HISTORY_LIMIT
 from tests.linearizability import NEVER, Operation, State, is_linearizable
 
+CHANGERS = 12
 pytestmark = pytest.mark.xdist_group("control")
 
 
@@ -276,5 +278,24 @@
     deployment.wait_in_force(client.list("region")["revision"], 2)
 
 
-def test_gone_history_names_where_to_restart():
-    assert GoneError(7).oldest == 7
+def test_a_watch_from_compacted_history_is_told_where_to_restart(deployment):
+    """More changes than the history holds: the watch says gone, and the list helps on."""
+    client = deployment.client
+    since = client.list("region")["revision"]
+    workers = [threading.Thread(target=change_often, args=(deployment, n)) for n in range(CHANGERS)]
+    for worker in workers:
+        worker.start()
+    for worker in workers:
+        worker.join()
+    with pytest.raises(GoneError) as caught:
+        next(iter(client.watch(since)))
+    assert caught.value.oldest > since
+    fresh = client.list("region")["revision"]
+    assert next(iter(client.watch(fresh)))
+
+
+def change_often(deployment, number: int) -> None:
+    """Make this worker's part of the changes that overflow the history."""
+    client = deployment.client
+    for step in range(HISTORY_LIMIT * 3 // 2 // CHANGERS):
+        client.put("region", f"often{number}", {"latency_ms": {"north": float(step + 1)}})
