Answer a given-up once-only request within a second

A once-only request that every upstream refused waited for its release to be committed; without a quorum that held the caller until the deadline. Change: the caller waits a second for the release at most and is then told `release-pending`, still `not-run`; the release goes on in the background.

--- a/src/finchway/entry/_claims.py
+++ b/src/finchway/entry/_claims.py
@@ -87,11 +87,15 @@
             )
         return _read_claim(result, attempt)
 
-    async def release(self, call: Call, attempt: str, deadline: float) -> bool:
-        """Commit that the attempt certainly did not run; False if that is not confirmed in time."""
+    async def release(self, call: Call, attempt: str) -> bool:
+        """Commit that the attempt certainly did not run; False if that takes over a second.
+
+        The caller of a request that was given up must not wait for its deadline; the release goes
+        on in the background.
+        """
         done = trio.Event()
         self._nursery.start_soon(self._settle, call, attempt, ClaimState.RELEASED, b"", done)
-        with trio.move_on_at(max(deadline, trio.current_time() + _CLAIM_TRY_S)):
+        with trio.move_on_after(_CLAIM_TRY_S):
             await done.wait()
         return done.is_set()
 
--- a/src/finchway/entry/_dispatch.py
+++ b/src/finchway/entry/_dispatch.py
@@ -138,7 +138,7 @@
                 raise
             if error.outcome is Outcome.NOT_RUN:
                 settled = True
-                if not await self._desk.release(call, claimed, call.deadline):
+                if not await self._desk.release(call, claimed):
                     detail = "the request did not run, but its key is not free yet"
                     raise CallError("release-pending", 503, Outcome.NOT_RUN, detail, 2.0) from error
             raise
