--- a/src/finchway/_settings.py
+++ b/src/finchway/_settings.py
@@ -14,10 +14,12 @@
 from msgspec import Struct
 
 from finchway.exceptions import Finding, SettingsError
+from finchway.gateway import Bounds
 
 ENTRY = "entry"
 CONTROL = "control"
-_ROLES = (ENTRY, CONTROL)
+GATEWAY = "gateway"
+_ROLES = (ENTRY, CONTROL, GATEWAY)
 _LEVELS = ("debug", "info", "warning", "error")
 _PREFIX = "FINCHWAY_"
 # Variables of the operators' tool, which may be set in the same shell.
@@ -51,6 +53,12 @@
     election_s: float
     drain_limit_s: float
     relay_above: int
+    region: str = ""
+    gateway_address: str = ""
+    founders: tuple[tuple[str, str], ...] = ()
+    founding: bool = False
+    open_joining: bool = False
+    bounds: Bounds = Bounds()
 
 
 class _Flag(Struct, frozen=True):
--- /dev/null
+++ b/src/finchway/catalog/__init__.py
@@ -0,0 +1,32 @@
+"""The traffic catalog: routes, their services and the callers' limits, each item with a version.
+
+    catalog = Catalog()
+    findings = catalog.check(ChangeItems(now_ms=0, items=[...]))
+"""
+
+from finchway.catalog._catalog import Catalog, HeldItem
+from finchway.catalog._check import check_items
+from finchway.catalog._items import (
+    Backend,
+    Item,
+    ItemKind,
+    Limits,
+    Route,
+    RouteType,
+    ServiceSpec,
+    Spec,
+)
+
+__all__ = [
+    "Backend",
+    "Catalog",
+    "HeldItem",
+    "Item",
+    "ItemKind",
+    "Limits",
+    "Route",
+    "RouteType",
+    "ServiceSpec",
+    "Spec",
+    "check_items",
+]
--- a/src/finchway/control/__init__.py
+++ b/src/finchway/control/__init__.py
@@ -1,8 +1,17 @@
 """The control role: the replica's shell, the leader's loops and the resource API."""
 
 from finchway.control._api import ResourceApi
-from finchway.control._bootstrap import Bootstrapped, bootstrap
+from finchway.control._bootstrap import Bootstrapped, bootstrap, found_cluster
 from finchway.control._replica import ReplicaRunner
 from finchway.control._server import ControlServer
+from finchway.control._steering import SteeringService
 
-__all__ = ["Bootstrapped", "ControlServer", "ReplicaRunner", "ResourceApi", "bootstrap"]
+__all__ = [
+    "Bootstrapped",
+    "ControlServer",
+    "ReplicaRunner",
+    "ResourceApi",
+    "SteeringService",
+    "bootstrap",
+    "found_cluster",
+]
--- a/src/finchway/control/_bootstrap.py
+++ b/src/finchway/control/_bootstrap.py
@@ -11,11 +11,20 @@
 from msgspec import Struct
 
 from finchway.exceptions import StorageError
-from finchway.replication import Members, Snapshot, Storage, create_identity, load_identity
+from finchway.replication import (
+    Identity,
+    Member,
+    Members,
+    Snapshot,
+    Storage,
+    create_identity,
+    load_identity,
+)
 from finchway.resources import Operator, Role
 from finchway.state import PutResource, StateMachine
 
 FIRST_OPERATOR = "admin"
+FOUNDER_INCARNATION = "founder"
 # A joining replica holds nothing, which is index 0; at index 1 the first state reaches it as a
 # snapshot.
 _FIRST_INDEX = 1
@@ -62,3 +71,24 @@
     storage.snapshot(Snapshot(_FIRST_INDEX, _FIRST_TERM, members, machine.snapshot()))
     storage.close()
     return Bootstrapped(identity.cluster, name, FIRST_OPERATOR, credential)
+
+
+def found_cluster(folder: Path, name: str, founders: dict[str, str]) -> Identity:
+    """Start a cluster together with other founders, each in its own empty data folder.
+
+    `founders` are peer addresses by replica name, the same at each of them. All derive the same
+    first state from these, so they need not talk before, and may start in any order. It must be
+    called only when the whole deployment starts for the first time: a founder that lost its data
+    later has to join under a new incarnation.
+    """
+    names = "\n".join(f"{founder}={founders[founder]}" for founder in sorted(founders))
+    cluster = hashlib.sha256(names.encode()).hexdigest()[:12]
+    members = Members(
+        tuple(Member(f, FOUNDER_INCARNATION, founders[f]) for f in sorted(founders))
+    )
+    identity = create_identity(folder, name, cluster, FOUNDER_INCARNATION)
+    storage = Storage(folder / "log")
+    storage.open()
+    storage.snapshot(Snapshot(_FIRST_INDEX, _FIRST_TERM, members, StateMachine().snapshot()))
+    storage.close()
+    return identity
--- /dev/null
+++ b/src/finchway/control/_feed.py
@@ -0,0 +1,118 @@
+"""The replica's side of the feed: it answers gateways, and shares heartbeats with its fellows."""
+
+from __future__ import annotations
+
+import uuid
+
+import trio
+
+from finchway.control._replica import ReplicaRunner
+from finchway.feed import (
+    Feed,
+    GatewayBook,
+    HeardUpstream,
+    ReplicaAddress,
+    ShareHeard,
+    Subscribe,
+)
+from finchway.registry import Registration, Registry
+from finchway.transport import Link
+
+HOLD_S = 0.4
+COALESCE_S = 0.15
+SHARE_EVERY_S = 0.1
+FORGET_UPSTREAM_AFTER_S = 30.0
+GATEWAY_SILENT_AFTER_S = 2.0
+LEADER_HEARD_WITHIN_S = 1.5
+
+
+class FeedDesk:
+    """What one replica knows beyond the committed state, and the answers to gateways."""
+
+    def __init__(self, runner: ReplicaRunner, link: Link) -> None:
+        self._runner = runner
+        self._link = link
+        self._life = uuid.uuid4().hex[:12]
+        self._registry = Registry(FORGET_UPSTREAM_AFTER_S)
+        self._gateways = GatewayBook(GATEWAY_SILENT_AFTER_S)
+        self._fresh: list[str] = []
+        self._leaving_heard = trio.Event()
+
+    @property
+    def registry(self) -> Registry:
+        """The upstreams' heartbeats that this replica knows."""
+        return self._registry
+
+    @property
+    def gateways(self) -> GatewayBook:
+        """The gateways that this replica hears."""
+        return self._gateways
+
+    def hear(self, registration: Registration) -> None:
+        """Take in a heartbeat of an upstream."""
+        if self._registry.record(registration, trio.current_time()):
+            self._fresh.append(registration.instance)
+
+    def hear_shared(self, shared: ShareHeard) -> None:
+        """Take in what a fellow replica heard."""
+        now = trio.current_time()
+        for heard in shared.upstreams:
+            self._registry.record(heard.registration, now - heard.age)
+
+    async def answer(self, question: Subscribe) -> Feed:
+        """Answer a gateway: at once if something committed is new, else after a short while."""
+        self._gateways.record(question.beat, trio.current_time())
+        known = question.life == self._life
+        steering = self._runner.machine.steering
+        if known and steering.revision <= question.revision:
+            await self._wait_for_news(question.revision)
+        return self._feed(question, known)
+
+    async def run(self) -> None:
+        """Share heartbeats until cancelled."""
+        while True:
+            await trio.sleep(SHARE_EVERY_S)
+            self._registry.forget_silent(trio.current_time())
+            self._share()
+
+    async def _wait_for_news(self, revision: int) -> None:
+        with trio.move_on_after(HOLD_S):
+            await self._runner.wait_steering(revision)
+
+    def _feed(self, question: Subscribe, known: bool) -> Feed:
+        now = trio.current_time()
+        runner = self._runner
+        steering = runner.machine.steering
+        order = question.order if known else -1
+        return Feed(
+            life=self._life,
+            order=self._registry.order,
+            image=steering.image(question.revision if known else -1),
+            upstreams=[
+                HeardUpstream(heard.registration, round(now - heard.heard_at, 3))
+                for heard in self._registry.since(order)
+            ],
+            gateways=self._gateways.live(now),
+            replicas=[
+                ReplicaAddress(member.name, member.address)
+                for member in runner.core.members.voters + runner.core.members.learners
+                if member.address
+            ],
+            confirmed=runner.core.heard_leader_within(LEADER_HEARD_WITHIN_S),
+        )
+
+    def _share(self) -> None:
+        if not self._fresh:
+            return
+        now = trio.current_time()
+        heard = [self._registry.get(name) for name in dict.fromkeys(self._fresh)]
+        self._fresh = []
+        shared = ShareHeard(
+            upstreams=[
+                HeardUpstream(h.registration, round(now - h.heard_at, 3)) for h in heard if h
+            ]
+        )
+        members = self._runner.core.members
+        for member in members.voters + members.learners:
+            if member.id != self._runner.core.id and member.address:
+                self._link.post(member.address, shared)
--- a/src/finchway/control/_repair.py
+++ b/src/finchway/control/_repair.py
@@ -12,15 +12,18 @@
 from finchway.replication import Core, Member, Members
 
 SILENT_S = 3.0
+REPLACED_AFTER_S = 2.5
 CAUGHT_UP_WITHIN = 16
 
 
 class ReplicaPlan:
     """The leader's plan for the replica set: who asks to join, and what to change next."""
 
-    __slots__ = ("_joiners",)
+    __slots__ = ("_joiners", "_open_to")
 
-    def __init__(self) -> None:
+    def __init__(self, open_to: int = 0) -> None:
+        """`open_to` is the number of voters up to which any replica may join; 0 for none."""
+        self._open_to = open_to
         self._joiners: dict[str, Member] = {}
 
     @property
@@ -38,10 +41,10 @@
             if core.members.is_voter(joiner.id):
                 del self._joiners[joiner.name]
                 continue
-            changed = _admit(joiner, core)
+            changed = _admit(joiner, core, self._open_to > 0)
             if changed is not None:
                 return changed
-        return _promote(core)
+        return _promote(core, self._open_to)
 
 
 def with_expected(members: Members, name: str) -> Members:
@@ -60,27 +63,37 @@
     )
 
 
-def _admit(joiner: Member, core: Core) -> Members | None:
-    """Take in a replica as a learner, if its name is expected or its earlier life is silent."""
+def _admit(joiner: Member, core: Core, is_open: bool) -> Members | None:
+    """Take in a replica as a learner, if its name is expected or its earlier life is over.
+
+    Where any replica may join, a name is an address, and a second life there ends the first.
+    """
     members = core.members
     if members.find(joiner.id) is not None:
         return None
     same_name = [m for m in members.voters + members.learners if m.name == joiner.name]
-    if not same_name and joiner.name not in members.expected:
+    if not same_name and joiner.name not in members.expected and not is_open:
         return None
-    if any(core.silent_for(m.id) < SILENT_S for m in same_name):
+    if not is_open and any(core.silent_for(m.id) < SILENT_S for m in same_name):
         return None
     learners = tuple(m for m in members.learners if m.name != joiner.name)
     return replace(members, learners=(*learners, joiner))
 
 
-def _promote(core: Core) -> Members | None:
-    """Make a learner that has caught up a voter; its earlier life is taken out first."""
+def _promote(core: Core, most: int) -> Members | None:
+    """Make a learner that has caught up a voter; whom it replaces is taken out first.
+
+    That is its earlier life, or where `most` voters stand already, one that is silent.
+    """
     members = core.members
     for learner in members.learners:
         if not _has_caught_up(core, learner):
             continue
         old = [v for v in members.voters if v.name == learner.name]
+        if not old and most and len(members.voters) >= most:
+            old = [v for v in members.voters if core.silent_for(v.id) >= REPLACED_AFTER_S]
+            if not old:
+                continue
         if old:
             voters = tuple(v for v in members.voters if v.id != old[0].id)
             return replace(members, voters=voters)
--- a/src/finchway/control/_replica.py
+++ b/src/finchway/control/_replica.py
@@ -10,6 +10,7 @@
 import random
 import time
 from collections import deque
+from collections.abc import Callable
 
 import trio
 from msgspec import Struct
@@ -37,6 +38,7 @@
 SNAPSHOT_EVERY = 5_000
 SUBMIT_TIMEOUT_S = 3.0
 JOIN_INTERVAL_S = 0.5
+REJOIN_AFTER_S = 3.0
 _TICK_S = 0.02
 
 
@@ -60,7 +62,7 @@
         link: Link,
         timeline: Timeline,
         timing: Timing,
-        peers: list[str],
+        peers: Callable[[], list[str]],
         rng: random.Random,
     ) -> None:
         self._identity = identity
@@ -68,7 +70,7 @@
         self._storage = storage
         self._link = link
         self._timeline = timeline
-        self._peers = [peer for peer in peers if peer != address]
+        self._peers = peers
         self._machine = StateMachine()
         restored = storage.open()
         self._machine.restore(restored.snapshot.data)
@@ -186,6 +188,11 @@
         while self._machine.revision <= revision:
             await self._applied_event.wait()
 
+    async def wait_steering(self, revision: int) -> None:
+        """Return once the steering state is newer than `revision`."""
+        while self._machine.steering.revision <= revision:
+            await self._applied_event.wait()
+
     def transfer(self) -> str | None:
         """Hand leadership to the voter that is furthest on; returns its identity."""
         if not self.is_leader:
@@ -341,10 +348,16 @@
         self._timeline.record(EventKind.SNAPSHOT_TAKEN, f"index {index}", detail)
 
     async def _join(self) -> None:
-        """Ask to be taken in, for as long as this identity has no vote."""
+        """Ask to be taken in, while this identity has no vote or hears no leader.
+
+        One that was cut off may have been replaced meanwhile, and hears of it from nobody.
+        """
         while True:
-            if not self._core.members.is_voter(self._core.id):
-                for peer in self._peers:
+            voter = self._core.members.is_voter(self._core.id)
+            if not voter or not self._core.heard_leader_within(REJOIN_AFTER_S):
+                members = self._core.members
+                known = [m.address for m in members.voters + members.learners]
+                for peer in sorted({*known, *self._peers()} - {"", self._member.address}):
                     self._link.post(peer, Join(member=self._member))
             await trio.sleep(JOIN_INTERVAL_S)
 
--- a/src/finchway/control/_server.py
+++ b/src/finchway/control/_server.py
@@ -12,9 +12,11 @@
 
 import trio
 
+from finchway.control._feed import FeedDesk
 from finchway.control._repair import ReplicaPlan, with_expected, without_name
 from finchway.control._replica import ReplicaRunner
 from finchway.exceptions import ConflictError, FinchwayError, NotLeaderError, UnavailableError
+from finchway.feed import ShareHeard, Subscribe
 from finchway.membership import (
     Coordinator,
     Heartbeat,
@@ -70,6 +72,7 @@
         lease: LeaseTiming,
         loans: LoanTiming,
         platform: PlatformSource | None,
+        open_to: int = 0,
     ) -> None:
         self._runner = runner
         self._link = link
@@ -78,7 +81,8 @@
         self._loans = loans
         self._platform = platform
         self._coordinator: Coordinator | None = None
-        self._replicas = ReplicaPlan()
+        self._replicas = ReplicaPlan(open_to)
+        self._feed = FeedDesk(runner, link)
         self._seen_revision = -1
 
     @property
@@ -86,6 +90,11 @@
         """The replica of this process."""
         return self._runner
 
+    @property
+    def feed(self) -> FeedDesk:
+        """What this replica hears, and its answers to gateways."""
+        return self._feed
+
     @property
     def replicas(self) -> ReplicaPlan:
         """The plan for the replica set."""
@@ -98,6 +107,7 @@
             nursery.start_soon(self._confirm_forever)
             nursery.start_soon(self._plan_forever)
             nursery.start_soon(self._watch_changes)
+            nursery.start_soon(self._feed.run)
             if self._platform is not None:
                 nursery.start_soon(self._poll_platform, self._platform)
 
@@ -107,6 +117,11 @@
             case RaftBody(message=message, address=address):
                 self._runner.receive(message, address)
                 return None
+            case Subscribe():
+                return await self._feed.answer(body)
+            case ShareHeard():
+                self._feed.hear_shared(body)
+                return None
             case Heartbeat():
                 return self._on_heartbeat(body)
             case HeartbeatBatch(heartbeats=heartbeats):
@@ -126,7 +141,7 @@
                 return Changes(revision=revision, changes=changes, snapshot=snapshot)
             case Join(member=member):
                 if member.incarnation:
-                    self._replicas.record_join(member)
+                    self._record_join(body)
                 return JoinReply(cluster=self._runner.cluster)
             case ChangeReplicas(add=add, remove=remove):
                 return self._change_replicas(add, remove)
@@ -185,6 +200,13 @@
             raise UnavailableError("the leader is not confirmed by a quorum at the moment")
         return self._coordinator
 
+    def _record_join(self, join: Join) -> None:
+        leader = self._runner.leader_address()
+        if self._runner.is_leader:
+            self._replicas.record_join(join.member)
+        elif leader is not None:
+            self._link.post(leader, join)
+
     def _change_replicas(self, add: str, remove: str) -> Ok:
         if not self._runner.is_leader:
             raise NotLeaderError(self._runner.leader_address())
--- a/src/finchway/daemon.py
+++ b/src/finchway/daemon.py
@@ -16,8 +16,14 @@
 from hypercorn.config import Config
 from hypercorn.trio import serve
 
-from finchway._settings import CONTROL, ENTRY, Settings, define_flags, read_settings
-from finchway.control import ControlServer, ReplicaRunner, ResourceApi
+from finchway._settings import CONTROL, ENTRY, GATEWAY, Settings, define_flags, read_settings
+from finchway.control import (
+    ControlServer,
+    ReplicaRunner,
+    ResourceApi,
+    SteeringService,
+    found_cluster,
+)
 from finchway.entry import (
     ClaimDesk,
     ControlSession,
@@ -31,6 +37,7 @@
     platform_source,
 )
 from finchway.exceptions import FinchwayError, StorageDamagedError
+from finchway.gateway import GatewayRole, GatewaySettings
 from finchway.membership import Heartbeat, LeaseTiming
 from finchway.observe import EventKind, LogicalClock, Metrics, Timeline, configure_logs
 from finchway.policy import Holder, LoanTiming
@@ -44,6 +51,7 @@
     quarantine,
     require_identity,
 )
+from finchway.surface import Surface
 from finchway.transport import (
     AnyBody,
     Events,
@@ -61,8 +69,10 @@
 class Process:
     """One `finchwayd` process: its link, its roles, its planned stop."""
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, surface: Surface | None = None) -> None:
         self._settings = settings
+        self._surface = surface or Surface()
+        self._gateway: GatewayRole | None = None
         self._clock = LogicalClock()
         self._timeline = Timeline(settings.instance, self._clock, lambda: int(time.time() * 1000))
         self._metrics = Metrics(settings.instance)
@@ -83,6 +93,8 @@
                 await self._start_control(nursery)
             if ENTRY in self._settings.roles:
                 await self._start_entry(nursery)
+            if GATEWAY in self._settings.roles:
+                await self._start_gateway(nursery)
             self._timeline.record(
                 EventKind.STARTED, self._settings.instance, ",".join(self._settings.roles)
             )
@@ -94,6 +106,8 @@
         self._timeline.record(EventKind.STOPPING, self._settings.instance)
         if self._entry is not None:
             await self._entry.leave(self._settings.drain_limit_s)
+        if self._gateway is not None:
+            await self._gateway.leave()
         if self._control is not None:
             target = self._control.runner.transfer()
             if target is not None:
@@ -105,9 +119,13 @@
         await trio.sleep(0.05)
 
     async def _watch_signals(self) -> None:
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async for _ in signals:
-                self._stop.set()
+        watched = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        with trio.open_signal_receiver(*watched) as signals:
+            async for number in signals:
+                if number == signal.SIGHUP:
+                    self._surface.reload()
+                else:
+                    self._stop.set()
 
     async def _handle(self, body: AnyBody, sender: str) -> AnyBody | None:
         if isinstance(body, FetchEvents):
@@ -132,7 +150,13 @@
             self._lease(),
             LoanTiming(ttl=settings.loan_s, margin=settings.clock_margin_s),
             platform_source(platform) if platform else None,
+            settings.bounds.voters if settings.open_joining else 0,
         )
+        for server in self._surface.control_servers(SteeringService(self._control)):
+            await nursery.start(server.run)
+        if not settings.api_address:
+            nursery.start_soon(self._control.run)
+            return
         api = ResourceApi(
             self._control, self._link, self._timeline, self._metrics, settings.peer_address
         )
@@ -146,7 +170,7 @@
         """
         settings = self._settings
         folder = settings.data_folder
-        others = [p for p in settings.control_peers if p != settings.peer_address]
+        others = self._other_peers()
         try:
             identity = load_identity(folder, settings.instance)
             if identity is not None:
@@ -156,9 +180,12 @@
                 raise
             aside = quarantine(folder)
             _LOG.error("%s; it is kept as %s, and this replica joins anew", error, aside)
+        founders = dict(settings.founders)
+        if settings.founding and settings.instance in founders:
+            return self._make_runner(found_cluster(folder, settings.instance, founders))
         if not others:
             require_identity(folder, settings.instance)
-        cluster = await self._find_cluster(others)
+        cluster = await self._find_cluster()
         return self._make_runner(create_identity(folder, settings.instance, cluster))
 
     def _make_runner(self, identity: Identity) -> ReplicaRunner:
@@ -170,14 +197,18 @@
             self._link,
             self._timeline,
             Timing(heartbeat=settings.election_s / 10, election=settings.election_s),
-            list(settings.control_peers),
+            self._other_peers,
             self._rng,
         )
 
-    async def _find_cluster(self, others: list[str]) -> str:
+    def _other_peers(self) -> list[str]:
+        peers = {*self._settings.control_peers, *self._surface.seeds()}
+        return sorted(peers - {self._settings.peer_address})
+
+    async def _find_cluster(self) -> str:
         member = Member(self._settings.instance, "", self._settings.peer_address)
         while True:
-            for peer in others:
+            for peer in self._other_peers():
                 try:
                     reply = await self._link.request(peer, Join(member=member), timeout=1.0)
                     return reply.cluster
@@ -193,6 +224,25 @@
         await self._entry.started.wait()
         await self._listen(nursery, self._settings.entry_address, self._entry.app)
 
+    async def _start_gateway(self, nursery: trio.Nursery) -> None:
+        settings = self._settings
+        self._gateway = GatewayRole(
+            GatewaySettings(
+                name=settings.instance,
+                address=settings.gateway_address,
+                zone=settings.zone,
+                region=settings.region,
+            ),
+            self._surface.zones,
+            self._other_peers,
+            self._link,
+            settings.bounds,
+            self._surface.header_names,
+        )
+        for server in self._surface.gateway_servers(self._gateway):
+            await nursery.start(server.run)
+        await nursery.start(self._gateway.run)
+
     async def _listen(self, nursery: trio.Nursery, address: str, app) -> None:
         await nursery.start(_serve_http, address, app, self._settings, self._closed.wait)
 
@@ -343,7 +393,7 @@
             raise flags.Error(f"unexpected argument {left[0]!r}")
         settings = read_settings(values, os.environ)
         configure_logs(settings.instance, settings.log_level, settings.log_json)
-        trio.run(_run, settings)
+        trio.run(run_process, settings)
     except flags.Error as error:
         print(f"finchwayd: {error}", file=sys.stderr)
         sys.exit(2)
@@ -354,9 +404,10 @@
         sys.exit(error.exit_code)
 
 
-async def _run(settings: Settings) -> None:
+async def run_process(settings: Settings, surface: Surface | None = None) -> None:
+    """Run one process until it is told to stop; raises the `FinchwayError` that ended it."""
     try:
-        await Process(settings).run()
+        await Process(settings, surface).run()
     except* FinchwayError as group:
         raise _first(group) from None
 
--- /dev/null
+++ b/src/finchway/feed/_book.py
@@ -0,0 +1,35 @@
+"""What a replica hears of gateways."""
+
+from __future__ import annotations
+
+from finchway.feed._messages import GatewayBeat, HeardGateway
+
+
+class GatewayBook:
+    """The newest word of each gateway, by name; one that is silent for long is left out."""
+
+    def __init__(self, silent_after: float) -> None:
+        self._silent_after = silent_after
+        self._heard: dict[str, tuple[GatewayBeat, float]] = {}
+
+    def record(self, beat: GatewayBeat, heard_at: float) -> None:
+        """Take in a beat; an older one of the same life is passed over."""
+        held = self._heard.get(beat.name)
+        if held is not None:
+            same_life = held[0].incarnation == beat.incarnation
+            if heard_at < held[1] or (same_life and held[0].sequence > beat.sequence):
+                return
+        self._heard[beat.name] = (beat, heard_at)
+
+    def live(self, now: float) -> list[HeardGateway]:
+        """Return the gateways that were heard lately, by name."""
+        self._forget(now)
+        return [
+            HeardGateway(beat, round(now - heard_at, 3))
+            for _, (beat, heard_at) in sorted(self._heard.items())
+        ]
+
+    def _forget(self, now: float) -> None:
+        oldest = now - self._silent_after
+        for name in [n for n, (_, heard_at) in self._heard.items() if heard_at < oldest]:
+            del self._heard[name]
--- /dev/null
+++ b/src/finchway/gateway/__init__.py
@@ -0,0 +1,23 @@
+"""The gateway role: callers' requests by host and path, carried to upstreams that register."""
+
+from finchway.gateway._bounds import Bounds
+from finchway.gateway._forward import Forwarder
+from finchway.gateway._http import CallerConnection, CallerRequest, HttpServer, Reply
+from finchway.gateway._names import HeaderNames
+from finchway.gateway._role import GatewayRole, GatewaySettings
+from finchway.gateway._session import GatewaySession
+from finchway.gateway._table import UpstreamTable
+
+__all__ = [
+    "Bounds",
+    "CallerConnection",
+    "CallerRequest",
+    "Forwarder",
+    "GatewayRole",
+    "GatewaySession",
+    "GatewaySettings",
+    "HeaderNames",
+    "HttpServer",
+    "Reply",
+    "UpstreamTable",
+]
--- /dev/null
+++ b/src/finchway/gateway/_forward.py
@@ -0,0 +1,401 @@
+"""Carries one request to an upstream and its answer back."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from enum import Enum
+
+import trio
+from msgspec import Struct
+
+from finchway.catalog import Backend, Route, RouteType
+
+from finchway.feed import ServiceRate, World
+from finchway.gateway._bounds import Bounds
+from finchway.gateway._connection import Answer, AttemptError, Failure, UpstreamConnection
+from finchway.gateway._http import (
+    CallerConnection,
+    CallerLeftError,
+    CallerRequest,
+    Headers,
+    Reply,
+)
+from finchway.gateway._names import HOP_HEADERS, HeaderNames
+from finchway.gateway._table import SHED_REST_S, UpstreamRecord, UpstreamTable
+from finchway.policy import AttemptBudget, Placement, RateMeter, RegionLoad, Spread, plan_spread
+
+COME_BACK_S = 0.25
+USE_OF_SLOTS = 0.7
+FIRST_WORK_S = 0.3
+WORK_WEIGHT = 0.02
+SHIFT_SAFETY = 0.5
+_LEAST_LEFT_S = 0.02
+
+
+class Verdict(Enum):
+    """How a request ended, as far as this gateway can tell."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+    LEFT = "left"
+
+
+class Outcome(Struct):
+    """How an attempt ended: with an answer, or certainly not run, or unknown."""
+
+    verdict: Verdict
+    detail: str = ""
+    answer: Answer | None = None
+    connection: UpstreamConnection | None = None
+    record: UpstreamRecord | None = None
+
+
+class Task(Struct):
+    """A request on its way."""
+
+    request: CallerRequest
+    route_name: str
+    route: Route
+    service: str
+    request_id: str
+    key: str
+    deadline: float
+    attempts: int = 0
+    tried: set[str] = set()
+
+
+class Forwarder:
+    """Routes the requests of one gateway."""
+
+    def __init__(
+        self,
+        zone: str,
+        zones: Callable[[], dict[str, str]],
+        world: World,
+        table: UpstreamTable,
+        bounds: Bounds,
+        names: HeaderNames,
+    ) -> None:
+        self._zone = zone
+        self._zones = zones
+        self._world = world
+        self._table = table
+        self._bounds = bounds
+        self._names = names
+        self._placement = Placement()
+        self._spreads: dict[str, Spread] = {}
+        self._budgets: dict[str, AttemptBudget] = {}
+        self._meters: dict[str, RateMeter] = {}
+        self._work: dict[str, float] = {}
+        self._splits: dict[str, dict[str, float]] = {}
+        self._in_flight = 0
+
+    @property
+    def in_flight(self) -> int:
+        """How many requests are being carried."""
+        return self._in_flight
+
+    def rates(self) -> list[ServiceRate]:
+        """Return the requests a second that callers ask here, by service."""
+        now = trio.current_time()
+        return [ServiceRate(s, round(m.rate(now), 2)) for s, m in sorted(self._meters.items())]
+
+    async def serve(self, connection: CallerConnection, request: CallerRequest) -> None:
+        """Answer one request of a caller."""
+        if not self._world.is_ready:
+            await connection.reply(_come_back(503))
+            return
+        matched = self._world.steering.catalog.match(request.host, request.path)
+        if matched is None:
+            await connection.reply(Reply(404))
+            return
+        task = self._task(request, *matched)
+        if task is None:
+            await connection.reply(Reply(400))
+            return
+        self._in_flight += 1
+        try:
+            await self._serve_task(connection, task)
+        finally:
+            self._in_flight -= 1
+
+    def _task(self, request: CallerRequest, name: str, route: Route) -> Task | None:
+        request_id = request.header(self._names.request_id)
+        if not request_id:
+            return None
+        allowed = request.header(self._names.deadline_ms)
+        try:
+            patience = float(allowed) / 1000 if allowed else route.timeout
+        except ValueError:
+            return None
+        deadline = request.arrived_at + min(patience, route.timeout)
+        service = self._split(name, route)
+        key = request.header(self._names.affinity_key) if route.affinity else None
+        return Task(
+            request, name, route, service, request_id, key or request_id, deadline, tried=set()
+        )
+
+    def _split(self, name: str, route: Route) -> str:
+        """Divide a route's requests among its services by weight, as evenly as can be."""
+        if len(route.backends) == 1:
+            return route.backends[0].service
+        credit = self._splits.setdefault(name, {})
+        total = sum(backend.weight for backend in route.backends)
+        best: Backend | None = None
+        for backend in route.backends:
+            held = credit.get(backend.service, 0.0) + backend.weight
+            credit[backend.service] = held
+            if backend.weight > 0 and (best is None or held > credit[best.service]):
+                best = backend
+        credit[best.service] -= total
+        return best.service
+
+    async def _serve_task(self, connection: CallerConnection, task: Task) -> None:
+        left = trio.Event()
+        outcome = Outcome(Verdict.LEFT)
+        meter = self._meters.setdefault(task.service, RateMeter())
+        meter.add()
+        self._budget(task.service).count_request(trio.current_time())
+        async with trio.open_nursery() as nursery:
+            if not task.request.more:
+                nursery.start_soon(self._watch, connection, left, nursery.cancel_scope)
+            with trio.move_on_at(task.deadline):
+                outcome = Outcome(Verdict.NOT_RUN, "deadline")
+                outcome = await self._attempts(connection, task)
+            nursery.cancel_scope.cancel()
+        if left.is_set() and outcome.answer is None:
+            raise CallerLeftError
+        await self._answer(connection, task, outcome)
+
+    async def _watch(
+        self, connection: CallerConnection, left: trio.Event, scope: trio.CancelScope
+    ) -> None:
+        await connection.watch()
+        left.set()
+        scope.cancel()
+
+    # Attempts
+
+    async def _attempts(self, connection: CallerConnection, task: Task) -> Outcome:
+        outcome = Outcome(Verdict.NOT_RUN, "no upstream")
+        while task.attempts < task.route.max_attempts:
+            now = trio.current_time()
+            record = self._choose(task, now)
+            if record is None:
+                return outcome
+            repeat = task.attempts > 0
+            if repeat and not self._may_repeat(task, outcome, now):
+                return outcome
+            task.tried.add(record.registration.instance)
+            outcome = await self._attempt(connection, task, record)
+            if outcome.verdict is Verdict.ANSWERED:
+                return outcome
+        return outcome
+
+    def _may_repeat(self, task: Task, outcome: Outcome, now: float) -> bool:
+        if task.request.more:
+            return False
+        if outcome.verdict is Verdict.UNKNOWN and task.route.type is not RouteType.SAFE:
+            return False
+        if task.deadline - now < _LEAST_LEFT_S:
+            return False
+        serving = [b for b in self._world.gateways(now) if not b.leaving]
+        return self._budget(task.service).spend(now, len(serving))
+
+    def _budget(self, service: str) -> AttemptBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            bounds = self._bounds
+            budget = self._budgets[service] = AttemptBudget(
+                bounds.repeat_ratio, bounds.repeat_slack, bounds.repeat_window
+            )
+        return budget
+
+    async def _attempt(
+        self, connection: CallerConnection, task: Task, record: UpstreamRecord
+    ) -> Outcome:
+        now = trio.current_time()
+        self._table.note_sent(record, now)
+        upstream = None
+        whole = streams = False
+        try:
+            upstream = await self._table.connect(record, now)
+            task.attempts += 1
+            answer = await self._exchange(connection, task, record, upstream)
+            outcome = self._judge(task, record, upstream, answer, now)
+            whole = answer.complete
+            streams = not whole and outcome.verdict is Verdict.ANSWERED
+            return outcome
+        except AttemptError as error:
+            now = trio.current_time()
+            if error.failure is Failure.NOT_CONNECTED:
+                record.fail(now)
+                record.close_idle()
+                return Outcome(Verdict.NOT_RUN, error.detail, record=record)
+            record.rest(now, SHED_REST_S)
+            return Outcome(Verdict.UNKNOWN, error.detail, record=record)
+        finally:
+            record.in_flight -= 1
+            if upstream is not None:
+                if whole:
+                    self._table.put_back(record, upstream)
+                elif not streams:
+                    upstream.close()
+
+    async def _exchange(
+        self,
+        connection: CallerConnection,
+        task: Task,
+        record: UpstreamRecord,
+        upstream: UpstreamConnection,
+    ) -> Answer:
+        request = task.request
+        headers = self._headers(task, record)
+        if not request.more:
+            await upstream.send(request.method, request.target, headers, request.body)
+            return await upstream.receive(self._names.request_id, task.request_id)
+        await upstream.send_start(request.method, request.target, headers, request.body)
+        while (part := await connection.read_more()) is not None:
+            await upstream.send_part(part)
+        await upstream.send_end()
+        return await upstream.receive(self._names.request_id, task.request_id)
+
+    def _headers(self, task: Task, record: UpstreamRecord) -> Headers:
+        names = self._names
+        request = task.request
+        connection = (request.header(b"connection") or "").lower()
+        listed = {word.strip().encode("latin-1") for word in connection.split(",")}
+        own = {names.deadline_ms, names.expected_instance}
+        kept = [
+            (name, value)
+            for name, value in request.headers
+            if name not in HOP_HEADERS and name not in listed and name not in own
+        ]
+        left_ms = max(1, int((task.deadline - trio.current_time()) * 1000))
+        kept.append((names.deadline_ms, str(left_ms).encode()))
+        kept.append((names.expected_instance, record.registration.instance.encode()))
+        framed = any(name == b"content-length" for name, _ in kept)
+        if not framed and request.more:
+            kept.append((b"transfer-encoding", b"chunked"))
+        elif not framed and (request.body or request.method not in ("GET", "HEAD")):
+            kept.append((b"content-length", str(len(request.body)).encode()))
+        return kept
+
+    def _judge(
+        self,
+        task: Task,
+        record: UpstreamRecord,
+        upstream: UpstreamConnection,
+        answer: Answer,
+        sent_at: float,
+    ) -> Outcome:
+        now = trio.current_time()
+        self._note_load(record, answer, now)
+        refused = answer.status == 421 or answer.header(self._names.not_executed) is not None
+        if not refused:
+            record.succeed()
+            if answer.status < 300:
+                self._note_work(task.service, now - sent_at)
+            return Outcome(Verdict.ANSWERED, "", answer, upstream, record)
+        if answer.status == 421:
+            record.fail(now)
+            record.close_idle()
+        else:
+            record.rest(now, SHED_REST_S)
+        return Outcome(Verdict.NOT_RUN, f"refused with {answer.status}", record=record)
+
+    def _note_load(self, record: UpstreamRecord, answer: Answer, now: float) -> None:
+        text = answer.header(self._names.load)
+        parts = text.split(",") if text else []
+        if len(parts) >= 2 and parts[0].strip().isdigit() and parts[1].strip().isdigit():
+            record.report(int(parts[0]), int(parts[1]), now)
+
+    def _note_work(self, service: str, seconds: float) -> None:
+        held = self._work.get(service, FIRST_WORK_S)
+        self._work[service] = held + WORK_WEIGHT * (seconds - held)
+
+    # Choice
+
+    def _choose(self, task: Task, now: float) -> UpstreamRecord | None:
+        found = self._table.candidates(
+            task.service, now, task.tried, task.route.allowed_regions
+        )
+        if not found:
+            return None
+        region = self._region(task, found, now)
+        chosen = self._placement.choose(found[region], f"{task.service}\x00{task.key}")
+        return self._table.get(chosen.instance)
+
+    def _region(self, task: Task, found: dict, now: float) -> str:
+        if len(found) == 1:
+            return next(iter(found))
+        home = self._zones().get(self._zone, self._zone)
+        spread = self._spreads.get(task.service)
+        if spread is None:
+            speed = SHIFT_SAFETY * self._bounds.shift_per_window / self._bounds.shift_window
+            spread = self._spreads[task.service] = Spread(home, speed)
+        spread.follow(plan_spread(home, self._loads(task.service, now)), now)
+        chosen = spread.choose(f"{task.service}\x00{task.key}")
+        if chosen in found:
+            return chosen
+        return home if home in found else min(found)
+
+    def _loads(self, service: str, now: float) -> dict[str, RegionLoad]:
+        zones = self._zones()
+        demand: dict[str, float] = {}
+        for beat in self._world.gateways(now):
+            for rate in beat.rates:
+                if rate.service == service:
+                    demand[beat.region] = demand.get(beat.region, 0.0) + rate.rate
+        slots: dict[str, float] = {}
+        for record in self._table.records(service, now):
+            region = zones.get(record.registration.zone, record.registration.zone)
+            slots[region] = slots.get(region, 0.0) + record.registration.slots
+        work = self._work.get(service, FIRST_WORK_S)
+        return {
+            region: RegionLoad(
+                demand.get(region, 0.0), slots.get(region, 0.0) * USE_OF_SLOTS / work
+            )
+            for region in {*demand, *slots}
+        }
+
+    # Answers
+
+    async def _answer(self, connection: CallerConnection, task: Task, outcome: Outcome) -> None:
+        if outcome.answer is not None:
+            await self._pass_on(connection, outcome)
+        elif outcome.verdict is Verdict.NOT_RUN and not (
+            outcome.detail == "deadline" and task.attempts
+        ):
+            await connection.reply(_come_back(503))
+        elif trio.current_time() >= task.deadline:
+            await connection.reply(Reply(504))
+        else:
+            await connection.reply(Reply(502))
+
+    async def _pass_on(self, connection: CallerConnection, outcome: Outcome) -> None:
+        answer = outcome.answer
+        headers = [(n, v) for n, v in answer.headers if n not in HOP_HEADERS]
+        if answer.complete:
+            if not any(name == b"content-length" for name, _ in headers):
+                headers.append((b"content-length", str(len(answer.body)).encode()))
+            await connection.send_whole(answer.status, answer.reason, headers, answer.body)
+            return
+        upstream = outcome.connection
+        try:
+            await connection.send_head(answer.status, answer.reason, headers)
+            await connection.send_part(answer.body)
+            while (part := await upstream.read_part()) is not None:
+                await connection.send_part(part)
+            await connection.send_end()
+        except AttemptError as error:
+            await connection.abort()
+            raise CallerLeftError from error
+        finally:
+            upstream.close()
+
+
+def _come_back(status: int) -> Reply:
+    """Return a refusal that says when to come back."""
+    return Reply(status, headers=((b"Retry-After", f"{COME_BACK_S:g}".encode()),))
--- /dev/null
+++ b/src/finchway/gateway/_http.py
@@ -0,0 +1,378 @@
+"""HTTP/1.1 towards callers: h11 on trio streams.
+
+hypercorn does not show a connection: when a caller leaves, what it sent beyond its request, or
+when to stop reading a body. A gateway's promises hang on just these, so it uses the parser that
+hypercorn uses. The same server answers the small calls of control, directory and readiness.
+"""
+
+from __future__ import annotations
+
+import logging
+import socket
+from collections.abc import Awaitable, Callable
+
+import h11
+import trio
+from msgspec import Struct
+
+from finchway.catalog import Limits
+
+_LOG = logging.getLogger(__name__)
+READ_BYTES = 64 * 1024
+BUFFERED_BODY_BYTES = 1024 * 1024
+BACKLOG = 512
+USER_TIMEOUT_MS = 5_000
+_PENDING_BYTES = 64 * 1024
+_LINGER_S = 0.5
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class CallerLeftError(Exception):
+    """The caller closed its connection."""
+
+
+class Reply(Struct, frozen=True):
+    """A whole answer."""
+
+    status: int
+    body: bytes = b""
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+    content_type: bytes = b"application/json"
+
+
+class CallerRequest(Struct):
+    """A request as it was read; `more` tells that only the start of its body is in `body`."""
+
+    method: str
+    target: str
+    host: str
+    headers: Headers
+    body: bytes
+    arrived_at: float
+    more: bool = False
+
+    @property
+    def path(self) -> str:
+        """The target without its query."""
+        return self.target.partition("?")[0]
+
+    def header(self, name: bytes) -> str | None:
+        """Return the value of a header by its lower-case name."""
+        for key, value in self.headers:
+            if key == name:
+                return value.decode("latin-1")
+        return None
+
+
+class CallerConnection:
+    """One connection of a caller, and the request that is being answered on it."""
+
+    def __init__(self, stream: trio.SocketStream, limits: Callable[[], Limits]) -> None:
+        self._stream = stream
+        self._limits = limits
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=max(limits().header_bytes, 1024)
+        )
+        self._closing = False
+        self._answered = False
+        self._busy = False
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request has been read and is not answered yet."""
+        return self._busy
+
+    @property
+    def has_answered(self) -> bool:
+        """Whether the head of an answer has been sent for the present request."""
+        return self._answered
+
+    def close_after_answer(self) -> None:
+        """Send no further request's answer on this connection."""
+        self._closing = True
+
+    async def read(self) -> CallerRequest | None:
+        """Return the next request, or None when the connection is over.
+
+        A request that breaks a limit is answered here, and the connection ends.
+        """
+        limits = self._limits()
+        head = None
+        with trio.move_on_after(limits.idle_timeout):
+            if not self._http.trailing_data[0] and not await self._fill():
+                return None
+            with trio.move_on_after(limits.header_timeout) as patience:
+                head = await self._next_event()
+            if patience.cancelled_caught:
+                await self.reply(Reply(408), close=True)
+                return None
+        if not isinstance(head, h11.Request):
+            return None
+        self._busy = True
+        self._answered = False
+        return await self._read_body(head, limits)
+
+    async def _read_body(self, head: h11.Request, limits: Limits) -> CallerRequest | None:
+        arrived_at = trio.current_time()
+        request = CallerRequest(
+            head.method.decode("ascii"),
+            head.target.decode("latin-1"),
+            "",
+            list(head.headers),
+            b"",
+            arrived_at,
+        )
+        request.host = (request.header(b"host") or "").partition(":")[0]
+        declared = request.header(b"content-length")
+        if declared is not None and int(declared) > limits.body_bytes:
+            await self.reply(Reply(413), close=True)
+            return None
+        if self._http.they_are_waiting_for_100_continue:
+            await self._send(h11.InformationalResponse(status_code=100, headers=[]))
+        parts = []
+        size = 0
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.EndOfMessage):
+                break
+            if not isinstance(event, h11.Data):
+                return None
+            parts.append(bytes(event.data))
+            size += len(event.data)
+            if size > limits.body_bytes:
+                await self.reply(Reply(413), close=True)
+                return None
+            if size > BUFFERED_BODY_BYTES:
+                request.more = True
+                break
+        request.body = b"".join(parts)
+        return request
+
+    async def read_more(self) -> bytes | None:
+        """Return the next part of a body that was too long to be read whole; None at its end."""
+        event = await self._next_event()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return None
+        raise CallerLeftError
+
+    async def watch(self) -> None:
+        """Return once the caller has closed its connection; what it sends meanwhile is kept."""
+        pending = 0
+        while pending < _PENDING_BYTES:
+            try:
+                data = await self._stream.receive_some(READ_BYTES)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                return
+            if not data:
+                return
+            pending += len(data)
+            self._http.receive_data(data)
+        await trio.sleep_forever()
+
+    async def reply(self, reply: Reply, close: bool = False) -> None:
+        """Send a whole answer."""
+        headers = [(b"Content-Length", str(len(reply.body)).encode()), *reply.headers]
+        if reply.body:
+            headers.append((b"Content-Type", reply.content_type))
+        await self.send_whole(reply.status, b"", headers, reply.body, close=close)
+
+    async def send_whole(
+        self, status: int, reason: bytes, headers: Headers, body: bytes, close: bool = False
+    ) -> None:
+        """Send head and body of an answer in one piece."""
+        data = self._head(status, reason, headers, close)
+        if body:
+            data += self._http.send(h11.Data(data=body)) or b""
+        data += self._http.send(h11.EndOfMessage()) or b""
+        await self._write(data)
+
+    async def send_head(self, status: int, reason: bytes, headers: Headers) -> None:
+        """Send the head of an answer whose body follows in parts."""
+        await self._write(self._head(status, reason, headers, False))
+
+    async def send_part(self, data: bytes) -> None:
+        """Send a part of the body."""
+        await self._send(h11.Data(data=data))
+
+    async def send_end(self) -> None:
+        """End the body."""
+        await self._send(h11.EndOfMessage())
+
+    def _head(self, status: int, reason: bytes, headers: Headers, close: bool) -> bytes:
+        self._closing = self._closing or close
+        if self._http.their_state is not h11.DONE and self._http.their_state is not h11.MUST_CLOSE:
+            self._closing = True
+        if self._closing:
+            headers = [*headers, (b"Connection", b"close")]
+        self._answered = True
+        return self._http.send(
+            h11.Response(status_code=status, reason=reason, headers=headers)
+        )
+
+    async def finish(self) -> bool:
+        """Make ready for the next request; False if the connection has to end."""
+        self._busy = False
+        if self._closing or self._http.our_state is not h11.DONE:
+            return False
+        if self._http.their_state is not h11.DONE:
+            return False
+        self._http.start_next_cycle()
+        return True
+
+    async def close(self) -> None:
+        """Close in order: what was sent arrives, even if the caller is still sending."""
+        unread = self._http.their_state is h11.SEND_BODY
+        with trio.move_on_after(_LINGER_S if unread else 0.05):
+            try:
+                await self._stream.send_eof()
+                while unread and await self._stream.receive_some(READ_BYTES):
+                    pass
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                pass
+        await trio.aclose_forcefully(self._stream)
+
+    async def abort(self) -> None:
+        """Break the connection off, so that an answer cut short does not look complete."""
+        self._stream.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\x00\x00\x00\x00\x00\x00\x00"
+        )
+        await trio.aclose_forcefully(self._stream)
+
+    async def _next_event(self):
+        while True:
+            event = self._http.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            if not await self._fill():
+                raise CallerLeftError
+
+    async def _fill(self) -> bool:
+        data = await self._stream.receive_some(READ_BYTES)
+        self._http.receive_data(data)
+        return bool(data)
+
+    async def _send(self, event) -> None:
+        await self._write(self._http.send(event) or b"")
+
+    async def _write(self, data: bytes) -> None:
+        try:
+            await self._stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise CallerLeftError from error
+
+
+Serve = Callable[[CallerConnection, CallerRequest], Awaitable[None]]
+
+
+class HttpServer:
+    """Listens on one address and has each request served."""
+
+    def __init__(
+        self, address: str, serve: Serve, limits: Callable[[], Limits] = Limits, most: int = 3_000
+    ) -> None:
+        self._address = address
+        self._serve = serve
+        self._limits = limits
+        self._most = most
+        self._connections: dict[CallerConnection, trio.CancelScope] = {}
+        self._accepting = trio.CancelScope()
+        self._leaving = False
+        self._empty = trio.Event()
+
+    @property
+    def connections(self) -> int:
+        """How many connections are open."""
+        return len(self._connections)
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether each connection ends after its next answer."""
+        return self._leaving
+
+    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Accept and serve until cancelled."""
+        host, _, port = self._address.rpartition(":")
+        listener = trio.socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        await listener.bind((host, int(port)))
+        listener.listen(BACKLOG)
+        async with trio.open_nursery() as nursery:
+            task_status.started()
+            with self._accepting:
+                await self._accept(listener, nursery)
+            listener.close()
+            if not self._connections:
+                self._empty.set()
+
+    async def _accept(self, listener, nursery: trio.Nursery) -> None:
+        while True:
+            try:
+                accepted, _ = await listener.accept()
+            except OSError as error:
+                _LOG.warning("accept on %s failed: %s", self._address, error)
+                await trio.sleep(0.05)
+                continue
+            if len(self._connections) >= self._most:
+                accepted.close()
+                continue
+            accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+            nursery.start_soon(self._handle, trio.SocketStream(accepted))
+
+    def leave(self) -> None:
+        """Have each connection end with its next answer; new ones are still taken."""
+        self._leaving = True
+
+    async def stop(self) -> None:
+        """Take no new connection, end the idle ones, and return when the last has ended."""
+        self._leaving = True
+        self._accepting.cancel()
+        for connection, scope in list(self._connections.items()):
+            if not connection.is_busy:
+                scope.cancel()
+        if self._connections:
+            await self._empty.wait()
+
+    async def _handle(self, stream: trio.SocketStream) -> None:
+        connection = CallerConnection(stream, self._limits)
+        scope = self._connections[connection] = trio.CancelScope()
+        try:
+            with scope:
+                await self._serve_all(connection)
+        except (CallerLeftError, trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        except h11.RemoteProtocolError as error:
+            with trio.move_on_after(_LINGER_S):
+                await self._refuse_malformed(connection, error)
+        except Exception:
+            _LOG.exception("a connection failed")
+        finally:
+            del self._connections[connection]
+            with trio.CancelScope(shield=True):
+                await connection.close()
+            if self._accepting.cancel_called and not self._connections:
+                self._empty.set()
+
+    async def _serve_all(self, connection: CallerConnection) -> None:
+        while True:
+            request = await connection.read()
+            if request is None:
+                return
+            if self._leaving:
+                connection.close_after_answer()
+            await self._serve(connection, request)
+            if not await connection.finish() or self._accepting.cancel_called:
+                return
+
+    async def _refuse_malformed(
+        self, connection: CallerConnection, error: h11.RemoteProtocolError
+    ) -> None:
+        if connection.has_answered:
+            return
+        try:
+            await connection.reply(Reply(error.error_status_hint), close=True)
+        except (CallerLeftError, h11.LocalProtocolError):
+            _LOG.debug("a malformed request was not answered: %s", error)
--- /dev/null
+++ b/src/finchway/gateway/_names.py
@@ -0,0 +1,35 @@
+"""The header names that a gateway uses towards callers and upstreams, all in lower case."""
+
+from __future__ import annotations
+
+from msgspec import Struct
+
+
+class HeaderNames(Struct, frozen=True, kw_only=True):
+    """Names of the headers with a meaning; a deployment may bring its own."""
+
+    request_id: bytes = b"finchway-request-id"
+    deadline_ms: bytes = b"finchway-deadline-ms"
+    affinity_key: bytes = b"finchway-affinity-key"
+    signature: bytes = b"finchway-signature"
+    expected_instance: bytes = b"finchway-expected-instance"
+    instance_id: bytes = b"finchway-instance"
+    load: bytes = b"finchway-server-load"
+    not_executed: bytes = b"finchway-not-executed"
+    cold_ms: bytes = b"finchway-cold-ms"
+
+
+HOP_HEADERS = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+    }
+)
--- /dev/null
+++ b/src/finchway/gateway/_role.py
@@ -0,0 +1,92 @@
+"""The gateway role of one process: wiring, readiness and the planned stop."""
+
+from __future__ import annotations
+
+import uuid
+from collections.abc import Callable
+
+import trio
+from msgspec import Struct
+
+from finchway.feed import GatewayBeat, World
+from finchway.gateway._bounds import Bounds
+from finchway.gateway._forward import Forwarder
+from finchway.gateway._http import HttpServer
+from finchway.gateway._names import HeaderNames
+from finchway.gateway._session import GatewaySession
+from finchway.gateway._table import UpstreamTable
+from finchway.transport import Link
+
+CACHED_ANSWERS = 3.0
+FINISH_MARGIN_S = 0.4
+
+
+class GatewaySettings(Struct, frozen=True, kw_only=True):
+    """Who a gateway is and where it listens."""
+
+    name: str
+    address: str
+    zone: str
+    region: str
+
+
+class GatewayRole:
+    """Serves callers, and leaves without cutting off a request."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        zones: Callable[[], dict[str, str]],
+        seeds: Callable[[], list[str]],
+        link: Link,
+        bounds: Bounds,
+        names: HeaderNames,
+    ) -> None:
+        self._bounds = bounds
+        self._world = World()
+        self._table = UpstreamTable(settings.name, zones, self._world, bounds)
+        self._forwarder = Forwarder(
+            settings.zone, zones, self._world, self._table, bounds, names
+        )
+        beat = GatewayBeat(
+            name=settings.name,
+            incarnation=uuid.uuid4().hex[:12],
+            address=settings.address,
+            zone=settings.zone,
+            region=settings.region,
+        )
+        self._session = GatewaySession(beat, link, self._world, seeds, self._forwarder.rates)
+        self._server = HttpServer(
+            settings.address,
+            self._forwarder.serve,
+            lambda: self._world.steering.catalog.limits,
+        )
+
+    @property
+    def world(self) -> World:
+        """What the gateway believes."""
+        return self._world
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers should be sent here."""
+        return self._world.is_ready and not self._session.is_leaving
+
+    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Run until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._session.run)
+            await nursery.start(self._server.run)
+            task_status.started()
+
+    async def leave(self) -> None:
+        """Withdraw, serve callers with cached answers, then finish what is in flight."""
+        started = trio.current_time()
+        self._session.leave()
+        self._server.leave()
+        grace = self._bounds.grace
+        serve_for = min(CACHED_ANSWERS * self._bounds.directory_ttl + 0.3, grace / 2)
+        await trio.sleep(serve_for)
+        with trio.move_on_at(started + grace - FINISH_MARGIN_S):
+            await self._server.stop()
+        self._table.close()
--- /dev/null
+++ b/src/finchway/gateway/_session.py
@@ -0,0 +1,129 @@
+"""The gateway's open questions to the replicas: its beats go out, the feed comes in."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+import trio
+
+from finchway.exceptions import FinchwayError
+from finchway.feed import Feed, GatewayBeat, ServiceRate, Subscribe, World
+from finchway.transport import Link
+
+_LOG = logging.getLogger(__name__)
+ANSWER_WITHIN_S = 1.2
+PAUSE_S = 0.02
+RETRY_S = 0.1
+MOST_REPLICAS = 9
+
+
+class GatewaySession:
+    """Keeps one question open at each replica that is known."""
+
+    def __init__(
+        self,
+        beat: GatewayBeat,
+        link: Link,
+        world: World,
+        seeds: Callable[[], list[str]],
+        rates: Callable[[], list[ServiceRate]],
+    ) -> None:
+        self._beat = beat
+        self._link = link
+        self._world = world
+        self._seeds = seeds
+        self._rates = rates
+        self._sequence = 0
+        self._leaving = False
+        self._asking: set[str] = set()
+        self._answered: set[str] = set()
+        self._left = trio.Event()
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the gateway has said that it must not be named any more."""
+        return self._leaving
+
+    async def run(self) -> None:
+        """Ask each known replica until cancelled; replicas come and go."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                for address in self._addresses():
+                    if address not in self._asking:
+                        self._asking.add(address)
+                        nursery.start_soon(self._ask_forever, address)
+                await trio.sleep(RETRY_S)
+
+    def leave(self) -> None:
+        """Say from now on that the gateway must not be named; open questions are asked anew."""
+        self._leaving = True
+        left, self._left = self._left, trio.Event()
+        left.set()
+
+    def _addresses(self) -> list[str]:
+        known = sorted(self._world.replicas.values())[:MOST_REPLICAS]
+        if self._answered & set(known):
+            return known
+        return sorted({*known, *self._seeds()})
+
+    async def _ask_forever(self, address: str) -> None:
+        life = ""
+        order = 0
+        try:
+            while address in self._addresses():
+                with trio.CancelScope() as scope:
+                    answer = None
+                    async with trio.open_nursery() as nursery:
+                        nursery.start_soon(self._cancel_on_leave, scope)
+                        answer = await self._ask(address, life, order)
+                        nursery.cancel_scope.cancel()
+                if answer is None:
+                    self._answered.discard(address)
+                    await trio.sleep(RETRY_S)
+                    continue
+                self._answered.add(address)
+                life, order = answer.life, answer.order
+                self._learn(answer)
+                await trio.sleep(PAUSE_S)
+        finally:
+            self._asking.discard(address)
+            self._answered.discard(address)
+
+    async def _cancel_on_leave(self, scope: trio.CancelScope) -> None:
+        await self._left.wait()
+        scope.cancel()
+
+    async def _ask(self, address: str, life: str, order: int) -> Feed | None:
+        question = Subscribe(
+            beat=self._current_beat(),
+            revision=self._world.steering.revision,
+            life=life,
+            order=order,
+        )
+        try:
+            answer = await self._link.request(address, question, timeout=ANSWER_WITHIN_S)
+        except FinchwayError as error:
+            _LOG.debug("no feed from %s: %s", address, error)
+            return None
+        return answer if isinstance(answer, Feed) else None
+
+    def _learn(self, feed: Feed) -> None:
+        if self._world.learn(feed, trio.current_time()):
+            _LOG.info("revision %d is in force", self._world.steering.revision)
+
+    def _current_beat(self) -> GatewayBeat:
+        self._sequence += 1
+        beat = self._beat
+        return GatewayBeat(
+            name=beat.name,
+            incarnation=beat.incarnation,
+            address=beat.address,
+            zone=beat.zone,
+            region=beat.region,
+            leaving=self._leaving,
+            ready=self._world.is_ready,
+            revision=self._world.steering.revision,
+            sequence=self._sequence,
+            rates=self._rates(),
+        )
--- /dev/null
+++ b/src/finchway/gateway/_table.py
@@ -0,0 +1,238 @@
+"""The upstreams as one gateway sees them: what they say, what it sent, how that went."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import trio
+
+from finchway.feed import World
+from finchway.gateway._bounds import Bounds
+from finchway.gateway._connection import UpstreamConnection
+from finchway.policy import Candidate, Pacer, rank
+from finchway.registry import Registration, UpstreamState
+
+SILENT_BEATS = 2.5
+REPORT_GOOD_FOR_S = 2.0
+FIRST_REST_S = 0.5
+LONGEST_REST_S = 4.0
+SHED_REST_S = 0.1
+COLD_SAFETY = 0.8
+EVACUATED_COLD_S = 3.0
+IDLE_KEPT = 16
+_REFRESH_S = 0.05
+
+
+class UpstreamRecord:
+    """One incarnation of an upstream."""
+
+    __slots__ = (
+        "cold_until",
+        "failures",
+        "idle",
+        "in_flight",
+        "pacer",
+        "registration",
+        "report_own",
+        "reported",
+        "reported_at",
+        "resting_until",
+    )
+
+    def __init__(self, registration: Registration) -> None:
+        self.registration = registration
+        self.in_flight = 0
+        self.reported = 0.0
+        self.reported_at = float("-inf")
+        self.report_own = 0
+        self.failures = 0
+        self.resting_until = float("-inf")
+        self.cold_until = float("-inf")
+        self.pacer: Pacer | None = None
+        self.idle: list[UpstreamConnection] = []
+
+    def busy(self, now: float) -> float:
+        """Estimate the requests at the upstream: the last report, and what changed here since."""
+        if now - self.reported_at > REPORT_GOOD_FOR_S:
+            return float(self.in_flight)
+        return max(self.reported + self.in_flight - self.report_own, float(self.in_flight))
+
+    def report(self, running: int, waiting: int, now: float) -> None:
+        """Take in what an answer says of the upstream's load; the answered request has left."""
+        self.reported = float(max(running + waiting - 1, 0))
+        self.report_own = max(self.in_flight - 1, 0)
+        self.reported_at = now
+
+    def rest(self, now: float, seconds: float) -> None:
+        """Leave the upstream out for a while."""
+        self.resting_until = max(self.resting_until, now + seconds)
+
+    def fail(self, now: float) -> None:
+        """Count a failure; each in a row doubles the rest."""
+        self.failures += 1
+        self.rest(now, min(LONGEST_REST_S, FIRST_REST_S * 2 ** (self.failures - 1)))
+
+    def succeed(self) -> None:
+        """Count an answer."""
+        self.failures = 0
+        self.resting_until = float("-inf")
+
+    def close_idle(self) -> None:
+        """Close the connections that nothing uses."""
+        for connection in self.idle:
+            connection.close()
+        self.idle = []
+
+
+class UpstreamTable:
+    """All upstreams, and which of them may get a request now."""
+
+    def __init__(
+        self, name: str, zones: Callable[[], dict[str, str]], world: World, bounds: Bounds
+    ) -> None:
+        self._name = name
+        self._zones = zones
+        self._world = world
+        self._bounds = bounds
+        self._records: dict[str, UpstreamRecord] = {}
+        self._by_service: dict[str, list[UpstreamRecord]] = {}
+        self._refreshed_at = float("-inf")
+        self._opened = 0
+
+    @property
+    def opened(self) -> int:
+        """How many connections have been opened."""
+        return self._opened
+
+    def get(self, instance: str) -> UpstreamRecord | None:
+        """Return the record of an upstream."""
+        return self._records.get(instance)
+
+    def records(self, service: str, now: float) -> list[UpstreamRecord]:
+        """Return the upstreams of a service that may get something new."""
+        if now - self._refreshed_at >= _REFRESH_S:
+            self.refresh(now)
+        return self._by_service.get(service, [])
+
+    def refresh(self, now: float) -> None:
+        """Bring the table up to what the world says."""
+        self._refreshed_at = now
+        steering = self._world.steering
+        self._world.registry.forget_silent(now)
+        by_service: dict[str, list[UpstreamRecord]] = {}
+        seen = set()
+        for heard in self._world.registry.all():
+            registration = heard.registration
+            seen.add(registration.instance)
+            record = self._record(registration, heard.heard_at)
+            if self._may_get_work(registration, now - heard.heard_at, now):
+                by_service.setdefault(registration.service, []).append(record)
+            else:
+                record.close_idle()
+        for instance in [name for name in self._records if name not in seen]:
+            self._records.pop(instance).close_idle()
+        evacuated = steering.evacuated
+        self._by_service = {
+            service: [r for r in records if r.registration.zone not in evacuated]
+            for service, records in by_service.items()
+        }
+
+    def candidates(
+        self, service: str, now: float, tried: set[str], regions: tuple[str, ...]
+    ) -> dict[str, list[Candidate]]:
+        """Return by region the upstreams that may get a request of a service."""
+        zones = self._zones()
+        found: dict[str, list[Candidate]] = {}
+        resting: dict[str, list[Candidate]] = {}
+        for record in self.records(service, now):
+            registration = record.registration
+            region = zones.get(registration.zone, registration.zone)
+            if registration.instance in tried or (regions and region not in regions):
+                continue
+            if not self._cold_allows(record, now):
+                continue
+            candidate = Candidate(
+                registration.instance,
+                registration.zone,
+                region,
+                registration.slots,
+                record.busy(now),
+            )
+            into = found if record.resting_until <= now else resting
+            into.setdefault(region, []).append(candidate)
+        return found or resting
+
+    def note_sent(self, record: UpstreamRecord, now: float) -> None:
+        """Count a request that is being sent."""
+        record.in_flight += 1
+        if record.pacer is not None and record.cold_until > now:
+            record.pacer.take(now)
+
+    async def connect(self, record: UpstreamRecord, now: float) -> UpstreamConnection:
+        """Return an idle connection or a new one; raises `AttemptError`."""
+        while record.idle:
+            connection = record.idle.pop()
+            if connection.is_usable(now):
+                return connection
+            connection.close()
+        self._opened += 1
+        return await UpstreamConnection.open(
+            record.registration.address, record.registration.instance
+        )
+
+    def put_back(self, record: UpstreamRecord, connection: UpstreamConnection) -> None:
+        """Keep a connection for further requests, or close it."""
+        known = self._records.get(record.registration.instance) is record
+        now = trio.current_time()
+        if known and len(record.idle) < IDLE_KEPT and connection.release(now):
+            record.idle.append(connection)
+        else:
+            connection.close()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for record in self._records.values():
+            record.close_idle()
+
+    def _record(self, registration: Registration, heard_at: float) -> UpstreamRecord:
+        record = self._records.get(registration.instance)
+        if record is None:
+            record = self._records[registration.instance] = UpstreamRecord(registration)
+        record.registration = registration
+        cold_until = heard_at + registration.cold_for if registration.cold_for > 0 else heard_at
+        ended_at = self._world.evacuation_changed_at(registration.zone)
+        if heard_at <= ended_at + self._bounds.heartbeat:
+            cold_until = max(cold_until, ended_at + self._cold_start(registration.service))
+        record.cold_until = max(record.cold_until, cold_until)
+        return record
+
+    def _cold_start(self, service: str) -> float:
+        spec = self._world.steering.catalog.service(service)
+        return (spec.cold_start if spec else 0.0) + self._bounds.heartbeat
+
+    def _may_get_work(self, registration: Registration, age: float, now: float) -> bool:
+        if registration.state is not UpstreamState.READY:
+            return False
+        if registration.instance in self._world.steering.marks:
+            return False
+        control_is_fresh = now - self._world.heard_at < self._bounds.heartbeat
+        return not control_is_fresh or age < SILENT_BEATS * self._bounds.heartbeat
+
+    def _cold_allows(self, record: UpstreamRecord, now: float) -> bool:
+        """Let only one gateway send to a cold upstream, at its pace.
+
+        The gateways' lists may differ for a moment, so two of them must stay below the bound.
+        """
+        if record.cold_until <= now:
+            record.pacer = None
+            return True
+        registration = record.registration
+        spec = self._world.steering.catalog.service(registration.service)
+        if spec is None or spec.cold_rate <= 0:
+            return True
+        names = [b.name for b in self._world.gateways(now) if b.ready and not b.leaving]
+        if not names or rank(registration.instance, names)[0] != self._name:
+            return False
+        if record.pacer is None:
+            record.pacer = Pacer(spec.cold_rate * COLD_SAFETY)
+        return record.pacer.ready(now)
--- a/src/finchway/policy/__init__.py
+++ b/src/finchway/policy/__init__.py
@@ -27,6 +27,7 @@
 from finchway.policy._hashing import position, rank, rank_weighted
 from finchway.policy._holder import Demand, Holder, Loan, LoanTiming
 from finchway.policy._lender import Lender
+from finchway.policy._placement import Candidate, Placement
 from finchway.policy._retries import MAX_ATTEMPTS, Attempt, Outcome, RetryBudget, may_retry
 from finchway.policy._routing import Caller, EntryPoint, Routes, caller_position, client_block
 from finchway.policy._shares import (
@@ -49,6 +50,8 @@
     next_move_status,
     recent_percent,
 )
+from finchway.policy._spread import RegionLoad, Spread, plan_spread
+from finchway.policy._windows import AttemptBudget, Pacer, RateMeter, WindowCount
 
 __all__ = [
     "DEMOTED_RANK",
@@ -106,4 +109,13 @@
     "share_name",
     "upstreams_of",
     "usable_slots",
+    "AttemptBudget",
+    "Candidate",
+    "Pacer",
+    "Placement",
+    "RateMeter",
+    "RegionLoad",
+    "Spread",
+    "WindowCount",
+    "plan_spread",
 ]
--- /dev/null
+++ b/src/finchway/policy/_spread.py
@@ -0,0 +1,105 @@
+"""How a region's requests for a service are spread over the regions.
+
+A region serves its own callers as far as its upstreams have room, and passes the rest to regions
+with room to spare. The parts move slowly, so that no shift of traffic exceeds its cap, and each
+gateway works them out alone from the same reports.
+"""
+
+from __future__ import annotations
+
+from msgspec import Struct
+
+from finchway.policy._hashing import position
+
+
+class RegionLoad(Struct, frozen=True):
+    """What a region's callers ask of a service, and what its upstreams can bear, per second."""
+
+    demand: float
+    capacity: float
+
+
+def plan_spread(home: str, loads: dict[str, RegionLoad]) -> dict[str, float]:
+    """Return the parts of the home region's requests that each region should serve.
+
+    plan_spread("north", {"north": RegionLoad(90, 60), "south": RegionLoad(30, 60)})
+    # {"north": 0.67, "south": 0.33}
+    """
+    total = sum(load.capacity for load in loads.values())
+    if total <= 0:
+        return {home: 1.0}
+    own = loads.get(home, RegionLoad(0.0, 0.0))
+    kept = 1.0 if own.demand <= own.capacity else own.capacity / own.demand
+    spare = {
+        region: max(0.0, load.capacity - load.demand)
+        for region, load in loads.items()
+        if region != home
+    }
+    room = sum(spare.values())
+    over = sum(max(0.0, load.demand - load.capacity) for load in loads.values())
+    if kept >= 1.0 or not spare:
+        return {home: 1.0}
+    if room <= 0.0:
+        return {region: load.capacity / total for region, load in loads.items()}
+    # When the spare room falls short, all regions are filled above their mark alike.
+    fits = min(1.0, room / over) if over > 0 else 1.0
+    passed = (1.0 - kept) * fits
+    parts = {region: passed * value / room for region, value in spare.items()}
+    parts[home] = 1.0 - passed
+    return parts
+
+
+class Spread:
+    """The parts in use, which follow the plan at a bounded speed, and the choice by key.
+
+    A key keeps to its region as long as the parts stay, so upstreams stay warm; the difference
+    between what was due and what was sent moves the border between keys.
+    """
+
+    FEEDBACK = 0.02
+
+    def __init__(self, home: str, speed: float) -> None:
+        self._home = home
+        self._speed = speed
+        self._parts: dict[str, float] | None = None
+        self._owed: dict[str, float] = {}
+        self._at = 0.0
+
+    @property
+    def parts(self) -> dict[str, float]:
+        """The parts in use, by region."""
+        return dict(self._parts or {self._home: 1.0})
+
+    def follow(self, plan: dict[str, float], now: float) -> None:
+        """Move the parts towards a plan, by at most `speed` a second in all."""
+        if self._parts is None:
+            self._parts = dict(plan)
+            self._at = now
+            return
+        step = self._speed * max(0.0, now - self._at)
+        self._at = now
+        regions = set(plan) | set(self._parts)
+        wanted = {r: plan.get(r, 0.0) - self._parts.get(r, 0.0) for r in regions}
+        moved = sum(abs(value) for value in wanted.values()) / 2
+        scale = min(1.0, step / moved) if moved > 0 else 0.0
+        parts = {r: self._parts.get(r, 0.0) + wanted[r] * scale for r in regions}
+        self._parts = {r: part for r, part in parts.items() if part > 1e-6}
+
+    def choose(self, key: str) -> str:
+        """Return the region that should serve a request with this key."""
+        parts = self.parts
+        if len(parts) == 1:
+            return next(iter(parts))
+        for region, part in parts.items():
+            self._owed[region] = self._owed.get(region, 0.0) + part
+        place = position("spread", key)
+        order = [self._home, *sorted(region for region in parts if region != self._home)]
+        edge = 0.0
+        chosen = order[-1]
+        for region in order:
+            edge += parts.get(region, 0.0) + self.FEEDBACK * self._owed.get(region, 0.0)
+            if place < edge:
+                chosen = region
+                break
+        self._owed[chosen] -= 1.0
+        return chosen
--- a/src/finchway/replication/_core.py
+++ b/src/finchway/replication/_core.py
@@ -132,6 +132,10 @@
         progress = self._progress.get(replica)
         return self._now - progress.acked_at if progress else 0.0
 
+    def heard_leader_within(self, seconds: float) -> bool:
+        """Tell whether this replica leads, or heard the leader within some seconds."""
+        return self.is_leader or self._now - self._heard_at < seconds
+
     @property
     def has_work(self) -> bool:
         """Whether `take` would return anything to do."""
--- a/src/finchway/replication/_identity.py
+++ b/src/finchway/replication/_identity.py
@@ -44,10 +44,10 @@
     return identity
 
 
-def create_identity(folder: Path, name: str, cluster: str) -> Identity:
-    """Write and sync a new identity with a fresh incarnation."""
+def create_identity(folder: Path, name: str, cluster: str, incarnation: str = "") -> Identity:
+    """Write and sync a new identity, by default with a fresh incarnation."""
     folder.mkdir(parents=True, exist_ok=True)
-    identity = Identity(cluster, name, uuid.uuid4().hex[:12])
+    identity = Identity(cluster, name, incarnation or uuid.uuid4().hex[:12])
     temporary = folder / f"{_FILE}.tmp"
     with temporary.open("wb") as file:
         file.write(msgspec.json.encode(identity))
--- a/src/finchway/state/_commands.py
+++ b/src/finchway/state/_commands.py
@@ -11,6 +11,8 @@
 import msgspec
 from msgspec import Struct
 
+from finchway.catalog import Item
+from finchway.registry import MarkKind
 from finchway.resources import Status
 
 
@@ -90,7 +92,37 @@
     """Forget change ids and claims whose time is over."""
 
 
-AnyCommand = PutResource | DeleteResource | PutStatus | ClaimKey | SettleClaim | Expire
+class ChangeItems(Command):
+    """Set or drop items of the traffic catalog, as one unit."""
+
+    items: list[Item]
+
+
+class MarkUpstream(Command):
+    """Note that an incarnation of an upstream leaves."""
+
+    instance: str
+    kind: MarkKind
+
+
+class SetEvacuation(Command):
+    """Begin or end the evacuation of an availability zone."""
+
+    zone: str
+    active: bool
+
+
+AnyCommand = (
+    PutResource
+    | DeleteResource
+    | PutStatus
+    | ClaimKey
+    | SettleClaim
+    | Expire
+    | ChangeItems
+    | MarkUpstream
+    | SetEvacuation
+)
 
 
 class Accepted(Struct, frozen=True, tag=True):
@@ -137,7 +169,21 @@
     """The command had nothing more to tell."""
 
 
-AnyResult = Accepted | Conflict | Rejected | Missing | Reused | Claimed | Done
+class Steered(Struct, frozen=True, tag=True):
+    """The steering state covers the command as of this revision."""
+
+    revision: int
+
+
+class VersionTaken(Struct, frozen=True, tag=True):
+    """Items are held under the same version with other content; nothing was changed."""
+
+    items: list[str]
+
+
+AnyResult = (
+    Accepted | Conflict | Rejected | Missing | Reused | Claimed | Done | Steered | VersionTaken
+)
 
 _ENCODER = msgspec.msgpack.Encoder()
 _COMMAND_DECODER = msgspec.msgpack.Decoder(AnyCommand)
--- a/src/finchway/state/_machine.py
+++ b/src/finchway/state/_machine.py
@@ -31,6 +31,7 @@
 from finchway.state._changes import ChangeAnswers, StoredAnswer, digest_of
 from finchway.state._claims import Claim, Claims
 from finchway.state._history import History
+from finchway.state._steering import Steering, SteeringImage
 
 
 class _Image(Struct):
@@ -43,6 +44,7 @@
     answers: dict[str, StoredAnswer]
     claims: dict[str, Claim]
     now_ms: int
+    steering: SteeringImage = SteeringImage()
 
 
 class StateMachine:
@@ -53,6 +55,7 @@
         self._history = History()
         self._answers = ChangeAnswers()
         self._claims = Claims()
+        self._steering = Steering()
         self._now_ms = 0
 
     @property
@@ -70,6 +73,11 @@
         """The claims on idempotency keys."""
         return self._claims
 
+    @property
+    def steering(self) -> Steering:
+        """The traffic catalog, evacuations and leaving upstreams."""
+        return self._steering
+
     @property
     def revision(self) -> int:
         """The revision of the newest accepted change."""
@@ -92,6 +100,12 @@
             case c.Expire():
                 self._claims.expire(self._now_ms)
                 self._answers.expire(self._now_ms)
+            case c.ChangeItems():
+                return self._steering.change_items(command)
+            case c.MarkUpstream():
+                return self._steering.mark_upstream(command)
+            case c.SetEvacuation():
+                return self._steering.set_evacuation(command)
         return c.Done()
 
     def snapshot(self) -> bytes:
@@ -108,6 +122,7 @@
         self._history = History(image.changes, image.compacted)
         self._answers = ChangeAnswers(image.answers)
         self._claims = Claims(image.claims)
+        self._steering = Steering(image.steering)
         self._now_ms = image.now_ms
 
     def digest(self) -> str:
@@ -125,6 +140,7 @@
             self._answers.records,
             self._claims.records,
             self._now_ms,
+            self._steering.image(),
         )
 
     def _once(self, command, change) -> c.AnyResult:
--- /dev/null
+++ b/src/finchway/state/_steering.py
@@ -0,0 +1,135 @@
+"""The replicated state of steering: the catalog, evacuated zones, and marks of leaving upstreams.
+
+Each effective command takes the next revision, and everything carries the revision that brought
+it. So whoever is behind gets just what is newer, without a history.
+"""
+
+from __future__ import annotations
+
+from msgspec import Struct
+
+from finchway.catalog import Catalog, HeldItem
+from finchway.registry import Mark, MarkKind
+from finchway.state import _commands as c
+
+MARKS_KEPT = 20_000
+
+
+class Evacuation(Struct, frozen=True, array_like=True):
+    """Whether a zone's upstreams get nothing new, and the revision that said so."""
+
+    revision: int
+    zone: str
+    active: bool
+
+
+class SteeringImage(Struct, frozen=True, array_like=True):
+    """The whole state, or what is newer than some revision."""
+
+    revision: int = 0
+    items: list[HeldItem] = []
+    marks: list[Mark] = []
+    evacuations: list[Evacuation] = []
+
+
+class Steering:
+    """The steering state; deterministic."""
+
+    def __init__(self, image: SteeringImage | None = None) -> None:
+        image = image or SteeringImage()
+        self._revision = image.revision
+        self._catalog = Catalog(image.items)
+        self._marks = {mark.instance: mark for mark in image.marks}
+        self._evacuations = {e.zone: e for e in image.evacuations}
+
+    @property
+    def revision(self) -> int:
+        """The revision of the newest effective command."""
+        return self._revision
+
+    @property
+    def catalog(self) -> Catalog:
+        """The items."""
+        return self._catalog
+
+    @property
+    def marks(self) -> dict[str, Mark]:
+        """The marks by instance."""
+        return self._marks
+
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """The zones that are evacuated."""
+        return frozenset(e.zone for e in self._evacuations.values() if e.active)
+
+    def evacuation(self, zone: str) -> Evacuation | None:
+        """Return the newest word on a zone."""
+        return self._evacuations.get(zone)
+
+    def image(self, since: int = -1) -> SteeringImage:
+        """Return everything that is newer than a revision, in a stable order."""
+        return SteeringImage(
+            self._revision,
+            [held for held in self._catalog.held if held.revision > since],
+            sorted((m for m in self._marks.values() if m.revision > since), key=_order),
+            sorted((e for e in self._evacuations.values() if e.revision > since), key=_order),
+        )
+
+    def merge(self, image: SteeringImage) -> bool:
+        """Take in what is newer from an image of another copy; tell whether anything was."""
+        if image.revision <= self._revision:
+            return False
+        for held in image.items:
+            self._catalog.put(held)
+        for mark in image.marks:
+            self._marks[mark.instance] = mark
+        for evacuation in image.evacuations:
+            self._evacuations[evacuation.zone] = evacuation
+        self._revision = image.revision
+        self._trim()
+        return True
+
+    def change_items(self, command: c.ChangeItems) -> c.AnyResult:
+        """Apply a change as one unit: all of it is in force afterwards, or nothing."""
+        findings = self._catalog.check(command.items)
+        if findings:
+            return c.Rejected([(f.place, f.problem) for f in findings])
+        conflicts = self._catalog.conflicts(command.items)
+        if conflicts:
+            return c.VersionTaken([f"{item.key} version {item.version}" for item in conflicts])
+        newer = self._catalog.newer(command.items)
+        if newer:
+            self._revision += 1
+        for item in newer:
+            self._catalog.put(HeldItem(self._revision, item))
+        return c.Steered(self._revision)
+
+    def mark_upstream(self, command: c.MarkUpstream) -> c.AnyResult:
+        """Mark an incarnation as leaving; gone is never taken back to draining."""
+        held = self._marks.get(command.instance)
+        if held is None or (held.kind is MarkKind.DRAINING and command.kind is MarkKind.GONE):
+            self._revision += 1
+            self._marks[command.instance] = Mark(self._revision, command.instance, command.kind)
+            self._trim()
+        return c.Steered(self._revision)
+
+    def set_evacuation(self, command: c.SetEvacuation) -> c.AnyResult:
+        """Begin or end the evacuation of a zone."""
+        held = self._evacuations.get(command.zone)
+        if (held is not None and held.active) != command.active:
+            self._revision += 1
+            self._evacuations[command.zone] = Evacuation(
+                self._revision, command.zone, command.active
+            )
+        return c.Steered(self._revision)
+
+    def _trim(self) -> None:
+        """Forget the oldest marks; instances are never reused, and old ones are long gone."""
+        if len(self._marks) <= MARKS_KEPT:
+            return
+        for mark in sorted(self._marks.values(), key=_order)[: len(self._marks) - MARKS_KEPT]:
+            del self._marks[mark.instance]
+
+
+def _order(entry: Mark | Evacuation) -> int:
+    return entry.revision
--- a/src/finchway/transport/_link.py
+++ b/src/finchway/transport/_link.py
@@ -32,10 +32,12 @@
 _LOG = logging.getLogger(__name__)
 _QUEUE_LIMIT = 1_000
 _HANDLERS_LIMIT = 2_000
-_HEARTBEAT_MS = 1_000
-_SILENCE_MS = 3_000
+_HEARTBEAT_MS = 500
+_SILENCE_MS = 1_500
+_CONNECT_TIMEOUT_MS = 1_000
+_USER_TIMEOUT_MS = 2_000
 _RECONNECT_MS = 50
-_RECONNECT_MAX_MS = 1_000
+_RECONNECT_MAX_MS = 400
 _SEND_RETRY_S = 0.02
 UNUSED_S = 120.0
 _MAX_MESSAGE_BYTES = 256 * 1024 * 1024
@@ -158,6 +160,8 @@
         socket.setsockopt(zmq.MAXMSGSIZE, _MAX_MESSAGE_BYTES)
         socket.setsockopt(zmq.HEARTBEAT_IVL, _HEARTBEAT_MS)
         socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, _SILENCE_MS)
+        socket.setsockopt(zmq.CONNECT_TIMEOUT, _CONNECT_TIMEOUT_MS)
+        socket.setsockopt(zmq.TCP_MAXRT, _USER_TIMEOUT_MS)
         return socket
 
     async def _close_unused(self) -> None:
--- a/src/finchway/transport/_messages.py
+++ b/src/finchway/transport/_messages.py
@@ -8,6 +8,7 @@
 
 from msgspec import Struct
 
+from finchway.feed import Feed, ShareHeard, Subscribe
 from finchway.membership import Heartbeat, HeartbeatReply
 from finchway.observe import Event
 from finchway.replication import AnyMessage, Member, Members
@@ -209,6 +210,9 @@
     | EntryQuery
     | Entries
     | RaftBody
+    | Subscribe
+    | Feed
+    | ShareHeard
     | Ok
     | Failure
 )
