Assume even demand until demand is known

Cause: a gateway began with all requests in its own region and moved them at the bounded speed; Colombo's two upstreams of 20 shed for seconds.

--- a/src/finchway/gateway/_forward.py
+++ b/src/finchway/gateway/_forward.py
@@ -22,7 +22,15 @@
 )
 from finchway.gateway._names import HOP_HEADERS, HeaderNames
 from finchway.gateway._table import SHED_REST_S, UpstreamRecord, UpstreamTable
-from finchway.policy import AttemptBudget, Placement, RateMeter, RegionLoad, Spread, plan_spread
+from finchway.policy import (
+    AttemptBudget,
+    Placement,
+    RateMeter,
+    RegionLoad,
+    Spread,
+    assume_even_demand,
+    plan_spread,
+)
 
 COME_BACK_S = 0.25
 USE_OF_SLOTS = 0.7
@@ -335,12 +343,18 @@
         if spread is None:
             speed = SHIFT_SAFETY * self._bounds.shift_per_window / self._bounds.shift_window
             spread = self._spreads[task.service] = Spread(home, speed)
-        spread.follow(plan_spread(home, self._loads(task.service, now)), now)
+        spread.follow(self._plan(home, task.service, now), now)
         chosen = spread.choose(f"{task.service}\x00{task.key}")
         if chosen in found:
             return chosen
         return home if home in found else min(found)
 
+    def _plan(self, home: str, service: str, now: float) -> dict[str, float]:
+        loads = self._loads(service, now)
+        if not any(load.demand for load in loads.values()):
+            loads = assume_even_demand(loads, set(self._zones().values()))
+        return plan_spread(home, loads)
+
     def _loads(self, service: str, now: float) -> dict[str, RegionLoad]:
         zones = self._zones()
         demand: dict[str, float] = {}
--- a/src/finchway/policy/__init__.py
+++ b/src/finchway/policy/__init__.py
@@ -50,7 +50,7 @@
     next_move_status,
     recent_percent,
 )
-from finchway.policy._spread import RegionLoad, Spread, plan_spread
+from finchway.policy._spread import RegionLoad, Spread, assume_even_demand, plan_spread
 from finchway.policy._windows import AttemptBudget, Pacer, RateMeter, WindowCount
 
 __all__ = [
@@ -117,5 +117,6 @@
     "RegionLoad",
     "Spread",
     "WindowCount",
+    "assume_even_demand",
     "plan_spread",
 ]
--- a/src/finchway/policy/_spread.py
+++ b/src/finchway/policy/_spread.py
@@ -12,6 +12,9 @@
 from finchway.policy._hashing import position
 
 
+ASSUMED_USE = 0.8
+
+
 class RegionLoad(Struct, frozen=True):
     """What a region's callers ask of a service, and what its upstreams can bear, per second."""
 
@@ -49,6 +52,19 @@
     return parts
 
 
+def assume_even_demand(loads: dict[str, RegionLoad], regions: set[str]) -> dict[str, RegionLoad]:
+    """Return loads as they would be if every region asked alike of well-used upstreams.
+
+    It is the plan until demand is known: later changes of the parts are bounded, so the first
+    ones must already suit regions that have few upstreams.
+    """
+    demand = ASSUMED_USE * sum(load.capacity for load in loads.values()) / max(len(regions), 1)
+    return {
+        region: RegionLoad(demand, loads[region].capacity if region in loads else 0.0)
+        for region in regions | set(loads)
+    }
+
+
 class Spread:
     """The parts in use, which follow the plan at a bounded speed, and the choice by key.
 
