Log decisions as typed lines; place keys on the first upstream with room

Cause: on-call had no line for a request; and three homes for each key made three cold misses. Ruled out: writing from the event loop, which a slow reader would stop. Conclusion: placement by consistent hashing with bounded loads; to be measured.

--- a/src/finchway/catalog/__init__.py
+++ b/src/finchway/catalog/__init__.py
@@ -1,7 +1,7 @@
 """The traffic catalog: routes, their services and the callers' limits, each item with a version.
 
-    catalog = Catalog()
-    findings = catalog.check(ChangeItems(now_ms=0, items=[...]))
+catalog = Catalog()
+findings = catalog.check(ChangeItems(now_ms=0, items=[...]))
 """
 
 from finchway.catalog._catalog import Catalog, HeldItem
--- a/src/finchway/catalog/_check.py
+++ b/src/finchway/catalog/_check.py
@@ -63,5 +63,7 @@
         "idle_timeout": limits.idle_timeout,
     }
     return [
-        Finding(f"{place}.{name}", "must be above 0") for name, value in values.items() if value <= 0
+        Finding(f"{place}.{name}", "must be above 0")
+        for name, value in values.items()
+        if value <= 0
     ]
--- a/src/finchway/control/_bootstrap.py
+++ b/src/finchway/control/_bootstrap.py
@@ -83,9 +83,7 @@
     """
     names = "\n".join(f"{founder}={founders[founder]}" for founder in sorted(founders))
     cluster = hashlib.sha256(names.encode()).hexdigest()[:12]
-    members = Members(
-        tuple(Member(f, FOUNDER_INCARNATION, founders[f]) for f in sorted(founders))
-    )
+    members = Members(tuple(Member(f, FOUNDER_INCARNATION, founders[f]) for f in sorted(founders)))
     identity = create_identity(folder, name, cluster, FOUNDER_INCARNATION)
     storage = Storage(folder / "log")
     storage.open()
--- a/src/finchway/daemon.py
+++ b/src/finchway/daemon.py
@@ -39,7 +39,16 @@
 from finchway.exceptions import FinchwayError, StorageDamagedError
 from finchway.gateway import GatewayRole, GatewaySettings
 from finchway.membership import Heartbeat, LeaseTiming
-from finchway.observe import EventKind, LogicalClock, Metrics, Timeline, configure_logs
+from finchway.observe import (
+    DecisionLog,
+    EventKind,
+    LogicalClock,
+    LogWriter,
+    Metrics,
+    ProcessChanged,
+    Timeline,
+    configure_logs,
+)
 from finchway.policy import Holder, LoanTiming
 from finchway.replication import (
     Identity,
@@ -69,8 +78,15 @@
 class Process:
     """One `finchwayd` process: its link, its roles, its planned stop."""
 
-    def __init__(self, settings: Settings, surface: Surface | None = None) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        surface: Surface | None = None,
+        writer: LogWriter | None = None,
+    ) -> None:
         self._settings = settings
+        self._writer = writer or LogWriter()
+        self._decisions = DecisionLog(settings.instance, self._writer)
         self._surface = surface or Surface()
         self._gateway: GatewayRole | None = None
         self._clock = LogicalClock()
@@ -87,6 +103,7 @@
     async def run(self) -> None:
         """Run until a signal asks for a planned stop, and carry that out."""
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._writer.run)
             await nursery.start(self._link.run)
             nursery.start_soon(self._watch_signals)
             if CONTROL in self._settings.roles:
@@ -98,8 +115,13 @@
             self._timeline.record(
                 EventKind.STARTED, self._settings.instance, ",".join(self._settings.roles)
             )
+            self._decisions.write(
+                ProcessChanged(change="start", detail=",".join(self._settings.roles))
+            )
             await self._stop.wait()
+            self._decisions.write(ProcessChanged(change="stopping"))
             await self._leave()
+            self._decisions.write(ProcessChanged(change="stop"))
             nursery.cancel_scope.cancel()
 
     async def _leave(self) -> None:
@@ -124,6 +146,7 @@
             async for number in signals:
                 if number == signal.SIGHUP:
                     self._surface.reload()
+                    self._decisions.write(ProcessChanged(change="reload"))
                 else:
                     self._stop.set()
 
@@ -238,6 +261,7 @@
             self._link,
             settings.bounds,
             self._surface.header_names,
+            self._decisions,
         )
         for server in self._surface.gateway_servers(self._gateway):
             await nursery.start(server.run)
@@ -392,7 +416,6 @@
         if left:
             raise flags.Error(f"unexpected argument {left[0]!r}")
         settings = read_settings(values, os.environ)
-        configure_logs(settings.instance, settings.log_level, settings.log_json)
         trio.run(run_process, settings)
     except flags.Error as error:
         print(f"finchwayd: {error}", file=sys.stderr)
@@ -406,10 +429,14 @@
 
 async def run_process(settings: Settings, surface: Surface | None = None) -> None:
     """Run one process until it is told to stop; raises the `FinchwayError` that ended it."""
+    writer = LogWriter()
+    configure_logs(settings.instance, settings.log_level, settings.log_json, writer)
     try:
-        await Process(settings, surface).run()
+        await Process(settings, surface, writer).run()
     except* FinchwayError as group:
         raise _first(group) from None
+    finally:
+        writer.finish()
 
 
 def _first(group: BaseException) -> BaseException:
--- a/src/finchway/gateway/_connection.py
+++ b/src/finchway/gateway/_connection.py
@@ -92,7 +92,7 @@
         return self._instance
 
     def is_usable(self, now: float) -> bool:
-        """Tell whether the idle connection is still good: young, open, and nothing unasked on it."""
+        """Tell whether an idle connection is still young, open, and without unasked bytes."""
         if now >= self._idle_until:
             return False
         poll = select.poll()
--- a/src/finchway/gateway/_forward.py
+++ b/src/finchway/gateway/_forward.py
@@ -9,7 +9,6 @@
 from msgspec import Struct
 
 from finchway.catalog import Backend, Route, RouteType
-
 from finchway.feed import ServiceRate, World
 from finchway.gateway._bounds import Bounds
 from finchway.gateway._connection import Answer, AttemptError, Failure, UpstreamConnection
@@ -22,6 +21,7 @@
 )
 from finchway.gateway._names import HOP_HEADERS, HeaderNames
 from finchway.gateway._table import SHED_REST_S, UpstreamRecord, UpstreamTable
+from finchway.observe import AttemptEnded, DecisionLog, RepeatDenied, RequestEnded
 from finchway.policy import (
     AttemptBudget,
     Placement,
@@ -70,6 +70,7 @@
     key: str
     deadline: float
     attempts: int = 0
+    choices: int = 0
     tried: set[str] = set()
 
 
@@ -84,7 +85,9 @@
         table: UpstreamTable,
         bounds: Bounds,
         names: HeaderNames,
+        decisions: DecisionLog,
     ) -> None:
+        self._decisions = decisions
         self._zone = zone
         self._zones = zones
         self._world = world
@@ -112,15 +115,15 @@
     async def serve(self, connection: CallerConnection, request: CallerRequest) -> None:
         """Answer one request of a caller."""
         if not self._world.is_ready:
-            await connection.reply(_come_back(503))
+            await self._refuse(connection, request, _come_back(503), "no configuration yet")
             return
         matched = self._world.steering.catalog.match(request.host, request.path)
         if matched is None:
-            await connection.reply(Reply(404))
+            await self._refuse(connection, request, Reply(404), "no route")
             return
         task = self._task(request, *matched)
         if task is None:
-            await connection.reply(Reply(400))
+            await self._refuse(connection, request, Reply(400), "no id, or a malformed deadline")
             return
         self._in_flight += 1
         try:
@@ -128,6 +131,23 @@
         finally:
             self._in_flight -= 1
 
+    async def _refuse(
+        self, connection: CallerConnection, request: CallerRequest, reply: Reply, reason: str
+    ) -> None:
+        now = trio.current_time()
+        self._decisions.write(
+            RequestEnded(
+                id=request.header(self._names.request_id) or "",
+                route=f"{request.host}{request.path}",
+                status=reply.status,
+                reason=reason,
+                ms=_ms(now - request.arrived_at),
+                revision=self._world.steering.revision,
+                heard_ms=_ms(now - self._world.heard_at),
+            )
+        )
+        await connection.reply(reply)
+
     def _task(self, request: CallerRequest, name: str, route: Route) -> Task | None:
         request_id = request.header(self._names.request_id)
         if not request_id:
@@ -173,6 +193,7 @@
                 outcome = await self._attempts(connection, task)
             nursery.cancel_scope.cancel()
         if left.is_set() and outcome.answer is None:
+            self._note_end(task, 0, "the caller left")
             raise CallerLeftError
         await self._answer(connection, task, outcome)
 
@@ -191,9 +212,11 @@
             now = trio.current_time()
             record = self._choose(task, now)
             if record is None:
+                self._note_denied(task, "no upstream left to try", outcome)
                 return outcome
-            repeat = task.attempts > 0
-            if repeat and not self._may_repeat(task, outcome, now):
+            denied = self._denied(task, outcome, now) if task.attempts > 0 else ""
+            if denied:
+                self._note_denied(task, denied, outcome)
                 return outcome
             task.tried.add(record.registration.instance)
             outcome = await self._attempt(connection, task, record)
@@ -201,15 +224,25 @@
                 return outcome
         return outcome
 
-    def _may_repeat(self, task: Task, outcome: Outcome, now: float) -> bool:
+    def _denied(self, task: Task, outcome: Outcome, now: float) -> str:
+        """Return why a further attempt must not be made; empty if it may."""
         if task.request.more:
-            return False
+            return "the body was streamed"
         if outcome.verdict is Verdict.UNKNOWN and task.route.type is not RouteType.SAFE:
-            return False
+            return "it may have run and must not run twice"
         if task.deadline - now < _LEAST_LEFT_S:
-            return False
+            return "no time left"
         serving = [b for b in self._world.gateways(now) if not b.leaving]
-        return self._budget(task.service).spend(now, len(serving))
+        if not self._budget(task.service).spend(now, len(serving)):
+            return "the budget for repeats is used up"
+        return ""
+
+    def _note_denied(self, task: Task, reason: str, outcome: Outcome) -> None:
+        self._decisions.write(
+            RepeatDenied(
+                id=task.request_id, service=task.service, reason=reason, after=outcome.detail
+            )
+        )
 
     def _budget(self, service: str) -> AttemptBudget:
         budget = self._budgets.get(service)
@@ -223,10 +256,12 @@
     async def _attempt(
         self, connection: CallerConnection, task: Task, record: UpstreamRecord
     ) -> Outcome:
-        now = trio.current_time()
+        now = started = trio.current_time()
+        busy = record.busy(now)
         self._table.note_sent(record, now)
         upstream = None
         whole = streams = False
+        outcome = Outcome(Verdict.UNKNOWN, "cancelled: out of time, or the caller left")
         try:
             upstream = await self._table.connect(record, now)
             task.attempts += 1
@@ -240,17 +275,43 @@
             if error.failure is Failure.NOT_CONNECTED:
                 record.fail(now)
                 record.close_idle()
-                return Outcome(Verdict.NOT_RUN, error.detail, record=record)
-            record.rest(now, SHED_REST_S)
-            return Outcome(Verdict.UNKNOWN, error.detail, record=record)
+                outcome = Outcome(Verdict.NOT_RUN, error.detail, record=record)
+            else:
+                record.rest(now, SHED_REST_S)
+                outcome = Outcome(Verdict.UNKNOWN, error.detail, record=record)
+            return outcome
         finally:
             record.in_flight -= 1
+            self._note_attempt(task, record, outcome, busy, started)
             if upstream is not None:
                 if whole:
                     self._table.put_back(record, upstream)
                 elif not streams:
                     upstream.close()
 
+    def _note_attempt(
+        self, task: Task, record: UpstreamRecord, outcome: Outcome, busy: float, started: float
+    ) -> None:
+        registration = record.registration
+        heard = self._world.registry.get(registration.instance)
+        self._decisions.write(
+            AttemptEnded(
+                id=task.request_id,
+                number=task.attempts,
+                upstream=registration.instance,
+                zone=registration.zone,
+                region=self._zones().get(registration.zone, ""),
+                busy=round(busy, 1),
+                slots=registration.slots,
+                report_ms=_ms(started - record.reported_at),
+                heard_ms=_ms(started - heard.heard_at) if heard else -1.0,
+                choices=task.choices,
+                result=outcome.verdict.value,
+                detail=outcome.detail,
+                ms=_ms(trio.current_time() - started),
+            )
+        )
+
     async def _exchange(
         self,
         connection: CallerConnection,
@@ -326,9 +387,8 @@
     # Choice
 
     def _choose(self, task: Task, now: float) -> UpstreamRecord | None:
-        found = self._table.candidates(
-            task.service, now, task.tried, task.route.allowed_regions
-        )
+        found = self._table.candidates(task.service, now, task.tried, task.route.allowed_regions)
+        task.choices = sum(len(candidates) for candidates in found.values())
         if not found:
             return None
         region = self._region(task, found, now)
@@ -378,15 +438,34 @@
 
     async def _answer(self, connection: CallerConnection, task: Task, outcome: Outcome) -> None:
         if outcome.answer is not None:
+            self._note_end(task, outcome.answer.status, "answered")
             await self._pass_on(connection, outcome)
-        elif outcome.verdict is Verdict.NOT_RUN and not (
-            outcome.detail == "deadline" and task.attempts
-        ):
-            await connection.reply(_come_back(503))
-        elif trio.current_time() >= task.deadline:
-            await connection.reply(Reply(504))
+            return
+        out_of_time = trio.current_time() >= task.deadline
+        if outcome.verdict is Verdict.NOT_RUN and not (out_of_time and task.attempts):
+            reply = _come_back(503)
         else:
-            await connection.reply(Reply(502))
+            reply = Reply(504 if out_of_time else 502)
+        self._note_end(task, reply.status, outcome.detail)
+        await connection.reply(reply)
+
+    def _note_end(self, task: Task, status: int, reason: str) -> None:
+        now = trio.current_time()
+        self._decisions.write(
+            RequestEnded(
+                id=task.request_id,
+                route=task.route_name,
+                service=task.service,
+                priority=task.route.priority,
+                status=status,
+                reason=reason,
+                attempts=task.attempts,
+                ms=_ms(now - task.request.arrived_at),
+                budget_ms=_ms(task.deadline - task.request.arrived_at),
+                revision=self._world.steering.revision,
+                heard_ms=_ms(now - self._world.heard_at),
+            )
+        )
 
     async def _pass_on(self, connection: CallerConnection, outcome: Outcome) -> None:
         answer = outcome.answer
@@ -410,6 +489,11 @@
             upstream.close()
 
 
+def _ms(seconds: float) -> float:
+    """Return milliseconds; -1 for something that never was."""
+    return round(seconds * 1000, 1) if seconds != float("inf") else -1.0
+
+
 def _come_back(status: int) -> Reply:
     """Return a refusal that says when to come back."""
     return Reply(status, headers=((b"Retry-After", f"{COME_BACK_S:g}".encode()),))
--- a/src/finchway/gateway/_http.py
+++ b/src/finchway/gateway/_http.py
@@ -208,9 +208,7 @@
         if self._closing:
             headers = [*headers, (b"Connection", b"close")]
         self._answered = True
-        return self._http.send(
-            h11.Response(status_code=status, reason=reason, headers=headers)
-        )
+        return self._http.send(h11.Response(status_code=status, reason=reason, headers=headers))
 
     async def finish(self) -> bool:
         """Make ready for the next request; False if the connection has to end."""
@@ -325,10 +323,12 @@
     def leave(self) -> None:
         """Have each connection end with its next answer; new ones are still taken."""
         self._leaving = True
+        for connection in self._connections:
+            connection.close_after_answer()
 
     async def stop(self) -> None:
         """Take no new connection, end the idle ones, and return when the last has ended."""
-        self._leaving = True
+        self.leave()
         self._accepting.cancel()
         for connection, scope in list(self._connections.items()):
             if not connection.is_busy:
@@ -338,6 +338,8 @@
 
     async def _handle(self, stream: trio.SocketStream) -> None:
         connection = CallerConnection(stream, self._limits)
+        if self._leaving:
+            connection.close_after_answer()
         scope = self._connections[connection] = trio.CancelScope()
         try:
             with scope:
@@ -361,8 +363,6 @@
             request = await connection.read()
             if request is None:
                 return
-            if self._leaving:
-                connection.close_after_answer()
             await self._serve(connection, request)
             if not await connection.finish() or self._accepting.cancel_called:
                 return
--- a/src/finchway/gateway/_role.py
+++ b/src/finchway/gateway/_role.py
@@ -15,6 +15,7 @@
 from finchway.gateway._names import HeaderNames
 from finchway.gateway._session import GatewaySession
 from finchway.gateway._table import UpstreamTable
+from finchway.observe import DecisionLog
 from finchway.transport import Link
 
 CACHED_ANSWERS = 3.0
@@ -41,12 +42,13 @@
         link: Link,
         bounds: Bounds,
         names: HeaderNames,
+        decisions: DecisionLog,
     ) -> None:
         self._bounds = bounds
         self._world = World()
-        self._table = UpstreamTable(settings.name, zones, self._world, bounds)
+        self._table = UpstreamTable(settings.name, zones, self._world, bounds, decisions)
         self._forwarder = Forwarder(
-            settings.zone, zones, self._world, self._table, bounds, names
+            settings.zone, zones, self._world, self._table, bounds, names, decisions
         )
         beat = GatewayBeat(
             name=settings.name,
@@ -55,7 +57,9 @@
             zone=settings.zone,
             region=settings.region,
         )
-        self._session = GatewaySession(beat, link, self._world, seeds, self._forwarder.rates)
+        self._session = GatewaySession(
+            beat, link, self._world, seeds, self._forwarder.rates, decisions
+        )
         self._server = HttpServer(
             settings.address,
             self._forwarder.serve,
--- a/src/finchway/gateway/_session.py
+++ b/src/finchway/gateway/_session.py
@@ -9,6 +9,7 @@
 
 from finchway.exceptions import FinchwayError
 from finchway.feed import Feed, GatewayBeat, ServiceRate, Subscribe, World
+from finchway.observe import BeliefChanged, DecisionLog, ProcessChanged
 from finchway.transport import Link
 
 _LOG = logging.getLogger(__name__)
@@ -28,7 +29,9 @@
         world: World,
         seeds: Callable[[], list[str]],
         rates: Callable[[], list[ServiceRate]],
+        decisions: DecisionLog,
     ) -> None:
+        self._decisions = decisions
         self._beat = beat
         self._link = link
         self._world = world
@@ -79,10 +82,10 @@
                         answer = await self._ask(address, life, order)
                         nursery.cancel_scope.cancel()
                 if answer is None:
-                    self._answered.discard(address)
+                    self._note_lost(address)
                     await trio.sleep(RETRY_S)
                     continue
-                self._answered.add(address)
+                self._note_heard(address)
                 life, order = answer.life, answer.order
                 self._learn(answer)
                 await trio.sleep(PAUSE_S)
@@ -90,6 +93,16 @@
             self._asking.discard(address)
             self._answered.discard(address)
 
+    def _note_lost(self, address: str) -> None:
+        if address in self._answered:
+            self._answered.discard(address)
+            self._decisions.write(ProcessChanged(change="lost", detail=f"replica {address}"))
+
+    def _note_heard(self, address: str) -> None:
+        if address not in self._answered:
+            self._answered.add(address)
+            self._decisions.write(ProcessChanged(change="regained", detail=f"replica {address}"))
+
     async def _cancel_on_leave(self, scope: trio.CancelScope) -> None:
         await self._left.wait()
         scope.cancel()
@@ -109,8 +122,31 @@
         return answer if isinstance(answer, Feed) else None
 
     def _learn(self, feed: Feed) -> None:
-        if self._world.learn(feed, trio.current_time()):
-            _LOG.info("revision %d is in force", self._world.steering.revision)
+        before = self._world.steering.revision
+        if not self._world.learn(feed, trio.current_time()):
+            return
+        revision = self._world.steering.revision
+        for held in feed.image.items:
+            self._note_belief(held.item.key, f"version {held.item.version}", held.revision)
+        for mark in feed.image.marks:
+            self._note_belief(f"upstream/{mark.instance}", mark.kind.value, mark.revision)
+        for evacuation in feed.image.evacuations:
+            now = "evacuated" if evacuation.active else "in use"
+            self._note_belief(f"zone/{evacuation.zone}", now, evacuation.revision)
+        self._decisions.write(
+            BeliefChanged(
+                subject="configuration",
+                now=f"revision {revision}",
+                before=f"revision {before}",
+                source=f"replica {feed.life}",
+                revision=revision,
+            )
+        )
+
+    def _note_belief(self, subject: str, now: str, revision: int) -> None:
+        self._decisions.write(
+            BeliefChanged(subject=subject, now=now, source="control", revision=revision)
+        )
 
     def _current_beat(self) -> GatewayBeat:
         self._sequence += 1
--- a/src/finchway/gateway/_table.py
+++ b/src/finchway/gateway/_table.py
@@ -9,6 +9,7 @@
 from finchway.feed import World
 from finchway.gateway._bounds import Bounds
 from finchway.gateway._connection import UpstreamConnection
+from finchway.observe import BeliefChanged, DecisionLog
 from finchway.policy import Candidate, Pacer, rank
 from finchway.registry import Registration, UpstreamState
 
@@ -20,6 +21,8 @@
 COLD_SAFETY = 0.8
 EVACUATED_COLD_S = 3.0
 IDLE_KEPT = 16
+IN_USE = "in use"
+SILENT = "silent"
 _REFRESH_S = 0.05
 
 
@@ -37,6 +40,7 @@
         "reported",
         "reported_at",
         "resting_until",
+        "state",
     )
 
     def __init__(self, registration: Registration) -> None:
@@ -46,6 +50,7 @@
         self.reported_at = float("-inf")
         self.report_own = 0
         self.failures = 0
+        self.state = ""
         self.resting_until = float("-inf")
         self.cold_until = float("-inf")
         self.pacer: Pacer | None = None
@@ -88,8 +93,14 @@
     """All upstreams, and which of them may get a request now."""
 
     def __init__(
-        self, name: str, zones: Callable[[], dict[str, str]], world: World, bounds: Bounds
+        self,
+        name: str,
+        zones: Callable[[], dict[str, str]],
+        world: World,
+        bounds: Bounds,
+        decisions: DecisionLog,
     ) -> None:
+        self._decisions = decisions
         self._name = name
         self._zones = zones
         self._world = world
@@ -125,12 +136,16 @@
             registration = heard.registration
             seen.add(registration.instance)
             record = self._record(registration, heard.heard_at)
-            if self._may_get_work(registration, now - heard.heard_at, now):
+            state = self._state(registration, now - heard.heard_at, now)
+            self._note_state(record, state, now - heard.heard_at)
+            if state == IN_USE:
                 by_service.setdefault(registration.service, []).append(record)
             else:
                 record.close_idle()
         for instance in [name for name in self._records if name not in seen]:
-            self._records.pop(instance).close_idle()
+            forgotten = self._records.pop(instance)
+            forgotten.close_idle()
+            self._note_state(forgotten, "forgotten", -0.001)
         evacuated = steering.evacuated
         self._by_service = {
             service: [r for r in records if r.registration.zone not in evacuated]
@@ -210,13 +225,30 @@
         spec = self._world.steering.catalog.service(service)
         return (spec.cold_start if spec else 0.0) + self._bounds.heartbeat
 
-    def _may_get_work(self, registration: Registration, age: float, now: float) -> bool:
+    def _state(self, registration: Registration, age: float, now: float) -> str:
         if registration.state is not UpstreamState.READY:
-            return False
-        if registration.instance in self._world.steering.marks:
-            return False
+            return registration.state.value
+        mark = self._world.steering.marks.get(registration.instance)
+        if mark is not None:
+            return mark.kind.value
         control_is_fresh = now - self._world.heard_at < self._bounds.heartbeat
-        return not control_is_fresh or age < SILENT_BEATS * self._bounds.heartbeat
+        if control_is_fresh and age >= SILENT_BEATS * self._bounds.heartbeat:
+            return SILENT
+        return IN_USE
+
+    def _note_state(self, record: UpstreamRecord, state: str, age: float) -> None:
+        if record.state == state:
+            return
+        self._decisions.write(
+            BeliefChanged(
+                subject=f"upstream/{record.registration.instance}",
+                now=state,
+                before=record.state,
+                source=f"{record.registration.service} {record.registration.address}",
+                age_ms=round(age * 1000),
+            )
+        )
+        record.state = state
 
     def _cold_allows(self, record: UpstreamRecord, now: float) -> bool:
         """Let only one gateway send to a cold upstream, at its pace.
--- a/src/finchway/observe/__init__.py
+++ b/src/finchway/observe/__init__.py
@@ -1,14 +1,32 @@
 """What a process shows of itself: the time line of events, metrics and logs."""
 
+from finchway.observe._decisions import (
+    AnyDecision,
+    AttemptEnded,
+    BeliefChanged,
+    DecisionLog,
+    ProcessChanged,
+    RepeatDenied,
+    RequestEnded,
+)
 from finchway.observe._events import Event, EventKind, LogicalClock, Timeline, merge
 from finchway.observe._logs import configure_logs
 from finchway.observe._metrics import Metrics
+from finchway.observe._writer import LogWriter
 
 __all__ = [
+    "AnyDecision",
+    "AttemptEnded",
+    "BeliefChanged",
+    "DecisionLog",
     "Event",
     "EventKind",
+    "LogWriter",
     "LogicalClock",
     "Metrics",
+    "ProcessChanged",
+    "RepeatDenied",
+    "RequestEnded",
     "Timeline",
     "configure_logs",
     "merge",
--- /dev/null
+++ b/src/finchway/observe/_decisions.py
@@ -0,0 +1,121 @@
+"""The decisions that a process logs, each a typed line with the inputs that decided it.
+
+Ages are in milliseconds at the time of the decision. Bodies and credentials never get here.
+"""
+
+from __future__ import annotations
+
+import time
+
+import msgspec
+from msgspec import Struct
+
+from finchway.observe._writer import LogWriter
+
+
+class Decision(Struct, frozen=True, kw_only=True, tag_field="event", omit_defaults=True):
+    """The base of all lines."""
+
+    @property
+    def is_vital(self) -> bool:
+        """Whether the line outlives those of requests that went well."""
+        return True
+
+
+class RequestEnded(Decision, frozen=True, kw_only=True, tag="request"):
+    """The end of a caller's request: what the caller was told, and why.
+
+    `revision` is the configuration that routed it, `heard_ms` the age of the newest feed.
+    """
+
+    id: str
+    route: str = ""
+    service: str = ""
+    priority: int = -1
+    status: int
+    reason: str
+    attempts: int = 0
+    ms: float
+    budget_ms: float = 0.0
+    revision: int = 0
+    heard_ms: float = -1.0
+
+    @property
+    def is_vital(self) -> bool:
+        """Failures and refusals are vital."""
+        return self.status >= 400 or self.status == 0
+
+
+class AttemptEnded(Decision, frozen=True, kw_only=True, tag="attempt"):
+    """One attempt at an upstream: why it was chosen, and how it ended.
+
+    `busy` is the estimated requests at it, resting on a report of `report_ms` ago (-1: none).
+    """
+
+    id: str
+    number: int
+    upstream: str
+    zone: str
+    region: str
+    busy: float
+    slots: int
+    report_ms: float
+    heard_ms: float
+    choices: int
+    result: str
+    detail: str = ""
+    ms: float
+
+    @property
+    def is_vital(self) -> bool:
+        """Attempts that brought no answer are vital."""
+        return self.result != "answered"
+
+
+class RepeatDenied(Decision, frozen=True, kw_only=True, tag="repeat-denied"):
+    """A further attempt was not made, and why."""
+
+    id: str
+    service: str
+    reason: str
+    after: str
+
+
+class BeliefChanged(Decision, frozen=True, kw_only=True, tag="belief"):
+    """Something this process holds to be true changed."""
+
+    subject: str
+    now: str
+    before: str = ""
+    source: str = ""
+    revision: int = 0
+    age_ms: float = -1.0
+
+
+class ProcessChanged(Decision, frozen=True, kw_only=True, tag="process"):
+    """The process started, stops, read its settings anew, or lost or regained a dependency."""
+
+    change: str
+    detail: str = ""
+
+
+AnyDecision = RequestEnded | AttemptEnded | RepeatDenied | BeliefChanged | ProcessChanged
+
+
+class DecisionLog:
+    """Encodes decisions and queues them."""
+
+    def __init__(self, instance: str, writer: LogWriter) -> None:
+        self._writer = writer
+        self._encoder = msgspec.json.Encoder()
+        self._prefix = msgspec.json.encode(instance)
+
+    @property
+    def writer(self) -> LogWriter:
+        """Where the lines go."""
+        return self._writer
+
+    def write(self, decision: AnyDecision) -> None:
+        """Queue one line; never waits."""
+        line = b'{"t":%.3f,"instance":%s,' % (time.time(), self._prefix)
+        self._writer.put(line + self._encoder.encode(decision)[1:], decision.is_vital)
--- a/src/finchway/observe/_logs.py
+++ b/src/finchway/observe/_logs.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from finchway.observe._writer import LogWriter
+
 
 class JsonFormatter(logging.Formatter):
     """Formats a record as one JSON object."""
@@ -30,9 +32,23 @@
         return msgspec.json.encode(line).decode()
 
 
-def configure_logs(instance: str, level: str, as_json: bool) -> None:
-    """Send log lines to standard error."""
-    handler = logging.StreamHandler()
+class WriterHandler(logging.Handler):
+    """Queues records at a `LogWriter`; debug and info lines are the first to be dropped."""
+
+    def __init__(self, writer: LogWriter) -> None:
+        super().__init__()
+        self._writer = writer
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Queue one record."""
+        self._writer.put(self.format(record).encode(), record.levelno >= logging.WARNING)
+
+
+def configure_logs(
+    instance: str, level: str, as_json: bool, writer: LogWriter | None = None
+) -> None:
+    """Send log lines to a writer, or to standard error where there is none."""
+    handler = WriterHandler(writer) if writer is not None else logging.StreamHandler()
     if as_json:
         handler.setFormatter(JsonFormatter(instance))
     else:
--- a/src/finchway/policy/_placement.py
+++ b/src/finchway/policy/_placement.py
@@ -2,22 +2,18 @@
 
 Upstreams work faster on keys that they have seen lately and keep a bounded number of them. So each
 key has an order of the upstreams of a region, by rendezvous hashing, and goes to the first of them
-with room; a few more share it when the first is busy.
+with room: consistent hashing with bounded loads.
 
-    placement = Placement(keys_share=0.3)
-    chosen = placement.choose(candidates, "17", "north-a", "north")
+    chosen = Placement().choose(candidates, "17")
 """
 
 from __future__ import annotations
 
-import math
-
 from msgspec import Struct
 
 from finchway.policy._hashing import rank
 
-SHARED_BY = 0.3
-FULL = 1.0
+FILLED = 0.85
 
 
 class Candidate(Struct):
@@ -41,25 +37,25 @@
 class Placement:
     """Orders upstreams for keys, and remembers the orders."""
 
-    def __init__(self, shared_by: float = SHARED_BY, remembered: int = 20_000) -> None:
-        self._shared_by = shared_by
+    def __init__(self, filled: float = FILLED, remembered: int = 20_000) -> None:
+        self._filled = filled
         self._remembered = remembered
         self._orders: dict[tuple[str, frozenset[str]], list[str]] = {}
 
     def choose(self, candidates: list[Candidate], key: str) -> Candidate | None:
-        """Return the best of the candidates of one region, or None if there are none."""
+        """Return the first in the key's order with room, else the least loaded; None if empty.
+
+        There is room while one more request keeps the upstream at or below the filled part of
+        its slots; the reports that the estimate rests on are a moment old.
+        """
         if not candidates:
             return None
         by_name = {candidate.instance: candidate for candidate in candidates}
-        order = self._order(key, frozenset(by_name))
-        homes = max(1, math.ceil(len(order) * self._shared_by))
-        first = [by_name[name] for name in order[:homes]]
-        best = min(first, key=lambda c: int(c.load * 2))
-        if best.load < FULL:
-            return best
-        rest = [by_name[name] for name in order[homes:]]
-        free = next((c for c in rest if c.load < FULL), None)
-        return free or min(candidates, key=lambda c: c.load)
+        for name in self._order(key, frozenset(by_name)):
+            candidate = by_name[name]
+            if candidate.busy + 1 <= self._filled * candidate.slots:
+                return candidate
+        return min(candidates, key=lambda c: c.load)
 
     def _order(self, key: str, names: frozenset[str]) -> list[str]:
         held = self._orders.get((key, names))
--- a/src/finchway/policy/_spread.py
+++ b/src/finchway/policy/_spread.py
@@ -11,7 +11,6 @@
 
 from finchway.policy._hashing import position
 
-
 ASSUMED_USE = 0.8
 
 
--- /dev/null
+++ b/tests/gateway/harness.py
@@ -0,0 +1,252 @@
+"""A gateway in this process, with scripted upstreams and raw callers on loopback sockets."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from contextlib import asynccontextmanager
+
+import trio
+
+from finchway.catalog import Backend, Item, ItemKind, Limits, Route, RouteType, ServiceSpec
+from finchway.feed import Feed, GatewayBeat, HeardGateway, HeardUpstream, World
+from finchway.gateway import Bounds, Forwarder, HeaderNames, HttpServer, UpstreamTable
+from finchway.observe import DecisionLog, LogWriter
+from finchway.registry import Registration, UpstreamState
+from finchway.state import ChangeItems, Steering
+
+NAMES = HeaderNames()
+ZONES = {"north-a": "north", "south-a": "south"}
+PATIENCE_S = 5.0
+
+
+class Upstream:
+    """A scripted upstream: `script` gets each connection after the head and body of a request."""
+
+    def __init__(self, instance: str, script, zone: str = "north-a", **fields) -> None:
+        self.instance = instance
+        self.script = script
+        self.zone = zone
+        self.fields = fields
+        self.requests: list[bytes] = []
+        self.ended = trio.Event()
+        self.address = ""
+        self.connections = 0
+
+    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listeners[0].socket.getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        await trio.serve_listeners(self._serve, listeners, task_status=task_status)
+
+    async def _serve(self, stream) -> None:
+        self.connections += 1
+        try:
+            while (request := await read_message(stream)) is not None:
+                self.requests.append(request)
+                if await self.script(self, stream, request) is False:
+                    return
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+        finally:
+            self.ended.set()
+
+    def registration(self, sequence: int = 1, **fields) -> Registration:
+        values = {
+            "instance": self.instance,
+            "address": self.address,
+            "service": "s",
+            "zone": self.zone,
+            "slots": 4,
+            "state": UpstreamState.READY,
+            "sequence": sequence,
+        }
+        return Registration(**(values | self.fields | fields))
+
+
+async def read_message(stream) -> bytes | None:
+    """Read one request with a sized or chunked body; None at the end."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        part = await stream.receive_some(65536)
+        if not part:
+            return None
+        data += part
+    head, _, body = data.partition(b"\r\n\r\n")
+    size = int(header_of(head, b"content-length") or 0)
+    while len(body) < size:
+        part = await stream.receive_some(65536)
+        if not part:
+            return None
+        body += part
+    return head + b"\r\n\r\n" + body
+
+
+def header_of(message: bytes, name: bytes) -> bytes | None:
+    """Return a header of a raw message."""
+    for line in message.partition(b"\r\n\r\n")[0].split(b"\r\n")[1:]:
+        key, _, value = line.partition(b":")
+        if key.strip().lower() == name:
+            return value.strip()
+    return None
+
+
+def answer(request: bytes, body: bytes = b"hello", status: bytes = b"200 OK", extra: bytes = b""):
+    """Return a whole answer that repeats the request's id and is signed."""
+    identity = header_of(request, NAMES.request_id) or b""
+    return (
+        b"HTTP/1.1 "
+        + status
+        + b"\r\n"
+        + NAMES.request_id
+        + b": "
+        + identity
+        + b"\r\n"
+        + NAMES.signature
+        + b": signed\r\nContent-Length: "
+        + str(len(body)).encode()
+        + b"\r\n"
+        + extra
+        + b"\r\n"
+        + body
+    )
+
+
+async def serve_well(upstream: Upstream, stream, request: bytes) -> None:
+    """Answer every request."""
+    await stream.send_all(answer(request, upstream.instance.encode()))
+
+
+class Caller:
+    """A raw connection to the gateway."""
+
+    def __init__(self, stream) -> None:
+        self.stream = stream
+        self._data = b""
+
+    async def send(self, method=b"GET", path=b"/x/1", body=b"", host=b"a.example", **headers):
+        lines = [method + b" " + path + b" HTTP/1.1", b"Host: " + host]
+        values = {"request_id": b"id-1", "deadline_ms": b"2000"} | headers
+        for name, value in values.items():
+            lines.append(getattr(NAMES, name) + b": " + value)
+        if body:
+            lines.append(b"Content-Length: " + str(len(body)).encode())
+        await self.stream.send_all(b"\r\n".join(lines) + b"\r\n\r\n" + body)
+
+    async def receive(self) -> tuple[int, bytes, bytes] | None:
+        """Return status, head and body of the next answer; None if the connection ended."""
+        while b"\r\n\r\n" not in self._data:
+            if not await self._more():
+                return None
+        head, _, rest = self._data.partition(b"\r\n\r\n")
+        size = int(header_of(head, b"content-length") or 0)
+        self._data = rest
+        while len(self._data) < size:
+            if not await self._more():
+                return None
+        body, self._data = self._data[:size], self._data[size:]
+        return int(head.split()[1]), head, body
+
+    async def ask(self, *args, **fields) -> tuple[int, bytes, bytes] | None:
+        await self.send(*args, **fields)
+        return await self.receive()
+
+    async def _more(self) -> bool:
+        try:
+            part = await self.stream.receive_some(65536)
+        except trio.BrokenResourceError:
+            return False
+        self._data += part
+        return bool(part)
+
+
+class GatewayUnderTest:
+    """The gateway and the means to tell it things."""
+
+    def __init__(self, nursery: trio.Nursery, bounds: Bounds) -> None:
+        self.nursery = nursery
+        self.world = World()
+        self.writer = LogWriter()
+        self.decisions = DecisionLog("g1", self.writer)
+        self.table = UpstreamTable("g1", lambda: ZONES, self.world, bounds, self.decisions)
+        self.forwarder = Forwarder(
+            "north-a", lambda: ZONES, self.world, self.table, bounds, NAMES, self.decisions
+        )
+        self.steering = Steering()
+        self.address = ("127.0.0.1", 0)
+        self.server: HttpServer | None = None
+
+    async def start(self) -> None:
+        with trio.socket.socket() as probe:
+            await probe.bind(("127.0.0.1", 0))
+            self.address = probe.getsockname()
+        address = f"{self.address[0]}:{self.address[1]}"
+        limits = self.world.steering.catalog
+        self.server = HttpServer(
+            address, self.forwarder.serve, lambda: self.world.steering.catalog.limits
+        )
+        assert limits.is_empty
+        await self.nursery.start(self.server.run)
+
+    def tell(self, upstreams=(), gateways=("g1",), **fields) -> None:
+        beats = [
+            HeardGateway(
+                GatewayBeat(name=g, incarnation="1", address=g, zone="", region="", ready=True), 0.0
+            )
+            for g in gateways
+        ]
+        feed = Feed(
+            life="l",
+            order=0,
+            image=self.steering.image(),
+            gateways=beats,
+            replicas=[],
+            upstreams=[HeardUpstream(registration, 0.0) for registration in upstreams],
+            confirmed=True,
+            **fields,
+        )
+        self.world.learn(feed, trio.current_time())
+        self.table.refresh(trio.current_time())
+
+    def configure(self, version: int = 1, limits: Limits | None = None, **fields) -> None:
+        spec = {
+            "host": "a.example",
+            "path_prefix": "/x/",
+            "type": RouteType.SAFE,
+            "timeout": 2.0,
+            "target_latency": 0.3,
+            "backends": (Backend("s", 1.0),),
+            "max_attempts": 2,
+            "affinity": True,
+        } | fields
+        service = ServiceSpec(cold_start=3.0, cold_rate=9.0)
+        items = [
+            Item(kind=ItemKind.SERVICE, name="s", version=version, spec=service),
+            Item(kind=ItemKind.ROUTE, name="r", version=version, spec=Route(**spec)),
+        ]
+        if limits is not None:
+            items.append(Item(kind=ItemKind.LIMITS, name="limits", version=version, spec=limits))
+        result = self.steering.change_items(ChangeItems(now_ms=0, items=items))
+        assert result.revision == self.steering.revision
+
+    async def connect(self) -> Caller:
+        return Caller(await trio.open_tcp_stream(*self.address))
+
+
+@asynccontextmanager
+async def gateway(*upstreams: Upstream, bounds: Bounds | None = None, **route):
+    """Run a gateway with one route to the given upstreams."""
+    with trio.fail_after(PATIENCE_S * 4):
+        async with trio.open_nursery() as nursery:
+            subject = GatewayUnderTest(nursery, bounds or Bounds())
+            for upstream in upstreams:
+                await nursery.start(upstream.run)
+            await subject.start()
+            subject.configure(**route)
+            subject.tell([upstream.registration() for upstream in upstreams])
+            yield subject
+            nursery.cancel_scope.cancel()
+
+
+def run(test: Callable[[], Awaitable[None]]) -> None:
+    """Run a test on trio."""
+    trio.run(test)
--- /dev/null
+++ b/tests/unit/test_placement.py
@@ -0,0 +1,113 @@
+"""Placing requests by key, spreading regions, and limits over windows."""
+
+import pytest
+
+from finchway.policy import (
+    AttemptBudget,
+    Candidate,
+    Pacer,
+    Placement,
+    RateMeter,
+    RegionLoad,
+    Spread,
+    assume_even_demand,
+    plan_spread,
+)
+
+
+def candidates(count, slots=6, busy=0.0):
+    return [Candidate(f"u{i}", "z", "north", slots, busy) for i in range(count)]
+
+
+def test_a_key_keeps_to_its_upstream_while_there_is_room():
+    placement = Placement()
+    first = placement.choose(candidates(8), "17").instance
+    assert placement.choose(candidates(8, busy=2), "17").instance == first
+    fewer = [c for c in candidates(8) if c.instance != first]
+    others = {placement.choose(candidates(8), str(k)).instance for k in range(200)}
+    assert len(others) == 8
+    assert placement.choose(fewer, "17").instance != first
+
+
+def test_a_full_upstream_passes_its_keys_on():
+    placement = Placement()
+    given = candidates(8)
+    first = placement.choose(given, "17")
+    first.busy = 6
+    second = placement.choose(given, "17")
+    assert second is not first
+    for candidate in given:
+        candidate.busy = 9
+    second.busy = 8
+    assert placement.choose(given, "17") is second
+
+
+def test_a_region_keeps_what_it_can_bear_and_passes_the_rest_to_spare_room():
+    loads = {
+        "north": RegionLoad(90, 60),
+        "south": RegionLoad(30, 60),
+        "west": RegionLoad(55, 60),
+    }
+    parts = plan_spread("north", loads)
+    assert parts["north"] == pytest.approx(2 / 3)
+    assert parts["south"] / parts["west"] == pytest.approx(6)
+    assert sum(parts.values()) == pytest.approx(1)
+    assert plan_spread("south", loads) == {"south": 1.0}
+
+
+def test_when_all_are_short_the_parts_still_add_up():
+    loads = {"north": RegionLoad(200, 60), "south": RegionLoad(70, 60)}
+    assert sum(plan_spread("north", loads).values()) == pytest.approx(1)
+
+
+def test_assumed_demand_is_even():
+    loads = assume_even_demand(
+        {"north": RegionLoad(0, 10), "south": RegionLoad(0, 90)}, {"north", "south"}
+    )
+    assert plan_spread("north", loads)["north"] == pytest.approx(0.25)
+
+
+def test_parts_move_no_faster_than_allowed():
+    spread = Spread("north", speed=0.05)
+    spread.follow({"north": 1.0}, 0.0)
+    spread.follow({"north": 0.5, "south": 0.5}, 2.0)
+    assert spread.parts["south"] == pytest.approx(0.1)
+    assert sum(spread.parts.values()) == pytest.approx(1)
+
+
+def test_what_is_sent_follows_the_parts_also_when_one_key_is_hot():
+    spread = Spread("north", speed=0.05)
+    spread.follow({"north": 0.6, "south": 0.4}, 0.0)
+    sent = [spread.choose("hot") for _ in range(500)]
+    assert sent.count("south") / 500 == pytest.approx(0.4, abs=0.06)
+
+
+def test_a_budget_bounds_the_sum_over_gateways():
+    budgets = [AttemptBudget(0.2, 60, 10.0) for _ in range(12)]
+    spent = 0
+    for budget in budgets:
+        for _ in range(50):
+            budget.count_request(0.0)
+        spent += sum(budget.spend(0.1, 12) for _ in range(100))
+    assert 0 < spent <= 0.2 * 600 + 60
+    assert not budgets[0].spend(0.2, 12)
+    assert budgets[0].spend(10.5, 12)
+
+
+def test_a_pacer_bounds_each_second():
+    pacer = Pacer(rate=7.0)
+    passed = 0
+    for step in range(10_000):
+        now = step / 1000
+        if pacer.ready(now):
+            pacer.take(now)
+            passed += 1
+    assert 68 <= passed <= 71
+
+
+def test_a_meter_follows_the_rate():
+    meter = RateMeter(over=1.0)
+    for step in range(300):
+        meter.add()
+        meter.rate(step / 100)
+    assert meter.rate(3.0) == pytest.approx(100, rel=0.1)
--- /dev/null
+++ b/tests/unit/test_steering_state.py
@@ -0,0 +1,61 @@
+"""The steering state: marks, evacuations, and images that only ever move a copy forward."""
+
+from finchway.registry import MarkKind
+from finchway.state import MarkUpstream, SetEvacuation, StateMachine, Steered, Steering
+from tests.unit.test_catalog import change, route, service
+
+
+def mark(instance, kind):
+    return MarkUpstream(now_ms=0, instance=instance, kind=kind)
+
+
+def evacuate(zone, active):
+    return SetEvacuation(now_ms=0, zone=zone, active=active)
+
+
+def test_a_gone_upstream_is_never_only_draining_again():
+    steering = Steering()
+    assert steering.mark_upstream(mark("i", MarkKind.GONE)) == Steered(1)
+    assert steering.mark_upstream(mark("i", MarkKind.DRAINING)) == Steered(1)
+    assert steering.marks["i"].kind is MarkKind.GONE
+
+
+def test_marking_again_takes_no_revision():
+    steering = Steering()
+    steering.mark_upstream(mark("i", MarkKind.DRAINING))
+    assert steering.mark_upstream(mark("i", MarkKind.DRAINING)) == Steered(1)
+
+
+def test_evacuation_begins_and_ends_and_resends_are_harmless():
+    steering = Steering()
+    assert steering.set_evacuation(evacuate("z", False)) == Steered(0)
+    steering.set_evacuation(evacuate("z", True))
+    steering.set_evacuation(evacuate("z", True))
+    assert steering.evacuated == {"z"}
+    assert steering.set_evacuation(evacuate("z", False)) == Steered(2)
+    assert steering.evacuated == frozenset()
+
+
+def test_a_copy_follows_by_what_is_newer_and_never_goes_back():
+    steering = Steering()
+    steering.change_items(change(service(), route()))
+    copy = Steering(steering.image())
+    old = steering.image()
+    steering.change_items(change(route(version=2, timeout=2.0)))
+    steering.set_evacuation(evacuate("z", True))
+    newer = steering.image(since=copy.revision)
+    assert [held.item.name for held in newer.items] == ["r"]
+    assert copy.merge(newer)
+    assert not copy.merge(old)
+    assert copy.image() == steering.image()
+
+
+def test_the_state_survives_a_snapshot():
+    machine = StateMachine()
+    machine.apply(change(service(), route()))
+    machine.apply(mark("i", MarkKind.DRAINING))
+    machine.apply(evacuate("z", True))
+    other = StateMachine()
+    other.restore(machine.snapshot())
+    assert other.steering.image() == machine.steering.image()
+    assert other.digest() == machine.digest()
