Refuse what would wait for longer than its answer is worth

Ruled out: too little capacity (warm, 59 of 120 slots are asked for). Conclusion: half of a region's upstreams serve a key, up to 1.5 requests a slot.

--- a/src/finchway/gateway/_forward.py
+++ b/src/finchway/gateway/_forward.py
@@ -20,23 +20,32 @@
     Reply,
 )
 from finchway.gateway._names import HOP_HEADERS, HeaderNames
-from finchway.gateway._table import SHED_REST_S, UpstreamRecord, UpstreamTable
+from finchway.gateway._table import (
+    SHED_REST_S,
+    RegionUpstreams,
+    UpstreamRecord,
+    UpstreamTable,
+)
 from finchway.observe import AttemptEnded, DecisionLog, RepeatDenied, RequestEnded
 from finchway.policy import (
     AttemptBudget,
+    Candidate,
     Placement,
     RateMeter,
     RegionLoad,
     Spread,
     assume_even_demand,
     plan_spread,
+    rank,
 )
 
 COME_BACK_S = 0.25
 USE_OF_SLOTS = 0.7
 FIRST_WORK_S = 0.3
 WORK_WEIGHT = 0.02
+PLAN_EVERY_S = 0.1
 SHIFT_SAFETY = 0.5
+CANCELLED = "cancelled: out of time, or the caller left"
 _LEAST_LEFT_S = 0.02
 
 
@@ -71,6 +80,7 @@
     deadline: float
     attempts: int = 0
     choices: int = 0
+    refusal: str = ""
     tried: set[str] = set()
 
 
@@ -212,7 +222,9 @@
             now = trio.current_time()
             record = self._choose(task, now)
             if record is None:
-                self._note_denied(task, "no upstream left to try", outcome)
+                if task.attempts == 0:
+                    return Outcome(Verdict.NOT_RUN, task.refusal)
+                self._note_denied(task, task.refusal, outcome)
                 return outcome
             denied = self._denied(task, outcome, now) if task.attempts > 0 else ""
             if denied:
@@ -261,7 +273,7 @@
         self._table.note_sent(record, now)
         upstream = None
         whole = streams = False
-        outcome = Outcome(Verdict.UNKNOWN, "cancelled: out of time, or the caller left")
+        outcome = Outcome(Verdict.UNKNOWN, CANCELLED)
         try:
             upstream = await self._table.connect(record, now)
             task.attempts += 1
@@ -282,6 +294,8 @@
             return outcome
         finally:
             record.in_flight -= 1
+            if outcome.detail == CANCELLED and trio.current_time() >= task.deadline:
+                record.fail(trio.current_time())
             self._note_attempt(task, record, outcome, busy, started)
             if upstream is not None:
                 if whole:
@@ -387,27 +401,53 @@
     # Choice
 
     def _choose(self, task: Task, now: float) -> UpstreamRecord | None:
-        found = self._table.candidates(task.service, now, task.tried, task.route.allowed_regions)
-        task.choices = sum(len(candidates) for candidates in found.values())
-        if not found:
+        regions = {
+            name: upstreams
+            for name, upstreams in self._table.regions(task.service, now).items()
+            if not task.route.allowed_regions or name in task.route.allowed_regions
+        }
+        task.choices = sum(len(upstreams.names) for upstreams in regions.values())
+        if not regions:
+            task.refusal = "no upstream"
             return None
-        region = self._region(task, found, now)
-        chosen = self._placement.choose(found[region], f"{task.service}\x00{task.key}")
-        return self._table.get(chosen.instance)
-
-    def _region(self, task: Task, found: dict, now: float) -> str:
-        if len(found) == 1:
-            return next(iter(found))
+        key = f"{task.service}\x00{task.key}"
+        for region in self._region_order(task, key, regions, now):
+            record = self._choose_in(task, key, regions[region], now)
+            if record is not None:
+                return record
+        task.refusal = "all upstreams for the key are full or resting"
+        return None
+
+    def _choose_in(
+        self, task: Task, key: str, upstreams: RegionUpstreams, now: float
+    ) -> UpstreamRecord | None:
+        """Return the best home of a key in one region; None if none has room."""
+        ordered = []
+        most = self._placement.homes(len(upstreams.names))
+        for name in self._placement.order(key, upstreams.names):
+            record = upstreams.records[name]
+            if name in task.tried or not self._table.may_get(record, now):
+                continue
+            ordered.append(Candidate(name, record.registration.slots, record.busy(now)))
+            if len(ordered) == most:
+                break
+        chosen = self._placement.choose(ordered)
+        return upstreams.records[chosen.instance] if chosen else None
+
+    def _region_order(self, task: Task, key: str, regions: dict, now: float) -> list[str]:
+        """Return the region whose turn it is, then the home region, then the others."""
+        if len(regions) == 1:
+            return list(regions)
         home = self._zones().get(self._zone, self._zone)
         spread = self._spreads.get(task.service)
         if spread is None:
             speed = SHIFT_SAFETY * self._bounds.shift_per_window / self._bounds.shift_window
             spread = self._spreads[task.service] = Spread(home, speed)
-        spread.follow(self._plan(home, task.service, now), now)
-        chosen = spread.choose(f"{task.service}\x00{task.key}")
-        if chosen in found:
-            return chosen
-        return home if home in found else min(found)
+        if now - spread.followed_at >= PLAN_EVERY_S:
+            spread.follow(self._plan(home, task.service, now), now)
+        first = spread.choose(key)
+        others = rank(key, [name for name in regions if name not in (first, home)])
+        return [name for name in dict.fromkeys((first, home, *others)) if name in regions]
 
     def _plan(self, home: str, service: str, now: float) -> dict[str, float]:
         loads = self._loads(service, now)
@@ -422,10 +462,10 @@
             for rate in beat.rates:
                 if rate.service == service:
                     demand[beat.region] = demand.get(beat.region, 0.0) + rate.rate
-        slots: dict[str, float] = {}
-        for record in self._table.records(service, now):
-            region = zones.get(record.registration.zone, record.registration.zone)
-            slots[region] = slots.get(region, 0.0) + record.registration.slots
+        slots = {
+            region: upstreams.slots
+            for region, upstreams in self._table.regions(service, now).items()
+        }
         work = self._work.get(service, FIRST_WORK_S)
         return {
             region: RegionLoad(
--- a/src/finchway/gateway/_table.py
+++ b/src/finchway/gateway/_table.py
@@ -5,12 +5,13 @@
 from collections.abc import Callable
 
 import trio
+from msgspec import Struct
 
 from finchway.feed import World
 from finchway.gateway._bounds import Bounds
 from finchway.gateway._connection import UpstreamConnection
 from finchway.observe import BeliefChanged, DecisionLog
-from finchway.policy import Candidate, Pacer, rank
+from finchway.policy import Pacer, rank
 from finchway.registry import Registration, UpstreamState
 
 SILENT_BEATS = 2.5
@@ -89,6 +90,18 @@
         self.idle = []
 
 
+class RegionUpstreams(Struct):
+    """The upstreams of one service in one region, by instance."""
+
+    names: tuple[str, ...]
+    records: dict[str, UpstreamRecord]
+
+    @property
+    def slots(self) -> int:
+        """How many requests they work on at once."""
+        return sum(record.registration.slots for record in self.records.values())
+
+
 class UpstreamTable:
     """All upstreams, and which of them may get a request now."""
 
@@ -106,7 +119,7 @@
         self._world = world
         self._bounds = bounds
         self._records: dict[str, UpstreamRecord] = {}
-        self._by_service: dict[str, list[UpstreamRecord]] = {}
+        self._by_service: dict[str, dict[str, RegionUpstreams]] = {}
         self._refreshed_at = float("-inf")
         self._opened = 0
 
@@ -119,16 +132,15 @@
         """Return the record of an upstream."""
         return self._records.get(instance)
 
-    def records(self, service: str, now: float) -> list[UpstreamRecord]:
-        """Return the upstreams of a service that may get something new."""
+    def regions(self, service: str, now: float) -> dict[str, RegionUpstreams]:
+        """Return by region the upstreams of a service that may get something new."""
         if now - self._refreshed_at >= _REFRESH_S:
             self.refresh(now)
-        return self._by_service.get(service, [])
+        return self._by_service.get(service, {})
 
     def refresh(self, now: float) -> None:
         """Bring the table up to what the world says."""
         self._refreshed_at = now
-        steering = self._world.steering
         self._world.registry.forget_silent(now)
         by_service: dict[str, list[UpstreamRecord]] = {}
         seen = set()
@@ -146,36 +158,26 @@
             forgotten = self._records.pop(instance)
             forgotten.close_idle()
             self._note_state(forgotten, "forgotten", -0.001)
-        evacuated = steering.evacuated
         self._by_service = {
-            service: [r for r in records if r.registration.zone not in evacuated]
-            for service, records in by_service.items()
+            service: self._by_region(records) for service, records in by_service.items()
         }
 
-    def candidates(
-        self, service: str, now: float, tried: set[str], regions: tuple[str, ...]
-    ) -> dict[str, list[Candidate]]:
-        """Return by region the upstreams that may get a request of a service."""
+    def _by_region(self, records: list[UpstreamRecord]) -> dict[str, RegionUpstreams]:
         zones = self._zones()
-        found: dict[str, list[Candidate]] = {}
-        resting: dict[str, list[Candidate]] = {}
-        for record in self.records(service, now):
-            registration = record.registration
-            region = zones.get(registration.zone, registration.zone)
-            if registration.instance in tried or (regions and region not in regions):
-                continue
-            if not self._cold_allows(record, now):
-                continue
-            candidate = Candidate(
-                registration.instance,
-                registration.zone,
-                region,
-                registration.slots,
-                record.busy(now),
-            )
-            into = found if record.resting_until <= now else resting
-            into.setdefault(region, []).append(candidate)
-        return found or resting
+        evacuated = self._world.steering.evacuated
+        found: dict[str, dict[str, UpstreamRecord]] = {}
+        for record in records:
+            zone = record.registration.zone
+            if zone not in evacuated:
+                held = found.setdefault(zones.get(zone, zone), {})
+                held[record.registration.instance] = record
+        return {
+            region: RegionUpstreams(tuple(sorted(held)), held) for region, held in found.items()
+        }
+
+    def may_get(self, record: UpstreamRecord, now: float) -> bool:
+        """Tell whether an upstream may get a request at this moment."""
+        return record.resting_until <= now and self._cold_allows(record, now)
 
     def note_sent(self, record: UpstreamRecord, now: float) -> None:
         """Count a request that is being sent."""
--- a/src/finchway/policy/_placement.py
+++ b/src/finchway/policy/_placement.py
@@ -1,10 +1,12 @@
-"""Which upstream gets a request: near, warm for its key, and with room.
+"""Which upstream of a region gets a request: warm for its key, and with room.
 
 Upstreams work faster on keys that they have seen lately and keep a bounded number of them. So each
-key has an order of the upstreams of a region, by rendezvous hashing, and goes to the first of them
-with room: consistent hashing with bounded loads.
+key has an order of the upstreams of a region, by rendezvous hashing, and goes to the first with
+room. Only the first part of the order serves a key: beyond it, a surge would bring every key to
+every upstream, all would forget them, and work would stay slow after the surge has passed.
 
-    chosen = Placement().choose(candidates, "17")
+    placement = Placement()
+    chosen = placement.choose(candidates, "17")
 """
 
 from __future__ import annotations
@@ -13,7 +15,9 @@
 
 from finchway.policy._hashing import rank
 
+HOMES = 0.5
 FILLED = 0.85
+ADMITTED = 1.5
 
 
 class Candidate(Struct):
@@ -23,44 +27,53 @@
     """
 
     instance: str
-    zone: str
-    region: str
     slots: int
     busy: float = 0.0
 
     @property
-    def load(self) -> float:
-        """Requests at the upstream for each of its slots."""
-        return self.busy / max(self.slots, 1)
+    def after(self) -> float:
+        """Requests for each slot once this one is there."""
+        return (self.busy + 1) / max(self.slots, 1)
 
 
 class Placement:
-    """Orders upstreams for keys, and remembers the orders."""
+    """Orders upstreams for keys, and remembers the orders.
 
-    def __init__(self, filled: float = FILLED, remembered: int = 20_000) -> None:
+    An upstream has room while one more request keeps it at `filled` of its slots. When none has,
+    the least loaded of a key's homes takes it up to `admitted`; what is beyond would wait for
+    longer than its answer is worth, and keep those behind it waiting.
+    """
+
+    def __init__(
+        self,
+        homes: float = HOMES,
+        filled: float = FILLED,
+        admitted: float = ADMITTED,
+        remembered: int = 20_000,
+    ) -> None:
+        self._homes = homes
         self._filled = filled
+        self._admitted = admitted
         self._remembered = remembered
-        self._orders: dict[tuple[str, frozenset[str]], list[str]] = {}
-
-    def choose(self, candidates: list[Candidate], key: str) -> Candidate | None:
-        """Return the first in the key's order with room, else the least loaded; None if empty.
-
-        There is room while one more request keeps the upstream at or below the filled part of
-        its slots; the reports that the estimate rests on are a moment old.
-        """
-        if not candidates:
-            return None
-        by_name = {candidate.instance: candidate for candidate in candidates}
-        for name in self._order(key, frozenset(by_name)):
-            candidate = by_name[name]
-            if candidate.busy + 1 <= self._filled * candidate.slots:
-                return candidate
-        return min(candidates, key=lambda c: c.load)
+        self._orders: dict[tuple[str, tuple[str, ...]], list[str]] = {}
 
-    def _order(self, key: str, names: frozenset[str]) -> list[str]:
+    def order(self, key: str, names: tuple[str, ...]) -> list[str]:
+        """Return the order of upstreams for a key; the same names give the same order."""
         held = self._orders.get((key, names))
         if held is None:
             if len(self._orders) >= self._remembered:
                 self._orders.clear()
             held = self._orders[key, names] = rank(key, names)
         return held
+
+    def homes(self, count: int) -> int:
+        """Return how many of an order's first upstreams serve a key."""
+        return max(1, int(count * self._homes))
+
+    def choose(self, ordered: list[Candidate]) -> Candidate | None:
+        """Return the best of a key's homes, in their order; None if all are full."""
+        for candidate in ordered:
+            if candidate.after <= self._filled:
+                return candidate
+        best = min(ordered, key=lambda candidate: candidate.after, default=None)
+        return best if best is not None and best.after <= self._admitted else None
--- a/src/finchway/policy/_spread.py
+++ b/src/finchway/policy/_spread.py
@@ -78,7 +78,12 @@
         self._speed = speed
         self._parts: dict[str, float] | None = None
         self._owed: dict[str, float] = {}
-        self._at = 0.0
+        self._at = float("-inf")
+
+    @property
+    def followed_at(self) -> float:
+        """When the parts last followed a plan."""
+        return self._at
 
     @property
     def parts(self) -> dict[str, float]:
