Bound what a gateway has in flight at an upstream by its part of the flow

Cause: twelve gateways each saw 2 to 4 requests at upstreams that held more than 9 (attempt lines): reports come with answers only, and answers had stopped coming in time. Ruled out: too few reports in calm (busy there is right within one request).

--- a/src/finchway/gateway/_forward.py
+++ b/src/finchway/gateway/_forward.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from enum import Enum
 
@@ -37,12 +38,15 @@
     assume_even_demand,
     plan_spread,
     rank,
+    share_of_flow,
 )
 
 COME_BACK_S = 0.25
 USE_OF_SLOTS = 0.7
 FIRST_WORK_S = 0.3
-WORK_WEIGHT = 0.02
+WORK_WEIGHT_UP = 0.005
+WORK_WEIGHT_DOWN = 0.05
+OWN_ADMITTED = 1.0
 PLAN_EVERY_S = 0.1
 SHIFT_SAFETY = 0.5
 CANCELLED = "cancelled: out of time, or the caller left"
@@ -110,6 +114,7 @@
         self._meters: dict[str, RateMeter] = {}
         self._work: dict[str, float] = {}
         self._splits: dict[str, dict[str, float]] = {}
+        self._shares: dict[tuple[str, str], tuple[float, float]] = {}
         self._in_flight = 0
 
     @property
@@ -295,7 +300,7 @@
         finally:
             record.in_flight -= 1
             if outcome.detail == CANCELLED and trio.current_time() >= task.deadline:
-                record.fail(trio.current_time())
+                record.leave_unanswered(trio.current_time())
             self._note_attempt(task, record, outcome, busy, started)
             if upstream is not None:
                 if whole:
@@ -395,8 +400,10 @@
             record.report(int(parts[0]), int(parts[1]), now)
 
     def _note_work(self, service: str, seconds: float) -> None:
+        """Follow the lower part of the times: what is above it was mostly spent waiting."""
         held = self._work.get(service, FIRST_WORK_S)
-        self._work[service] = held + WORK_WEIGHT * (seconds - held)
+        weight = WORK_WEIGHT_UP if seconds > held else WORK_WEIGHT_DOWN
+        self._work[service] = held + weight * (seconds - held)
 
     # Choice
 
@@ -412,28 +419,53 @@
             return None
         key = f"{task.service}\x00{task.key}"
         for region in self._region_order(task, key, regions, now):
-            record = self._choose_in(task, key, regions[region], now)
+            record = self._choose_in(task, key, region, regions[region], now)
             if record is not None:
                 return record
         task.refusal = "all upstreams for the key are full or resting"
         return None
 
     def _choose_in(
-        self, task: Task, key: str, upstreams: RegionUpstreams, now: float
+        self, task: Task, key: str, region: str, upstreams: RegionUpstreams, now: float
     ) -> UpstreamRecord | None:
         """Return the best home of a key in one region; None if none has room."""
         ordered = []
+        share = self._share(task.service, region, now)
         most = self._placement.homes(len(upstreams.names))
         for name in self._placement.order(key, upstreams.names):
             record = upstreams.records[name]
             if name in task.tried or not self._table.may_get(record, now):
                 continue
-            ordered.append(Candidate(name, record.registration.slots, record.busy(now)))
+            ordered.append(self._candidate(record, share, now))
             if len(ordered) == most:
                 break
         chosen = self._placement.choose(ordered)
         return upstreams.records[chosen.instance] if chosen else None
 
+    def _candidate(self, record: UpstreamRecord, share: float, now: float) -> Candidate:
+        slots = record.registration.slots
+        own_most = max(1, math.ceil(slots * OWN_ADMITTED * share))
+        return Candidate(
+            record.registration.instance, slots, record.busy(now), record.in_flight, own_most
+        )
+
+    def _share(self, service: str, region: str, now: float) -> float:
+        """Return this gateway's part of what a region's upstreams get; worked out now and then."""
+        held = self._shares.get((service, region))
+        if held is not None and now - held[1] < PLAN_EVERY_S:
+            return held[0]
+        loads = self._loads(service, now)
+        meter = self._meters.get(service)
+        share = share_of_flow(
+            self._zones().get(self._zone, self._zone),
+            meter.rate(now) if meter else 0.0,
+            region,
+            loads,
+            len(self._world.gateways(now)),
+        )
+        self._shares[service, region] = (share, now)
+        return share
+
     def _region_order(self, task: Task, key: str, regions: dict, now: float) -> list[str]:
         """Return the region whose turn it is, then the home region, then the others."""
         if len(regions) == 1:
@@ -456,7 +488,6 @@
         return plan_spread(home, loads)
 
     def _loads(self, service: str, now: float) -> dict[str, RegionLoad]:
-        zones = self._zones()
         demand: dict[str, float] = {}
         for beat in self._world.gateways(now):
             for rate in beat.rates:
--- a/src/finchway/gateway/_table.py
+++ b/src/finchway/gateway/_table.py
@@ -22,6 +22,7 @@
 COLD_SAFETY = 0.8
 EVACUATED_COLD_S = 3.0
 IDLE_KEPT = 16
+DARK_AFTER = 3
 IN_USE = "in use"
 SILENT = "silent"
 _REFRESH_S = 0.05
@@ -42,6 +43,7 @@
         "reported_at",
         "resting_until",
         "state",
+        "unanswered",
     )
 
     def __init__(self, registration: Registration) -> None:
@@ -52,6 +54,7 @@
         self.report_own = 0
         self.failures = 0
         self.state = ""
+        self.unanswered = 0
         self.resting_until = float("-inf")
         self.cold_until = float("-inf")
         self.pacer: Pacer | None = None
@@ -78,9 +81,17 @@
         self.failures += 1
         self.rest(now, min(LONGEST_REST_S, FIRST_REST_S * 2 ** (self.failures - 1)))
 
+    def leave_unanswered(self, now: float) -> None:
+        """Count a request whose time ran out; only several in a row speak against an upstream."""
+        self.unanswered += 1
+        if self.unanswered >= DARK_AFTER:
+            self.unanswered = 0
+            self.fail(now)
+
     def succeed(self) -> None:
         """Count an answer."""
         self.failures = 0
+        self.unanswered = 0
         self.resting_until = float("-inf")
 
     def close_idle(self) -> None:
--- a/src/finchway/policy/__init__.py
+++ b/src/finchway/policy/__init__.py
@@ -50,7 +50,13 @@
     next_move_status,
     recent_percent,
 )
-from finchway.policy._spread import RegionLoad, Spread, assume_even_demand, plan_spread
+from finchway.policy._spread import (
+    RegionLoad,
+    Spread,
+    assume_even_demand,
+    plan_spread,
+    share_of_flow,
+)
 from finchway.policy._windows import AttemptBudget, Pacer, RateMeter, WindowCount
 
 __all__ = [
@@ -119,4 +125,5 @@
     "WindowCount",
     "assume_even_demand",
     "plan_spread",
+    "share_of_flow",
 ]
--- a/src/finchway/policy/_placement.py
+++ b/src/finchway/policy/_placement.py
@@ -23,12 +23,15 @@
 class Candidate(Struct):
     """An upstream that may get the request.
 
-    `busy` is the estimated number of requests at it, from all gateways.
+    `busy` is the estimated number of requests at it, from all gateways; `own` are those of this
+    gateway, and `own_most` is its part of what the upstream may have.
     """
 
     instance: str
     slots: int
     busy: float = 0.0
+    own: int = 0
+    own_most: int = 1_000_000
 
     @property
     def after(self) -> float:
@@ -72,6 +75,7 @@
 
     def choose(self, ordered: list[Candidate]) -> Candidate | None:
         """Return the best of a key's homes, in their order; None if all are full."""
+        ordered = [candidate for candidate in ordered if candidate.own < candidate.own_most]
         for candidate in ordered:
             if candidate.after <= self._filled:
                 return candidate
--- a/src/finchway/policy/_spread.py
+++ b/src/finchway/policy/_spread.py
@@ -64,6 +64,24 @@
     }
 
 
+def share_of_flow(
+    home: str, own_rate: float, target: str, loads: dict[str, RegionLoad], fellows: int
+) -> float:
+    """Return one gateway's part of all requests that the regions send to a target region.
+
+    Without any demand yet the gateways, `fellows` in all, count alike.
+    """
+    flow = sum(
+        load.demand * plan_spread(region, loads).get(target, 0.0)
+        for region, load in loads.items()
+        if load.demand > 0
+    )
+    if flow <= 0:
+        return 1.0 / max(fellows, 1)
+    own = own_rate * plan_spread(home, loads).get(target, 0.0)
+    return min(1.0, own / flow)
+
+
 class Spread:
     """The parts in use, which follow the plan at a bounded speed, and the choice by key.
 
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -12,6 +12,7 @@
     Spread,
     assume_even_demand,
     plan_spread,
+    share_of_flow,
 )
 
 
@@ -53,6 +54,25 @@
     assert placement.choose(ordered(placement, "17", busy=9)) is None
 
 
+def test_a_gateway_keeps_to_its_own_part_of_an_upstream():
+    placement = Placement()
+    homes = ordered(placement, "17")
+    homes[0].own, homes[0].own_most = 1, 1
+    assert placement.choose(homes) is homes[1]
+    for home in homes:
+        home.own, home.own_most = 1, 1
+    assert placement.choose(homes) is None
+
+
+def test_the_gateways_parts_of_a_region_add_up():
+    loads = {"north": RegionLoad(90, 60), "south": RegionLoad(30, 60)}
+    north = [share_of_flow("north", 15.0, "south", loads, 9) for _ in range(6)]
+    south = [share_of_flow("south", 10.0, "south", loads, 9) for _ in range(3)]
+    assert sum(north) + sum(south) == pytest.approx(1)
+    idle = {"north": RegionLoad(0, 60)}
+    assert share_of_flow("north", 0.0, "north", idle, 4) == 0.25
+
+
 def test_a_surge_does_not_bring_every_key_to_every_upstream():
     placement = Placement()
     assert placement.homes(8) == 4
