Give each key two homes

Cause: there are 75 things for each client zone, 450 in all (attempt lines with keys), and 20 upstreams keep 49 each, so a key fits on about two upstreams; half of a region's upstreams as homes made them forget. A first sight takes 490 ms, a second 159 ms, however often it came before. A region that loses a tenth of its slots may move its traffic faster.

--- a/src/finchway/gateway/_forward.py
+++ b/src/finchway/gateway/_forward.py
@@ -317,6 +317,7 @@
             AttemptEnded(
                 id=task.request_id,
                 number=task.attempts,
+                key=task.key,
                 upstream=registration.instance,
                 zone=registration.zone,
                 region=self._zones().get(registration.zone, ""),
@@ -418,28 +419,33 @@
             task.refusal = "no upstream"
             return None
         key = f"{task.service}\x00{task.key}"
-        for region in self._region_order(task, key, regions, now):
-            record = self._choose_in(task, key, region, regions[region], now)
+        for position, region in enumerate(self._region_order(task, key, regions, now)):
+            record = self._choose_in(task, key, region, regions[region], now, position > 0)
             if record is not None:
                 return record
         task.refusal = "all upstreams for the key are full or resting"
         return None
 
     def _choose_in(
-        self, task: Task, key: str, region: str, upstreams: RegionUpstreams, now: float
+        self,
+        task: Task,
+        key: str,
+        region: str,
+        upstreams: RegionUpstreams,
+        now: float,
+        spilled: bool,
     ) -> UpstreamRecord | None:
         """Return the best home of a key in one region; None if none has room."""
         ordered = []
         share = self._share(task.service, region, now)
-        most = self._placement.homes(len(upstreams.names))
         for name in self._placement.order(key, upstreams.names):
             record = upstreams.records[name]
             if name in task.tried or not self._table.may_get(record, now):
                 continue
             ordered.append(self._candidate(record, share, now))
-            if len(ordered) == most:
+            if len(ordered) == self._placement.homes:
                 break
-        chosen = self._placement.choose(ordered)
+        chosen = self._placement.choose(ordered, spilled)
         return upstreams.records[chosen.instance] if chosen else None
 
     def _candidate(self, record: UpstreamRecord, share: float, now: float) -> Candidate:
@@ -476,6 +482,8 @@
             speed = SHIFT_SAFETY * self._bounds.shift_per_window / self._bounds.shift_window
             spread = self._spreads[task.service] = Spread(home, speed)
         if now - spread.followed_at >= PLAN_EVERY_S:
+            capacity = {name: float(held.slots) for name, held in regions.items()}
+            spread.note_capacity(capacity, now)
             spread.follow(self._plan(home, task.service, now), now)
         first = spread.choose(key)
         others = rank(key, [name for name in regions if name not in (first, home)])
--- a/src/finchway/observe/_decisions.py
+++ b/src/finchway/observe/_decisions.py
@@ -54,6 +54,7 @@
 
     id: str
     number: int
+    key: str
     upstream: str
     zone: str
     region: str
--- a/src/finchway/policy/_placement.py
+++ b/src/finchway/policy/_placement.py
@@ -2,8 +2,8 @@
 
 Upstreams work faster on keys that they have seen lately and keep a bounded number of them. So each
 key has an order of the upstreams of a region, by rendezvous hashing, and goes to the first with
-room. Only the first part of the order serves a key: beyond it, a surge would bring every key to
-every upstream, all would forget them, and work would stay slow after the surge has passed.
+room. Only the first two of the order, the key's homes, serve it: beyond them, a surge would bring
+every key to every upstream, all would forget them, and work would stay slow after the surge.
 
     placement = Placement()
     chosen = placement.choose(candidates, "17")
@@ -15,7 +15,7 @@
 
 from finchway.policy._hashing import rank
 
-HOMES = 0.5
+HOMES = 2
 FILLED = 0.85
 ADMITTED = 1.5
 
@@ -49,7 +49,7 @@
 
     def __init__(
         self,
-        homes: float = HOMES,
+        homes: int = HOMES,
         filled: float = FILLED,
         admitted: float = ADMITTED,
         remembered: int = 20_000,
@@ -69,15 +69,21 @@
             held = self._orders[key, names] = rank(key, names)
         return held
 
-    def homes(self, count: int) -> int:
-        """Return how many of an order's first upstreams serve a key."""
-        return max(1, int(count * self._homes))
+    @property
+    def homes(self) -> int:
+        """How many of an order's first upstreams serve a key."""
+        return self._homes
+
+    def choose(self, ordered: list[Candidate], spilled: bool = False) -> Candidate | None:
+        """Return the best of a key's homes, in their order; None if all are full.
 
-    def choose(self, ordered: list[Candidate]) -> Candidate | None:
-        """Return the best of a key's homes, in their order; None if all are full."""
+        A request that spills over from another region only goes where a slot is free.
+        """
         ordered = [candidate for candidate in ordered if candidate.own < candidate.own_most]
         for candidate in ordered:
             if candidate.after <= self._filled:
                 return candidate
+        if spilled:
+            return None
         best = min(ordered, key=lambda candidate: candidate.after, default=None)
         return best if best is not None and best.after <= self._admitted else None
--- a/src/finchway/policy/_spread.py
+++ b/src/finchway/policy/_spread.py
@@ -90,10 +90,15 @@
     """
 
     FEEDBACK = 0.02
+    CAPACITY_CHANGE = 0.1
+    HURRY_S = 4.0
+    HURRY = 8.0
 
     def __init__(self, home: str, speed: float) -> None:
         self._home = home
         self._speed = speed
+        self._capacity: dict[str, float] = {}
+        self._hurry_until = float("-inf")
         self._parts: dict[str, float] | None = None
         self._owed: dict[str, float] = {}
         self._at = float("-inf")
@@ -108,13 +113,26 @@
         """The parts in use, by region."""
         return dict(self._parts or {self._home: 1.0})
 
+    def note_capacity(self, capacity: dict[str, float], now: float) -> None:
+        """Take in the regions' capacities; when one is lost or returns, the parts may hurry.
+
+        The bound on their speed is for changes of traffic; room that is gone cannot wait for it.
+        """
+        total = sum(capacity.values()) or 1.0
+        regions = set(capacity) | set(self._capacity)
+        moved = sum(abs(capacity.get(r, 0.0) - self._capacity.get(r, 0.0)) for r in regions)
+        if moved / total >= self.CAPACITY_CHANGE:
+            self._capacity = dict(capacity)
+            self._hurry_until = now + self.HURRY_S
+
     def follow(self, plan: dict[str, float], now: float) -> None:
         """Move the parts towards a plan, by at most `speed` a second in all."""
         if self._parts is None:
             self._parts = dict(plan)
             self._at = now
             return
-        step = self._speed * max(0.0, now - self._at)
+        speed = self._speed * (self.HURRY if now < self._hurry_until else 1.0)
+        step = speed * max(0.0, now - self._at)
         self._at = now
         regions = set(plan) | set(self._parts)
         wanted = {r: plan.get(r, 0.0) - self._parts.get(r, 0.0) for r in regions}
