Acknowledge nothing before the replica set has its size; test the adapter as processes

Cause: the five replicas grow from three founders. A process test wiped two of the three right after an acknowledgement: no quorum was left, and the change was gone for good. Ruled out: the repair of wiped replicas (it works with five voters, seen in the same test). Conclusion: the leader answers 'unavailable' until all voters are in, for at most 8 s after its start, so that a deployment that stays smaller still takes orders.

--- a/src/finchway/control/_server.py
+++ b/src/finchway/control/_server.py
@@ -56,6 +56,7 @@
 CONFIRM_GOOD_FOR_S = 0.5
 PLAN_INTERVAL_S = 0.1
 FORWARD_TIMEOUT_S = 3.0
+FORMS_WITHIN_S = 8.0
 PLATFORM_INTERVAL_S = 0.5
 
 PlatformSource = Callable[[], Awaitable[PlatformList]]
@@ -81,6 +82,8 @@
         self._loans = loans
         self._platform = platform
         self._coordinator: Coordinator | None = None
+        self._open_to = open_to
+        self._started_at = trio.current_time()
         self._replicas = ReplicaPlan(open_to)
         self._feed = FeedDesk(runner, link)
         self._seen_revision = -1
@@ -131,6 +134,7 @@
                 ]
                 return HeartbeatBatchReply(replies=replies)
             case Submit(command=command):
+                self._require_formed()
                 return Submitted(result=await self._runner.submit(command))
             case Confirm():
                 index = await self._runner.confirm()
@@ -200,6 +204,15 @@
             raise UnavailableError("the leader is not confirmed by a quorum at the moment")
         return self._coordinator
 
+    def _require_formed(self) -> None:
+        """Let the replica set reach its size first, unless that takes too long.
+
+        A smaller set stands fewer losses than the deployment counts on.
+        """
+        age = trio.current_time() - self._started_at
+        if age < FORMS_WITHIN_S and len(self._runner.core.members.voters) < self._open_to:
+            raise UnavailableError("the replica set is still forming")
+
     def _record_join(self, join: Join) -> None:
         leader = self._runner.leader_address()
         if self._runner.is_leader:
--- a/src/finchway/gateway/_session.py
+++ b/src/finchway/gateway/_session.py
@@ -13,7 +13,7 @@
 from finchway.transport import Link
 
 _LOG = logging.getLogger(__name__)
-ANSWER_WITHIN_S = 1.2
+ANSWER_WITHIN_S = 0.8
 PAUSE_S = 0.02
 RETRY_S = 0.1
 MOST_REPLICAS = 9
--- /dev/null
+++ b/tests/adapter/conftest.py
@@ -0,0 +1,7 @@
+"""Puts the adapter's folder on the path, as `python3 platform/run.py` does."""
+
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parents[2]
+sys.path.insert(0, str(ROOT / "platform"))
