Show a gateway's figures as metrics; end a replica whose disk failed

Cause: a replica whose storage had failed stayed as a process that did nothing; a gateway could begin on a configuration that only a cut-off replica knew. Conclusion: the process ends and is started anew; readiness waits for a confirmed feed.

--- a/src/finchway/control/_replica.py
+++ b/src/finchway/control/_replica.py
@@ -228,7 +228,10 @@
         )
 
     async def run(self) -> None:
-        """Run the replica until cancelled, or until its storage fails."""
+        """Run the replica until cancelled; raises `StorageError` once its storage has failed.
+
+        What is on disk is unknown then, so only a new process that reads it anew may go on.
+        """
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._join)
             try:
@@ -238,6 +241,7 @@
                 self._failed = str(error)
                 self._timeline.record(EventKind.STORAGE_FAILED, self._core.id, str(error))
                 _LOG.error("the replica stops: %s", error)
+                raise
 
     async def _round(self) -> None:
         if not (self._inbox or self._proposals or self._core.has_work):
--- a/src/finchway/feed/_world.py
+++ b/src/finchway/feed/_world.py
@@ -9,6 +9,7 @@
 
 FORGET_UPSTREAM_AFTER_S = 30.0
 GATEWAY_SILENT_AFTER_S = 3.0
+UNCONFIRMED_FOR_S = 3.0
 
 
 class World:
@@ -20,6 +21,8 @@
         self._gateways = GatewayBook(GATEWAY_SILENT_AFTER_S)
         self._replicas: dict[str, str] = {}
         self._heard_at = float("-inf")
+        self._first_heard_at = float("inf")
+        self._confirmed = False
         self._changed_at: dict[str, float] = {}
 
     @property
@@ -39,8 +42,14 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether a configuration is known."""
-        return not self._steering.catalog.is_empty
+        """Whether a configuration is known that a quorum stood behind a moment ago.
+
+        A replica that was cut off may know an old one only; it has to do after a few seconds in
+        which no other was heard.
+        """
+        if self._steering.catalog.is_empty:
+            return False
+        return self._confirmed or self._heard_at - self._first_heard_at >= UNCONFIRMED_FOR_S
 
     @property
     def heard_at(self) -> float:
@@ -58,6 +67,8 @@
     def learn(self, feed: Feed, now: float) -> bool:
         """Take in a feed; tells whether the committed state moved on."""
         self._heard_at = now
+        self._first_heard_at = min(self._first_heard_at, now)
+        self._confirmed = self._confirmed or feed.confirmed
         for replica in feed.replicas:
             self._replicas[replica.name] = replica.address
         if feed.confirmed and feed.replicas:
--- a/src/finchway/gateway/_forward.py
+++ b/src/finchway/gateway/_forward.py
@@ -27,7 +27,13 @@
     UpstreamRecord,
     UpstreamTable,
 )
-from finchway.observe import AttemptEnded, DecisionLog, RepeatDenied, RequestEnded
+from finchway.observe import (
+    AttemptEnded,
+    DecisionLog,
+    GatewayMetrics,
+    RepeatDenied,
+    RequestEnded,
+)
 from finchway.policy import (
     AttemptBudget,
     Candidate,
@@ -100,8 +106,10 @@
         bounds: Bounds,
         names: HeaderNames,
         decisions: DecisionLog,
+        metrics: GatewayMetrics,
     ) -> None:
         self._decisions = decisions
+        self._metrics = metrics
         self._zone = zone
         self._zones = zones
         self._world = world
@@ -255,6 +263,7 @@
         return ""
 
     def _note_denied(self, task: Task, reason: str, outcome: Outcome) -> None:
+        self._metrics.count_denied(task.service, reason)
         self._decisions.write(
             RepeatDenied(
                 id=task.request_id, service=task.service, reason=reason, after=outcome.detail
@@ -312,6 +321,7 @@
         self, task: Task, record: UpstreamRecord, outcome: Outcome, busy: float, started: float
     ) -> None:
         registration = record.registration
+        self._metrics.count_attempt(task.service, outcome.verdict.value)
         heard = self._world.registry.get(registration.instance)
         self._decisions.write(
             AttemptEnded(
@@ -530,6 +540,9 @@
 
     def _note_end(self, task: Task, status: int, reason: str) -> None:
         now = trio.current_time()
+        self._metrics.count_request(
+            task.service, task.route.priority, status, now - task.request.arrived_at
+        )
         self._decisions.write(
             RequestEnded(
                 id=task.request_id,
--- a/src/finchway/gateway/_role.py
+++ b/src/finchway/gateway/_role.py
@@ -15,7 +15,7 @@
 from finchway.gateway._names import HeaderNames
 from finchway.gateway._session import GatewaySession
 from finchway.gateway._table import UpstreamTable
-from finchway.observe import DecisionLog
+from finchway.observe import DecisionLog, GatewayMetrics, GatewayState
 from finchway.transport import Link
 
 CACHED_ANSWERS = 3.0
@@ -45,10 +45,12 @@
         decisions: DecisionLog,
     ) -> None:
         self._bounds = bounds
+        self._metrics = GatewayMetrics(settings.name)
+        self._decisions = decisions
         self._world = World()
         self._table = UpstreamTable(settings.name, zones, self._world, bounds, decisions)
         self._forwarder = Forwarder(
-            settings.zone, zones, self._world, self._table, bounds, names, decisions
+            settings.zone, zones, self._world, self._table, bounds, names, decisions, self._metrics
         )
         beat = GatewayBeat(
             name=settings.name,
@@ -76,6 +78,21 @@
         """Whether callers should be sent here."""
         return self._world.is_ready and not self._session.is_leaving
 
+    def render_metrics(self) -> bytes:
+        """Return the gateway's figures in the Prometheus text form."""
+        now = trio.current_time()
+        state = GatewayState(
+            revision=self._world.steering.revision,
+            feed_age_s=round(now - self._world.heard_at, 3),
+            in_flight=self._forwarder.in_flight,
+            connections=self._server.connections,
+            upstream_connections_opened=self._table.opened,
+            upstreams=self._table.states(),
+            gateways=len(self._world.gateways(now)),
+            log_lines_dropped=self._decisions.writer.dropped,
+        )
+        return self._metrics.render(state)
+
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Run until cancelled."""
         async with trio.open_nursery() as nursery:
--- a/src/finchway/gateway/_table.py
+++ b/src/finchway/gateway/_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 
 import trio
@@ -143,6 +144,10 @@
         """Return the record of an upstream."""
         return self._records.get(instance)
 
+    def states(self) -> dict[str, int]:
+        """Return how many upstreams are in each state."""
+        return dict(Counter(record.state for record in self._records.values()))
+
     def regions(self, service: str, now: float) -> dict[str, RegionUpstreams]:
         """Return by region the upstreams of a service that may get something new."""
         if now - self._refreshed_at >= _REFRESH_S:
--- a/src/finchway/observe/__init__.py
+++ b/src/finchway/observe/__init__.py
@@ -10,6 +10,7 @@
     RequestEnded,
 )
 from finchway.observe._events import Event, EventKind, LogicalClock, Timeline, merge
+from finchway.observe._gateway_metrics import GatewayMetrics, GatewayState
 from finchway.observe._logs import configure_logs
 from finchway.observe._metrics import Metrics
 from finchway.observe._writer import LogWriter
@@ -21,6 +22,8 @@
     "DecisionLog",
     "Event",
     "EventKind",
+    "GatewayMetrics",
+    "GatewayState",
     "LogWriter",
     "LogicalClock",
     "Metrics",
--- /dev/null
+++ b/src/finchway/observe/_gateway_metrics.py
@@ -0,0 +1,82 @@
+"""What a gateway counts, in the Prometheus text form; all label sets are bounded by the catalog."""
+
+from __future__ import annotations
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+from msgspec import Struct
+
+LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.75, 1.0, 2.0, 5.0, float("inf"))
+
+
+class GatewayState(Struct, frozen=True, kw_only=True):
+    """What a gateway holds at the moment of a scrape."""
+
+    revision: int
+    feed_age_s: float
+    in_flight: int
+    connections: int
+    upstream_connections_opened: int
+    upstreams: dict[str, int]
+    gateways: int
+    log_lines_dropped: int
+
+
+class GatewayMetrics:
+    """The counters, histograms and gauges of one gateway."""
+
+    def __init__(self, instance: str) -> None:
+        labels = {"instance": instance}
+        registry = self._registry = Registry()
+        self._requests = Counter(
+            "finchway_gateway_requests_total", "Requests by outcome", labels, registry
+        )
+        self._attempts = Counter(
+            "finchway_gateway_attempts_total", "Attempts at upstreams by result", labels, registry
+        )
+        self._denied = Counter(
+            "finchway_gateway_repeats_denied_total", "Attempts not repeated", labels, registry
+        )
+        self._latency = Histogram(
+            "finchway_gateway_latency_seconds",
+            "Time from a request's head to its answer",
+            labels,
+            registry,
+            buckets=LATENCY_BUCKETS_S,
+        )
+        self._gauge = Gauge("finchway_gateway_state", "State by name", labels, registry)
+        self._upstreams = Gauge(
+            "finchway_gateway_upstreams", "Upstreams by state", labels, registry
+        )
+
+    def count_request(self, service: str, priority: int, status: int, seconds: float) -> None:
+        """Count one request that has been answered."""
+        labels = {"service": service, "priority": str(priority)}
+        self._requests.inc({**labels, "status": str(status)})
+        self._latency.observe(labels, seconds)
+
+    def count_attempt(self, service: str, result: str) -> None:
+        """Count one attempt at an upstream."""
+        self._attempts.inc({"service": service, "result": result})
+
+    def count_denied(self, service: str, reason: str) -> None:
+        """Count a further attempt that was not made."""
+        self._denied.inc({"service": service, "reason": reason})
+
+    def render(self, state: GatewayState) -> bytes:
+        """Return all figures in the text form."""
+        figures = {
+            "revision": state.revision,
+            "feed_age_seconds": state.feed_age_s,
+            "requests_in_flight": state.in_flight,
+            "connections": state.connections,
+            "upstream_connections_opened": state.upstream_connections_opened,
+            "gateways": state.gateways,
+            "log_lines_dropped": state.log_lines_dropped,
+        }
+        for name, value in figures.items():
+            self._gauge.set({"name": name}, value)
+        for name, count in state.upstreams.items():
+            self._upstreams.set({"state": name}, count)
+        content, _ = render(self._registry, ["text/plain"])
+        return content
--- a/tests/adapter/test_processes.py
+++ b/tests/adapter/test_processes.py
@@ -48,7 +48,7 @@
 
     def __init__(self, folder: Path) -> None:
         self.folder = folder
-        names = ("front", "readiness", "control", "directory", "internal")
+        names = ("front", "readiness", "control", "directory", "internal", "metrics")
         self.ports = dict(zip(names, free_ports(len(names)), strict=True))
         self.running: dict[str, subprocess.Popen] = {}
         self.numbers = itertools.count(1)
@@ -73,7 +73,11 @@
         with (self.folder / f"log-{ip}").open("ab") as log:
             self.running[ip] = subprocess.Popen(
                 [sys.executable, str(ROOT / "platform" / "run.py")],
-                env={"PATH": os.environ["PATH"], "FINCHWAY_SETTINGS": str(path)},
+                env={
+                    "PATH": os.environ["PATH"],
+                    "FINCHWAY_SETTINGS": str(path),
+                    "FINCHWAY_METRICS_PORT": str(self.ports["metrics"]),
+                },
                 stdout=log,
                 stderr=log,
                 cwd=ROOT,
@@ -222,6 +226,10 @@
                 await trio.sleep(0.05)
             ready = await subject.call(EDGES[0], "readiness", "GET", "/-/readiness")
             assert ready[0] == 200
+            figures = (await subject.call(EDGES[0], "metrics", "GET", "/metrics"))[2].decode()
+            assert "finchway_gateway_requests_total{" in figures
+            assert "finchway_gateway_latency_seconds_bucket{" in figures
+            assert "finchway_gateway_upstreams{" in figures
             nursery.cancel_scope.cancel()
 
     run(check, tmp_path)
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -10,7 +10,7 @@
 from finchway.catalog import Backend, Item, ItemKind, Limits, Route, RouteType, ServiceSpec
 from finchway.feed import Feed, GatewayBeat, HeardGateway, HeardUpstream, World
 from finchway.gateway import Bounds, Forwarder, HeaderNames, HttpServer, UpstreamTable
-from finchway.observe import DecisionLog, LogWriter
+from finchway.observe import DecisionLog, GatewayMetrics, LogWriter
 from finchway.registry import Registration, UpstreamState
 from finchway.state import ChangeItems, Steering
 
@@ -169,7 +169,14 @@
         self.decisions = DecisionLog("g1", self.writer)
         self.table = UpstreamTable("g1", lambda: ZONES, self.world, bounds, self.decisions)
         self.forwarder = Forwarder(
-            "north-a", lambda: ZONES, self.world, self.table, bounds, NAMES, self.decisions
+            "north-a",
+            lambda: ZONES,
+            self.world,
+            self.table,
+            bounds,
+            NAMES,
+            self.decisions,
+            GatewayMetrics("g1"),
         )
         self.steering = Steering()
         self.address = ("127.0.0.1", 0)
--- a/tests/unit/test_registry.py
+++ b/tests/unit/test_registry.py
@@ -126,3 +126,17 @@
     assert sorted(world.replicas) == ["a", "b", "c"]
     world.learn(feed(replicas=[ReplicaAddress("c", "c:1")]), 3.0)
     assert sorted(world.replicas) == ["c"]
+
+
+def test_an_unconfirmed_configuration_has_to_do_only_after_a_while():
+    steering = Steering()
+    steering.change_items(change(service(), route()))
+    world = World()
+    world.learn(feed(image=steering.image(), confirmed=False), 10.0)
+    assert not world.is_ready
+    world.learn(feed(confirmed=False), 13.5)
+    assert world.is_ready
+    other = World()
+    other.learn(feed(image=steering.image(), confirmed=False), 10.0)
+    other.learn(feed(), 10.1)
+    assert other.is_ready
