Explain a request from its log lines with finchway explain

Cause: on-call had the lines but no way from an id to its story; a repeat that was forbidden was logged as 'all upstreams are full', since the choice came before the check (test failed first). Conclusion: forbidden, then chosen, then paid for from the budget.

--- a/src/finchway/cli/_commands.py
+++ b/src/finchway/cli/_commands.py
@@ -18,6 +18,7 @@
 
 from finchway._settings import check_address
 from finchway.cli._client import ApiClient
+from finchway.cli._explain import explain as explain_request
 from finchway.cli._output import Printer, event_line, resource_row, status_text
 from finchway.control import bootstrap as start_cluster
 from finchway.exceptions import (
@@ -302,6 +303,14 @@
     return min(serving, default=entries["revision"])
 
 
+def explain(context: Context, words: list[str]) -> None:
+    """explain ID FILE...: tell the story of one request from log files."""
+    if len(words) < 2:
+        raise _usage("explain ID FILE...")
+    for line in explain_request(words[0], [Path(word) for word in words[1:]]):
+        print(line)
+
+
 def _wait_done(context: Context, api: ApiClient, kind: str, name: str) -> None:
     deadline = time.monotonic() + context.option("timeout")
     shown = ""
@@ -362,6 +371,7 @@
     "move": move,
     "status": status,
     "events": events,
+    "explain": explain,
     "replica": replica,
     "bootstrap": bootstrap,
     "credential": credential,
--- a/src/finchway/gateway/_forward.py
+++ b/src/finchway/gateway/_forward.py
@@ -233,15 +233,14 @@
         outcome = Outcome(Verdict.NOT_RUN, "no upstream")
         while task.attempts < task.route.max_attempts:
             now = trio.current_time()
-            record = self._choose(task, now)
-            if record is None:
-                if task.attempts == 0:
-                    return Outcome(Verdict.NOT_RUN, task.refusal)
-                self._note_denied(task, task.refusal, outcome)
-                return outcome
-            denied = self._denied(task, outcome, now) if task.attempts > 0 else ""
-            if denied:
-                self._note_denied(task, denied, outcome)
+            denied = self._forbidden(task, outcome, now) if task.attempts else ""
+            record = None if denied else self._choose(task, now)
+            if record is None and not task.attempts:
+                return Outcome(Verdict.NOT_RUN, task.refusal)
+            if record is not None and task.attempts and not self._may_spend(task.service, now):
+                denied = "the budget for repeats is used up"
+            if denied or record is None:
+                self._note_denied(task, denied or task.refusal, outcome)
                 return outcome
             task.tried.add(record.registration.instance)
             outcome = await self._attempt(connection, task, record)
@@ -249,7 +248,7 @@
                 return outcome
         return outcome
 
-    def _denied(self, task: Task, outcome: Outcome, now: float) -> str:
+    def _forbidden(self, task: Task, outcome: Outcome, now: float) -> str:
         """Return why a further attempt must not be made; empty if it may."""
         if task.request.more:
             return "the body was streamed"
@@ -257,11 +256,12 @@
             return "it may have run and must not run twice"
         if task.deadline - now < _LEAST_LEFT_S:
             return "no time left"
-        serving = [b for b in self._world.gateways(now) if not b.leaving]
-        if not self._budget(task.service).spend(now, len(serving)):
-            return "the budget for repeats is used up"
         return ""
 
+    def _may_spend(self, service: str, now: float) -> bool:
+        serving = [beat for beat in self._world.gateways(now) if not beat.leaving]
+        return self._budget(service).spend(now, len(serving))
+
     def _note_denied(self, task: Task, reason: str, outcome: Outcome) -> None:
         self._metrics.count_denied(task.service, reason)
         self._decisions.write(
--- /dev/null
+++ b/tests/gateway/test_explain.py
@@ -0,0 +1,95 @@
+"""Three kinds of failed request, each explained from the captured log lines alone."""
+
+import trio
+
+from finchway.catalog import RouteType
+from finchway.cli import run
+from finchway.state import SetEvacuation
+from tests.gateway.harness import Upstream, gateway, serve_well
+from tests.gateway.test_forwarding import break_off, refuse, silent
+
+SECRET = b"secret-in-a-body"
+
+
+def write_log(subject, path):
+    """Move the queued lines of a gateway into a file."""
+    batch = b""
+    while part := subject.writer._take():
+        batch += part
+    path.write_bytes(batch)
+    assert SECRET not in batch
+
+
+def story(capsys, path, request_id="id-1"):
+    assert run(["explain", request_id, str(path)]) == 0
+    return capsys.readouterr().out
+
+
+async def ask(subject, path, method=b"POST"):
+    caller = await subject.connect()
+    answer = await caller.ask(method, body=SECRET)
+    write_log(subject, path)
+    return answer
+
+
+def test_a_refusal_while_a_zone_is_evacuated(tmp_path, capsys):
+    async def check():
+        async with gateway(Upstream("i-1", serve_well)) as subject:
+            evacuation = SetEvacuation(now_ms=0, zone="north-a", active=True)
+            subject.steering.set_evacuation(evacuation)
+            subject.tell()
+            assert (await ask(subject, tmp_path / "log"))[0] == 503
+
+    trio.run(check)
+    text = story(capsys, tmp_path / "log")
+    assert "status=503" in text
+    assert "reason=no upstream" in text
+
+
+def test_a_refusal_by_full_upstreams(tmp_path, capsys):
+    async def check():
+        async with gateway(Upstream("i-1", refuse), Upstream("i-2", refuse)) as subject:
+            assert (await ask(subject, tmp_path / "log", b"GET"))[0] == 503
+
+    trio.run(check)
+    text = story(capsys, tmp_path / "log")
+    assert text.count("detail=refused with 503") == 2
+    assert "upstream=i-1" in text
+    assert "upstream=i-2" in text
+
+
+def test_a_504_on_a_request_that_may_not_repeat(tmp_path, capsys):
+    async def check():
+        route = {"type": RouteType.UNSAFE, "timeout": 0.2}
+        async with gateway(Upstream("i-1", silent), **route) as subject:
+            assert (await ask(subject, tmp_path / "log"))[0] == 504
+
+    trio.run(check)
+    text = story(capsys, tmp_path / "log")
+    assert "status=504" in text
+    assert "result=unknown detail=cancelled: out of time" in text
+    assert "budget_ms=200.0" in text
+    assert "subject=upstream/i-1 now=in use" in text
+
+
+def test_an_answer_that_broke_off(tmp_path, capsys):
+    async def check():
+        route = {"type": RouteType.UNSAFE}
+        async with gateway(Upstream("i-1", break_off), **route) as subject:
+            assert (await ask(subject, tmp_path / "log"))[0] == 502
+
+    trio.run(check)
+    text = story(capsys, tmp_path / "log")
+    assert "status=502" in text
+    assert "detail=not an answer: peer closed connection" in text
+    assert "repeat-denied" in text
+    assert "reason=it may have run and must not run twice" in text
+
+
+def test_an_unknown_id_and_a_missing_file_are_said(tmp_path, capsys):
+    (tmp_path / "log").write_text("")
+    assert run(["explain", "nobody", str(tmp_path / "log")]) == 5
+    assert "dropped" in capsys.readouterr().err
+    assert run(["explain", "nobody", str(tmp_path / "missing")]) == 2
+    assert "missing" in capsys.readouterr().err
+    assert run(["explain"]) == 2
