--- a/src/finchway/gateway/__init__.py
+++ b/src/finchway/gateway/__init__.py
@@ -5,6 +5,7 @@
 from finchway.gateway._http import CallerConnection, CallerRequest, HttpServer, Reply
 from finchway.gateway._names import HeaderNames
 from finchway.gateway._role import GatewayRole, GatewaySettings
+from finchway.gateway._router import Router
 from finchway.gateway._session import GatewaySession
 from finchway.gateway._table import UpstreamTable
 
@@ -19,5 +20,6 @@
     "HeaderNames",
     "HttpServer",
     "Reply",
+    "Router",
     "UpstreamTable",
 ]
--- a/src/finchway/gateway/_http.py
+++ b/src/finchway/gateway/_http.py
@@ -133,7 +133,12 @@
         parts = []
         size = 0
         while True:
-            event = await self._next_event()
+            event = None
+            with trio.move_on_after(limits.idle_timeout):
+                event = await self._next_event()
+            if event is None:
+                await self.reply(Reply(408), close=True)
+                return None
             if isinstance(event, h11.EndOfMessage):
                 break
             if not isinstance(event, h11.Data):
--- a/src/finchway/gateway/_role.py
+++ b/src/finchway/gateway/_role.py
@@ -13,6 +13,7 @@
 from finchway.gateway._forward import Forwarder
 from finchway.gateway._http import HttpServer
 from finchway.gateway._names import HeaderNames
+from finchway.gateway._router import Router
 from finchway.gateway._session import GatewaySession
 from finchway.gateway._table import UpstreamTable
 from finchway.observe import DecisionLog, GatewayMetrics, GatewayState
@@ -49,8 +50,9 @@
         self._decisions = decisions
         self._world = World()
         self._table = UpstreamTable(settings.name, zones, self._world, bounds, decisions)
+        router = Router(settings.zone, zones, self._world, self._table, bounds)
         self._forwarder = Forwarder(
-            settings.zone, zones, self._world, self._table, bounds, names, decisions, self._metrics
+            zones, self._world, self._table, router, names, decisions, self._metrics
         )
         beat = GatewayBeat(
             name=settings.name,
@@ -59,9 +61,7 @@
             zone=settings.zone,
             region=settings.region,
         )
-        self._session = GatewaySession(
-            beat, link, self._world, seeds, self._forwarder.rates, decisions
-        )
+        self._session = GatewaySession(beat, link, self._world, seeds, router.rates, decisions)
         self._server = HttpServer(
             settings.address,
             self._forwarder.serve,
--- /dev/null
+++ b/src/finchway/gateway/_router.py
@@ -0,0 +1,231 @@
+"""Decides which service, region and upstream get a request, from what this gateway believes."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+
+import trio
+from msgspec import Struct
+
+from finchway.catalog import Backend, Route
+from finchway.feed import ServiceRate, World
+from finchway.gateway._bounds import Bounds
+from finchway.gateway._http import CallerRequest
+from finchway.gateway._table import RegionUpstreams, UpstreamRecord, UpstreamTable
+from finchway.policy import (
+    AttemptBudget,
+    Candidate,
+    Placement,
+    RateMeter,
+    RegionLoad,
+    Spread,
+    assume_even_demand,
+    plan_spread,
+    rank,
+    share_of_flow,
+)
+
+USE_OF_SLOTS = 0.7
+FIRST_WORK_S = 0.3
+WORK_WEIGHT_UP = 0.005
+WORK_WEIGHT_DOWN = 0.05
+OWN_ADMITTED = 1.0
+PLAN_EVERY_S = 0.1
+SHIFT_SAFETY = 0.5
+
+
+class Task(Struct):
+    """A request on its way; `refusal` says why no upstream was chosen."""
+
+    request: CallerRequest
+    route_name: str
+    route: Route
+    service: str
+    request_id: str
+    key: str
+    deadline: float
+    attempts: int = 0
+    choices: int = 0
+    refusal: str = ""
+    tried: set[str] = set()
+
+
+class Router:
+    """The routing decisions of one gateway.
+
+    Sums over all gateways are kept by parts: each takes its part of the budget for repeats and of
+    an upstream's slots, and works out the same spread over the regions from the same reports.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        zones: Callable[[], dict[str, str]],
+        world: World,
+        table: UpstreamTable,
+        bounds: Bounds,
+    ) -> None:
+        self._zone = zone
+        self._zones = zones
+        self._world = world
+        self._table = table
+        self._bounds = bounds
+        self._placement = Placement()
+        self._spreads: dict[str, Spread] = {}
+        self._budgets: dict[str, AttemptBudget] = {}
+        self._meters: dict[str, RateMeter] = {}
+        self._work: dict[str, float] = {}
+        self._splits: dict[str, dict[str, float]] = {}
+        self._shares: dict[tuple[str, str], tuple[float, float]] = {}
+
+    def rates(self) -> list[ServiceRate]:
+        """Return the requests a second that callers ask here, by service."""
+        now = trio.current_time()
+        return [ServiceRate(s, round(m.rate(now), 2)) for s, m in sorted(self._meters.items())]
+
+    def count_request(self, service: str, now: float) -> None:
+        """Count a request that callers ask of a service."""
+        self._meters.setdefault(service, RateMeter()).add()
+        self._budget(service).count_request(now)
+
+    def split(self, name: str, route: Route) -> str:
+        """Divide a route's requests among its services by weight, as evenly as can be."""
+        if len(route.backends) == 1:
+            return route.backends[0].service
+        credit = self._splits.setdefault(name, {})
+        total = sum(backend.weight for backend in route.backends)
+        best: Backend | None = None
+        for backend in route.backends:
+            held = credit.get(backend.service, 0.0) + backend.weight
+            credit[backend.service] = held
+            if backend.weight > 0 and (best is None or held > credit[best.service]):
+                best = backend
+        credit[best.service] -= total
+        return best.service
+
+    def may_repeat(self, service: str, now: float) -> bool:
+        """Take one repeat from this gateway's part of the budget; False if it is used up."""
+        serving = [beat for beat in self._world.gateways(now) if not beat.leaving]
+        return self._budget(service).spend(now, len(serving))
+
+    def note_work(self, service: str, seconds: float) -> None:
+        """Follow the lower part of the times: what is above it was mostly spent waiting."""
+        held = self._work.get(service, FIRST_WORK_S)
+        weight = WORK_WEIGHT_UP if seconds > held else WORK_WEIGHT_DOWN
+        self._work[service] = held + weight * (seconds - held)
+
+    def choose(self, task: Task, now: float) -> UpstreamRecord | None:
+        """Return the upstream for an attempt, or None with the reason in `task.refusal`."""
+        regions = {
+            name: upstreams
+            for name, upstreams in self._table.regions(task.service, now).items()
+            if not task.route.allowed_regions or name in task.route.allowed_regions
+        }
+        task.choices = sum(len(upstreams.names) for upstreams in regions.values())
+        if not regions:
+            task.refusal = "no upstream"
+            return None
+        key = f"{task.service}\x00{task.key}"
+        for position, region in enumerate(self._region_order(task, key, regions, now)):
+            record = self._choose_in(task, key, region, regions[region], now, position > 0)
+            if record is not None:
+                return record
+        task.refusal = "all upstreams for the key are full or resting"
+        return None
+
+    def _choose_in(
+        self,
+        task: Task,
+        key: str,
+        region: str,
+        upstreams: RegionUpstreams,
+        now: float,
+        spilled: bool,
+    ) -> UpstreamRecord | None:
+        """Return the best home of a key in one region; None if none has room."""
+        ordered = []
+        share = self._share(task.service, region, now)
+        for name in self._placement.order(key, upstreams.names):
+            record = upstreams.records[name]
+            if name in task.tried or not self._table.may_get(record, now):
+                continue
+            ordered.append(self._candidate(record, share, now))
+            if len(ordered) == self._placement.homes:
+                break
+        chosen = self._placement.choose(ordered, spilled)
+        return upstreams.records[chosen.instance] if chosen else None
+
+    def _candidate(self, record: UpstreamRecord, share: float, now: float) -> Candidate:
+        slots = record.registration.slots
+        own_most = max(1, math.ceil(slots * OWN_ADMITTED * share))
+        return Candidate(
+            record.registration.instance, slots, record.busy(now), record.in_flight, own_most
+        )
+
+    def _share(self, service: str, region: str, now: float) -> float:
+        """Return this gateway's part of what a region's upstreams get; worked out now and then."""
+        held = self._shares.get((service, region))
+        if held is not None and now - held[1] < PLAN_EVERY_S:
+            return held[0]
+        loads = self._loads(service, now)
+        meter = self._meters.get(service)
+        share = share_of_flow(
+            self._zones().get(self._zone, self._zone),
+            meter.rate(now) if meter else 0.0,
+            region,
+            loads,
+            len(self._world.gateways(now)),
+        )
+        self._shares[service, region] = (share, now)
+        return share
+
+    def _region_order(self, task: Task, key: str, regions: dict, now: float) -> list[str]:
+        """Return the region whose turn it is, then the home region, then the others."""
+        if len(regions) == 1:
+            return list(regions)
+        home = self._zones().get(self._zone, self._zone)
+        spread = self._spreads.get(task.service)
+        if spread is None:
+            speed = SHIFT_SAFETY * self._bounds.shift_per_window / self._bounds.shift_window
+            spread = self._spreads[task.service] = Spread(home, speed)
+        if now - spread.followed_at >= PLAN_EVERY_S:
+            capacity = {name: float(held.slots) for name, held in regions.items()}
+            spread.note_capacity(capacity, now)
+            spread.follow(self._plan(home, task.service, now), now)
+        first = spread.choose(key)
+        others = rank(key, [name for name in regions if name not in (first, home)])
+        return [name for name in dict.fromkeys((first, home, *others)) if name in regions]
+
+    def _plan(self, home: str, service: str, now: float) -> dict[str, float]:
+        loads = self._loads(service, now)
+        if not any(load.demand for load in loads.values()):
+            loads = assume_even_demand(loads, set(self._zones().values()))
+        return plan_spread(home, loads)
+
+    def _loads(self, service: str, now: float) -> dict[str, RegionLoad]:
+        demand: dict[str, float] = {}
+        for beat in self._world.gateways(now):
+            for rate in beat.rates:
+                if rate.service == service:
+                    demand[beat.region] = demand.get(beat.region, 0.0) + rate.rate
+        slots = {
+            region: upstreams.slots
+            for region, upstreams in self._table.regions(service, now).items()
+        }
+        work = self._work.get(service, FIRST_WORK_S)
+        return {
+            region: RegionLoad(
+                demand.get(region, 0.0), slots.get(region, 0.0) * USE_OF_SLOTS / work
+            )
+            for region in {*demand, *slots}
+        }
+
+    def _budget(self, service: str) -> AttemptBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            bounds = self._bounds
+            budget = self._budgets[service] = AttemptBudget(
+                bounds.repeat_ratio, bounds.repeat_slack, bounds.repeat_window
+            )
+        return budget
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -9,7 +9,7 @@
 
 from finchway.catalog import Backend, Item, ItemKind, Limits, Route, RouteType, ServiceSpec
 from finchway.feed import Feed, GatewayBeat, HeardGateway, HeardUpstream, World
-from finchway.gateway import Bounds, Forwarder, HeaderNames, HttpServer, UpstreamTable
+from finchway.gateway import Bounds, Forwarder, HeaderNames, HttpServer, Router, UpstreamTable
 from finchway.observe import DecisionLog, GatewayMetrics, LogWriter
 from finchway.registry import Registration, UpstreamState
 from finchway.state import ChangeItems, Steering
@@ -168,12 +168,12 @@
         self.writer = LogWriter()
         self.decisions = DecisionLog("g1", self.writer)
         self.table = UpstreamTable("g1", lambda: ZONES, self.world, bounds, self.decisions)
+        router = Router("north-a", lambda: ZONES, self.world, self.table, bounds)
         self.forwarder = Forwarder(
-            "north-a",
             lambda: ZONES,
             self.world,
             self.table,
-            bounds,
+            router,
             NAMES,
             self.decisions,
             GatewayMetrics("g1"),
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -274,6 +274,19 @@
         assert (await (await subject.connect()).ask(b"POST", body=b"x" * 101))[0] == 413
 
 
+@pytest.mark.parametrize(
+    "sent", [b"GET /x/1 HT", b"POST /x/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nx"]
+)
+@on_trio
+async def test_a_request_that_stalls_is_408_and_its_connection_ends(sent):
+    limits = Limits(header_timeout=0.2, idle_timeout=0.4)
+    async with gateway(Upstream("i-1", serve_well), limits=limits) as subject:
+        caller = await subject.connect()
+        await caller.stream.send_all(sent)
+        assert (await caller.receive())[0] == 408
+        assert await caller.receive() is None
+
+
 @on_trio
 async def test_marked_and_evacuated_upstreams_get_nothing_new():
     leaving, far, good = (
