Reach routes, upstreams and evacuations by the product's own API and tool

Cause: only the platform's adapter could set items or start a gateway. Conclusion: finchwayd has the role gateway; finchway has change, steering, evacuate, readmit.

--- a/src/finchway/_settings.py
+++ b/src/finchway/_settings.py
@@ -55,6 +55,7 @@
     relay_above: int
     region: str = ""
     gateway_address: str = ""
+    zones: dict[str, str] = {}
     founders: tuple[tuple[str, str], ...] = ()
     founding: bool = False
     open_joining: bool = False
@@ -69,9 +70,12 @@
 
 _FLAGS = (
     _Flag("instance", "", "Name of this instance, such as e1. Required."),
-    _Flag("roles", "entry,control", "Roles of this process: entry, control, or both."),
+    _Flag("roles", "entry,control", "Roles of this process: entry, control, gateway."),
     _Flag("zone", "", "Availability zone that this instance lies in. Required for entries."),
     _Flag("entry_address", "", "IP:port where callers are served. Required for entries."),
+    _Flag("region", "", "Region that this instance lies in. Required for gateways."),
+    _Flag("gateway_address", "", "IP:port where a gateway serves callers. Required for gateways."),
+    _Flag("zones", "", "Regions of the zones, such as north-a=north,south-a=south."),
     _Flag("api_address", "", "IP:port of the resource API. Required for control."),
     _Flag("peer_address", "", "IP:port for finchway's other processes. Required."),
     _Flag("control_peers", "", "Peer addresses of the control replicas, separated by commas."),
@@ -134,11 +138,11 @@
 
     def read(self) -> Settings:
         roles = self._roles()
-        entry, control = ENTRY in roles, CONTROL in roles
+        entry, control, gateway = ENTRY in roles, CONTROL in roles, GATEWAY in roles
         settings = Settings(
             instance=self._name("instance"),
             roles=roles,
-            zone=self._name("zone", required=entry),
+            zone=self._name("zone", required=entry or gateway),
             entry_address=self._address("entry_address", required=entry),
             api_address=self._address("api_address", required=control),
             peer_address=self._address("peer_address", required=True),
@@ -158,6 +162,9 @@
             election_s=self._seconds("election_s", 0.1),
             drain_limit_s=self._seconds("drain_limit_s", 0.0),
             relay_above=self._count("relay_above"),
+            region=self._name("region", required=gateway),
+            gateway_address=self._address("gateway_address", required=gateway),
+            zones=self._zones(),
         )
         self._check_together(settings)
         if self._findings:
@@ -178,9 +185,9 @@
         roles = tuple(part.strip() for part in self._raw["roles"].split(",") if part.strip())
         for role in roles:
             if role not in _ROLES:
-                self._add("roles", f"unknown role {role!r}", "entry, control, or both")
+                self._add("roles", f"unknown role {role!r}", "entry, control, gateway")
         if not roles:
-            self._add("roles", "at least one role is needed", "entry, control, or both")
+            self._add("roles", "at least one role is needed", "entry, control, gateway")
         return roles
 
     def _name(self, name: str, required: bool = True) -> str:
@@ -204,6 +211,16 @@
             self._add(name, problem, "IP:port, names of hosts are not resolved")
         return value
 
+    def _zones(self) -> dict[str, str]:
+        zones = {}
+        for part in self._raw["zones"].split(","):
+            zone, separator, region = part.strip().partition("=")
+            if separator and zone and region:
+                zones[zone] = region
+            elif part.strip():
+                self._add("zones", f"{part.strip()!r} is not ZONE=REGION", "north-a=north,...")
+        return zones
+
     def _peers(self, required: bool) -> tuple[str, ...]:
         peers = tuple(p.strip() for p in self._raw["control_peers"].split(",") if p.strip())
         for index, peer in enumerate(peers):
--- a/src/finchway/cli/_commands.py
+++ b/src/finchway/cli/_commands.py
@@ -303,6 +303,53 @@
     return min(serving, default=entries["revision"])
 
 
+def change(context: Context, arguments: list[str]) -> None:
+    """Set and drop routes, services and limits as one unit: change -f FILE."""
+    paths = [*context.option("file"), *arguments]
+    if not paths:
+        raise _usage("change -f FILE [FILE...]")
+    items = [document for path in paths for document in _read_documents(path)]
+    answer = context.api.post("/v1/steering/items", items)
+    text = f"{len(items)} items are held at steering revision {answer['revision']}"
+    context.printer.line(answer, text)
+
+
+def steering(context: Context, arguments: list[str]) -> None:
+    """Show routes, upstreams, gateways and what each has in force: steering."""
+    view = context.api.read("/v1/steering")
+    if context.printer.as_json:
+        context.printer.value(view)
+        return
+    print(f"steering revision {view['revision']}, evacuated: {', '.join(view['evacuated']) or '-'}")
+    items = [[i["kind"], i["name"], str(i["version"])] for i in view["items"]]
+    context.printer.table(view, ["ITEM", "NAME", "VERSION"], items)
+    columns = ("instance", "service", "address", "zone", "state", "age_s")
+    rows = [[str(row[name]) for name in columns] for row in view["upstreams"]]
+    context.printer.table(view, ["UPSTREAM", "SERVICE", "ADDRESS", "ZONE", "STATE", "AGE S"], rows)
+    columns = ("name", "zone", "ready", "leaving", "revision", "age_s")
+    rows = [[str(row[name]) for name in columns] for row in view["gateways"]]
+    headings = ["GATEWAY", "ZONE", "READY", "LEAVING", "REVISION", "AGE S"]
+    context.printer.table(view, headings, rows)
+
+
+def evacuate(context: Context, arguments: list[str]) -> None:
+    """Send nothing new to the upstreams of an availability zone: evacuate ZONE."""
+    _set_evacuation(context, arguments, True)
+
+
+def readmit(context: Context, arguments: list[str]) -> None:
+    """Take an evacuated availability zone back: readmit ZONE."""
+    _set_evacuation(context, arguments, False)
+
+
+def _set_evacuation(context: Context, arguments: list[str], active: bool) -> None:
+    if len(arguments) != 1:
+        raise _usage(f"{'evacuate' if active else 'readmit'} ZONE")
+    answer = context.api.post(f"/v1/steering/evacuations/{arguments[0]}", {"active": active})
+    text = f"zone {arguments[0]} is {'evacuated' if active else 'in use'}"
+    context.printer.line(answer, text)
+
+
 def explain(context: Context, words: list[str]) -> None:
     """explain ID FILE...: tell the story of one request from log files."""
     if len(words) < 2:
@@ -371,6 +418,10 @@
     "move": move,
     "status": status,
     "events": events,
+    "change": change,
+    "steering": steering,
+    "evacuate": evacuate,
+    "readmit": readmit,
     "explain": explain,
     "replica": replica,
     "bootstrap": bootstrap,
--- a/src/finchway/control/_api.py
+++ b/src/finchway/control/_api.py
@@ -21,6 +21,8 @@
 from msgspec import Struct
 
 from finchway.control._server import ControlServer
+from finchway.control._steering import SteeringService
+from finchway.control._steering_api import SteeringApi
 from finchway.exceptions import (
     ConflictError,
     DeniedError,
@@ -93,6 +95,7 @@
         address: str,
     ) -> None:
         self._server = server
+        self._steering = SteeringApi(SteeringService(server))
         self._link = link
         self._timeline = timeline
         self._metrics = metrics
@@ -149,6 +152,14 @@
             case "POST", ["v1", "replicas"]:
                 await self._authorise(request, Role.CHANGE)
                 await self._change_replicas(request, respond)
+            case "GET", ["v1", "steering", *parts]:
+                await self._authorise(request, Role.READ)
+                await send_json(respond, await self._steering.read(parts, request.query))
+            case _, ["v1", "steering", *parts]:
+                await self._authorise(request, Role.CHANGE)
+                body = await request.read(MAX_BODY_BYTES)
+                answer = await self._steering.change(request.method, parts, body)
+                await send_json(respond, answer)
             case "GET", ["v1", "events"]:
                 await self._authorise(request, Role.READ, needs_quorum=False)
                 await self._events(request, respond)
--- /dev/null
+++ b/src/finchway/control/_steering_api.py
@@ -0,0 +1,187 @@
+"""The calls of the resource API for gateways: items, upstreams, evacuations, the directory."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import trio
+from msgspec import Struct
+
+from finchway.catalog import Item, ItemKind, Limits, Route, ServiceSpec
+from finchway.control._steering import SteeringService
+from finchway.exceptions import Finding, NotFoundError, ResourceError
+from finchway.registry import Registration
+
+_SPECS = {ItemKind.ROUTE: Route, ItemKind.SERVICE: ServiceSpec, ItemKind.LIMITS: Limits}
+
+
+class _Draft(Struct, forbid_unknown_fields=True):
+    kind: ItemKind
+    name: str
+    version: int
+    spec: Any = None
+
+
+class _Evacuation(Struct, forbid_unknown_fields=True):
+    active: bool
+
+
+class UpstreamRow(Struct, frozen=True):
+    """An upstream as a replica knows it; `age_s` is that of its newest heartbeat."""
+
+    instance: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: str
+    age_s: float
+
+
+class GatewayRow(Struct, frozen=True):
+    """A gateway as a replica hears it, with the steering revision that it has in force."""
+
+    name: str
+    address: str
+    zone: str
+    region: str
+    ready: bool
+    leaving: bool
+    revision: int
+    age_s: float
+
+
+class SteeringView(Struct, frozen=True):
+    """How steering stands at one replica."""
+
+    revision: int
+    items: list[dict[str, Any]]
+    evacuated: list[str]
+    upstreams: list[UpstreamRow]
+    gateways: list[GatewayRow]
+
+
+class SteeringApi:
+    """Answers the calls below `/v1/steering`, each already authorised."""
+
+    def __init__(self, service: SteeringService) -> None:
+        self._service = service
+
+    async def read(self, parts: list[str], query: dict[str, str]) -> Any:
+        """Answer a call that changes nothing."""
+        match parts:
+            case []:
+                return await self._view()
+            case ["gateways"]:
+                asked = [query.get(name, "") for name in ("host", "region", "zone")]
+                return {"addresses": self._service.gateways(*asked)}
+        raise NotFoundError(f"no such path below /v1/steering: {'/'.join(parts)}")
+
+    async def change(self, method: str, parts: list[str], body: bytes) -> Any:
+        """Answer a call that changes something; the answer means that it is committed."""
+        match method, parts:
+            case "POST", ["items"]:
+                return {"revision": await self._service.change_items(parse_items(_decode(body)))}
+            case "POST", ["evacuations", zone]:
+                active = _convert(_decode(body), _Evacuation, "body").active
+                await self._service.evacuate(zone, active)
+                return {"zone": zone, "active": active}
+            case "PUT", ["upstreams", instance]:
+                document = _decode(body)
+                named = document | {"instance": instance} if isinstance(document, dict) else {}
+                await self._service.hear(_convert(named, Registration, "body"))
+                return {"instance": instance}
+            case "DELETE", ["upstreams", instance]:
+                await self._service.deregister(instance)
+                return {"instance": instance}
+        raise NotFoundError(f"no such call below /v1/steering: {method} {'/'.join(parts)}")
+
+    async def _view(self) -> SteeringView:
+        items = await self._service.read_items()
+        control = self._service.control
+        steering = control.runner.machine.steering
+        now = trio.current_time()
+        return SteeringView(
+            steering.revision,
+            [item_document(item) for item in items],
+            sorted(steering.evacuated),
+            [
+                UpstreamRow(
+                    heard.registration.instance,
+                    heard.registration.service,
+                    heard.registration.address,
+                    heard.registration.zone,
+                    heard.registration.slots,
+                    _state(heard.registration, steering.marks),
+                    round(now - heard.heard_at, 3),
+                )
+                for heard in control.feed.registry.all()
+            ],
+            [
+                GatewayRow(
+                    heard.beat.name,
+                    heard.beat.address,
+                    heard.beat.zone,
+                    heard.beat.region,
+                    heard.beat.ready,
+                    heard.beat.leaving,
+                    heard.beat.revision,
+                    heard.age,
+                )
+                for heard in control.feed.gateways.live(now)
+            ],
+        )
+
+
+def item_document(item: Item) -> dict[str, Any]:
+    """Return an item as operators write it."""
+    spec = msgspec.to_builtins(item.spec)
+    spec.pop("item", None)
+    return {"kind": item.kind.value, "name": item.name, "version": item.version, "spec": spec}
+
+
+def parse_items(document: Any) -> list[Item]:
+    """Return the items of a document; raises `ResourceError` with every finding and its place.
+
+    parse_items([{"kind": "limits", "name": "limits", "version": 1, "spec": {}}])
+    """
+    entries = document if isinstance(document, list) else [document]
+    findings: list[Finding] = []
+    items = []
+    for position, entry in enumerate(entries):
+        try:
+            draft = _convert(entry, _Draft, f"items[{position}]")
+            spec = None
+            if draft.spec is not None:
+                spec = _convert(draft.spec, _SPECS[draft.kind], f"items[{position}].spec")
+            items.append(Item(kind=draft.kind, name=draft.name, version=draft.version, spec=spec))
+        except ResourceError as error:
+            findings += error.findings
+    if findings:
+        raise ResourceError(findings, "items")
+    return items
+
+
+def _state(registration: Registration, marks: dict) -> str:
+    mark = marks.get(registration.instance)
+    return mark.kind.value if mark else registration.state.value
+
+
+def _decode(body: bytes) -> Any:
+    try:
+        return msgspec.json.decode(body)
+    except msgspec.DecodeError as error:
+        raise ResourceError([Finding("body", str(error))], "body") from error
+
+
+def _convert(value: Any, kind: type, place: str) -> Any:
+    if kind in _SPECS.values() and isinstance(value, dict):
+        unknown = sorted(set(value) - set(kind.__struct_fields__))
+        if unknown:
+            raise ResourceError([Finding(place, f"unknown field {unknown[0]!r}")], "items")
+        value = {**value, "item": kind.__struct_config__.tag}
+    try:
+        return msgspec.convert(value, kind)
+    except msgspec.ValidationError as error:
+        raise ResourceError([Finding(place, str(error))], "items") from error
--- a/src/finchway/daemon.py
+++ b/src/finchway/daemon.py
@@ -256,7 +256,7 @@
                 zone=settings.zone,
                 region=settings.region,
             ),
-            self._surface.zones,
+            lambda: self._settings.zones | self._surface.zones(),
             self._other_peers,
             self._link,
             settings.bounds,
