--- a/Makefile
+++ b/Makefile
@@ -22,8 +22,8 @@
 	$(BIN)/python -m pytest
 
 lint: $(STAMP)
-	$(BIN)/black --check --quiet src tests bench
-	$(BIN)/ruff check --quiet src tests bench
+	$(BIN)/black --check --quiet src tests bench platform
+	$(BIN)/ruff check --quiet src tests bench platform
 
 bench: $(STAMP)
 	$(BIN)/python -m bench.run
--- a/tests/adapter/test_processes.py
+++ b/tests/adapter/test_processes.py
@@ -326,6 +326,50 @@
     run(check, tmp_path)
 
 
+def test_everything_killed_at_once_comes_back_with_what_was_acknowledged(tmp_path):
+    async def check(folder):
+        async with deployment(folder) as subject, trio.open_nursery() as nursery:
+            worker = Worker(subject, "i-1")
+            await nursery.start(worker.run)
+            nursery.start_soon(worker.beat_forever)
+            change = documents.patch(documents.route(version=9, path_prefix="/other/"))
+            assert (await subject.order("/-/Config.Patch", change))[0] == 200
+            assert (await subject.order("/-/Evacuations.Start/kdy-a"))[0] == 200
+            for ip in [*CORES, *EDGES]:
+                subject.kill(ip)
+            for ip in [*EDGES, *CORES]:
+                subject.start(ip, first=False)
+            for ip in EDGES:
+                await subject.ask_until(ip, 200, "/other/1")
+                assert (await subject.ask(ip))[0] == 404
+            nursery.cancel_scope.cancel()
+
+    run(check, tmp_path)
+
+
+def test_gateways_follow_replicas_to_other_machines(tmp_path):
+    async def check(folder):
+        async with deployment(folder) as subject, trio.open_nursery() as nursery:
+            worker = Worker(subject, "i-1")
+            await nursery.start(worker.run)
+            nursery.start_soon(worker.beat_forever)
+            await subject.ask_until(EDGES[0], 200)
+            newcomer = "127.0.1.9"
+            subject.kill(CORES[0])
+            subject.start(newcomer, first=False, seeds=CORES[1:4])
+            await until_voters(subject, newcomer, 5)
+            for ip in CORES[1:3]:
+                subject.kill(ip)
+            change = documents.patch(documents.route(version=9, path_prefix="/other/"))
+            taken = await subject.order("/-/Config.Patch", change, cores=[newcomer, *CORES[3:]])
+            assert taken[0] == 200
+            await subject.ask_until(EDGES[0], 404)
+            await subject.ask_until(EDGES[0], 200, "/other/1")
+            nursery.cancel_scope.cancel()
+
+    run(check, tmp_path)
+
+
 def test_wrong_settings_end_the_process_with_code_2(tmp_path):
     path = tmp_path / "settings.json"
     path.write_text("{}")
