Keep a gateway's part strict only under strain; name a zone's own gateways

Cause: in calm a strict part of an upstream sent a sixth of a key's requests to its second home (worked out from rate and work), and six gateways of a region saw each key where three see its zone.

--- a/src/finchway/feed/_directory.py
+++ b/src/finchway/feed/_directory.py
@@ -5,13 +5,16 @@
 from finchway.feed._messages import GatewayBeat
 
 MOST_NAMED = 64
+LEAST_NAMED = 2
 
 
 def choose_gateways(
     gateways: list[GatewayBeat], region: str, zone: str, allowed: frozenset[str]
 ) -> list[str]:
-    """Return addresses for a caller of a zone: its own region's gateways, else the others'.
+    """Return addresses for a caller of a zone: its own zone's gateways, its region's, or others'.
 
+    A zone's callers ask for the same things, so few gateways see each of them and know best what
+    they have sent; a single gateway is not named alone, since its callers would all lose it.
     `allowed` are the regions that the caller's requests may pass through beside its own; empty
     means all. Gateways that leave or have no configuration are not named while there are others.
     """
@@ -19,5 +22,7 @@
     near = [beat for beat in serving if beat.region == region]
     if not near:
         near = [beat for beat in serving if not allowed or beat.region in allowed]
-    own_zone_first = sorted(near, key=lambda beat: (beat.zone != zone, beat.name))
-    return [beat.address for beat in own_zone_first[:MOST_NAMED]]
+    own = [beat for beat in near if beat.zone == zone]
+    if len(own) >= LEAST_NAMED:
+        near = own
+    return [beat.address for beat in sorted(near, key=lambda b: b.name)[:MOST_NAMED]]
--- a/src/finchway/gateway/_forward.py
+++ b/src/finchway/gateway/_forward.py
@@ -229,6 +229,7 @@
             record.in_flight -= 1
             if outcome.detail == CANCELLED and trio.current_time() >= task.deadline:
                 record.leave_unanswered(trio.current_time())
+                self._router.note_unanswered(task)
             self._note_attempt(task, record, outcome, busy, started)
             if upstream is not None:
                 if whole:
@@ -314,7 +315,7 @@
         if not refused:
             record.succeed()
             if answer.status < 300:
-                self._router.note_work(task.service, now - sent_at)
+                self._router.note_work(task, now - sent_at)
             return Outcome(Verdict.ANSWERED, "", answer, upstream, record)
         if answer.status == 421:
             record.fail(now)
--- a/src/finchway/gateway/_router.py
+++ b/src/finchway/gateway/_router.py
@@ -30,7 +30,12 @@
 FIRST_WORK_S = 0.3
 WORK_WEIGHT_UP = 0.005
 WORK_WEIGHT_DOWN = 0.05
-OWN_ADMITTED = 1.0
+OWN_ADMITTED = 2.0
+OWN_LEAST = 2
+OWN_ADMITTED_STRAINED = 1.0
+OWN_LEAST_STRAINED = 1
+STRAINED_ABOVE = 0.3
+STRAIN_WEIGHT = 0.02
 PLAN_EVERY_S = 0.1
 SHIFT_SAFETY = 0.5
 
@@ -72,6 +77,7 @@
         self._table = table
         self._bounds = bounds
         self._placement = Placement()
+        self._strain: dict[str, float] = {}
         self._spreads: dict[str, Spread] = {}
         self._budgets: dict[str, AttemptBudget] = {}
         self._meters: dict[str, RateMeter] = {}
@@ -109,11 +115,24 @@
         serving = [beat for beat in self._world.gateways(now) if not beat.leaving]
         return self._budget(service).spend(now, len(serving))
 
-    def note_work(self, service: str, seconds: float) -> None:
-        """Follow the lower part of the times: what is above it was mostly spent waiting."""
-        held = self._work.get(service, FIRST_WORK_S)
+    def note_work(self, task: Task, seconds: float) -> None:
+        """Take in how long an answered attempt took.
+
+        The estimate of the work follows the lower part of the times: what is above was mostly
+        spent waiting.
+        """
+        held = self._work.get(task.service, FIRST_WORK_S)
         weight = WORK_WEIGHT_UP if seconds > held else WORK_WEIGHT_DOWN
-        self._work[service] = held + weight * (seconds - held)
+        self._work[task.service] = held + weight * (seconds - held)
+        self._note_strain(task.service, seconds > task.route.target_latency)
+
+    def note_unanswered(self, task: Task) -> None:
+        """Take in an attempt whose time ran out."""
+        self._note_strain(task.service, True)
+
+    def _note_strain(self, service: str, late: bool) -> None:
+        held = self._strain.get(service, 1.0)
+        self._strain[service] = held + STRAIN_WEIGHT * (late - held)
 
     def choose(self, task: Task, now: float) -> UpstreamRecord | None:
         """Return the upstream for an attempt, or None with the reason in `task.refusal`."""
@@ -150,15 +169,25 @@
             record = upstreams.records[name]
             if name in task.tried or not self._table.may_get(record, now):
                 continue
-            ordered.append(self._candidate(record, share, now))
+            ordered.append(self._candidate(task.service, record, share, now))
             if len(ordered) == self._placement.homes:
                 break
         chosen = self._placement.choose(ordered, spilled)
         return upstreams.records[chosen.instance] if chosen else None
 
-    def _candidate(self, record: UpstreamRecord, share: float, now: float) -> Candidate:
+    def _candidate(
+        self, service: str, record: UpstreamRecord, share: float, now: float
+    ) -> Candidate:
+        """Describe an upstream; while many answers are late, this gateway's part is strict.
+
+        Reports of load come with answers and fail when these come late, so the sum of the parts
+        is what then bounds the queues. In calm a wider part keeps keys on their first home.
+        """
         slots = record.registration.slots
-        own_most = max(1, math.ceil(slots * OWN_ADMITTED * share))
+        strained = self._strain.get(service, 1.0) > STRAINED_ABOVE
+        admitted = OWN_ADMITTED_STRAINED if strained else OWN_ADMITTED
+        least = OWN_LEAST_STRAINED if strained else OWN_LEAST
+        own_most = max(least, math.ceil(slots * admitted * share))
         return Candidate(
             record.registration.instance, slots, record.busy(now), record.in_flight, own_most
         )
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -340,6 +340,37 @@
         assert (len(one.requests), len(two.requests)) == (90, 10)
 
 
+@on_trio
+async def test_a_gateways_part_of_an_upstream_is_strict_until_answers_come_in_time():
+    held = trio.Event()
+
+    async def hold(upstream, stream, request):
+        if b"hold" in request:
+            await held.wait()
+        await stream.send_all(answer(request))
+
+    async with gateway(Upstream("i-1", hold)) as subject:
+        subject.tell(gateways=("g1", *(f"h{n}" for n in range(11))))
+
+        async def second_while_one_runs():
+            busy, other = await subject.connect(), await subject.connect()
+            await busy.send(path=b"/x/hold")
+            while not subject.table.get("i-1").in_flight:
+                await trio.sleep(0.01)
+            status, _, _ = await other.ask()
+            held.set()
+            await busy.receive()
+            return status
+
+        assert await second_while_one_runs() == 503
+        caller = await subject.connect()
+        for _ in range(100):
+            assert (await caller.ask())[0] == 200
+        held = trio.Event()
+        subject.tell(gateways=("g1", *(f"h{n}" for n in range(11))))
+        assert await second_while_one_runs() == 200
+
+
 @on_trio
 async def test_a_stop_finishes_what_runs_and_ends_idle_connections():
     release = trio.Event()
