Send gateways only what changed: roster, regions' demand, upstreams that say something new

Also seen while reading: a gateway that lost control for 3 s forgot its fellows, so each took the whole slack of the common budget for repeats; and after a total loss of control of more than 3.75 s all upstreams were silent until their next heartbeat.

Now a replica judges who is silent and sums the demand; a roster goes out when it changes. A gateway keeps what each replica process said last: serving is the union, silent the intersection over fresh replicas, last words stand when none answers, sums are divided by the most gateways known in 10 s.

Ruled out: digests of heartbeats (still one answer's worth each beat); fewer replicas asked (a drain would then hang on one path for its bound).

Tests: tests/unit/test_registry.py (what is new of world, book, registry), tests/gateway/test_session.py; the test that gateways vanish from the world 3 s after the last answer is replaced by those that say what stands instead, since that was the fault.

--- a/bench/feed.py
+++ b/bench/feed.py
@@ -1,7 +1,8 @@
 """What the feed costs at a replica and at a gateway, as the number of gateways grows.
 
-Run `python -m bench.feed`: bytes and processor time of one answer, encoded and taken in, and what
-that makes a second with the questions that one gateway keeps open.
+Run `python -m bench.feed`: bytes of an answer in calm, of one with the regions' demand and of a
+roster, the time to take one in, and what the questions that one gateway keeps open make a second,
+both ways, without the framing of the transport.
 """
 
 from __future__ import annotations
@@ -14,64 +15,64 @@
 from finchway.feed import (
     Feed,
     GatewayBeat,
-    HeardGateway,
-    HeardUpstream,
+    RegionDemand,
     ReplicaAddress,
+    Roster,
     ServiceRate,
+    Subscribe,
     World,
 )
-from finchway.gateway._session import GATEWAYS_EVERY_S
-from finchway.registry import Registration, UpstreamState
+from finchway.gateway._session import DEMAND_EVERY_S
 from finchway.state import SteeringImage
 
 GATEWAYS = (12, 100, 1_300)
 REPLICAS = 5
 SERVICES = 3
-UPSTREAMS_HEARD = 13
+GATEWAYS_A_REGION = 60
 REPEATS = 50
 
 
-def make_feed(gateways: int) -> Feed:
-    """Return an answer in calm: some gateways' beats, and the heartbeats of one holding time."""
-    rates = [ServiceRate(f"service-{n}", 12.34) for n in range(SERVICES)]
-    beats = [
-        GatewayBeat(
-            name=f"gateway-{n}",
-            incarnation="0123456789ab",
-            address=f"10.1.{n % 250}.{n // 250}:8548",
-            zone=f"zone-{n % 60}",
-            region=f"region-{n % 22}",
-            ready=True,
-            revision=1_000,
-            sequence=1_000,
-            rates=rates,
-        )
-        for n in range(gateways)
-    ]
-    heard = [
-        Registration(
-            instance=f"i-{n:010x}",
-            address=f"10.128.0.{n}:8080",
-            service="service-1",
-            zone="zone-1",
-            slots=6,
-            state=UpstreamState.READY,
-            sequence=100,
-            version="v1",
-        )
-        for n in range(UPSTREAMS_HEARD)
+def make_feed(gateways: int, news: bool) -> Feed:
+    """Return an answer in calm, or one with everything that is sent on a change or now and then."""
+    plain = Feed(
+        life="0123456789ab", order=1_000, image=SteeringImage(revision=1_000), confirmed=True
+    )
+    if not news:
+        return plain
+    regions = max(3, gateways // GATEWAYS_A_REGION)
+    demand = [
+        RegionDemand(f"region-{region}", f"service-{service}", 1234.56)
+        for region in range(regions)
+        for service in range(SERVICES)
     ]
-    return Feed(
-        life="0123456789ab",
-        order=1_000,
-        image=SteeringImage(revision=1_000),
-        upstreams=[HeardUpstream(registration, 0.1) for registration in heard],
-        gateways=[HeardGateway(beat, 0.1) for beat in beats],
+    return msgspec.structs.replace(plain, demand=demand)
+
+
+def make_roster(gateways: int) -> Roster:
+    """Return who is there, as it is sent when a gateway comes or goes."""
+    return Roster(
+        version=1_000,
+        serving=[f"gateway-{n}" for n in range(gateways)],
         replicas=[ReplicaAddress(f"10.0.0.{n}", f"10.0.0.{n}:7540") for n in range(REPLICAS)],
-        confirmed=True,
     )
 
 
+def make_question() -> Subscribe:
+    """Return a gateway's question."""
+    beat = GatewayBeat(
+        name="gateway-1",
+        incarnation="0123456789ab",
+        address="10.1.250.250:8548",
+        zone="zone-60",
+        region="region-22",
+        ready=True,
+        revision=1_000,
+        sequence=1_000,
+        rates=[ServiceRate(f"service-{n}", 12.34) for n in range(SERVICES)],
+    )
+    return Subscribe(beat=beat, revision=1_000, life="0123456789ab", order=1_000, roster=1_000)
+
+
 def measure(feed: Feed) -> tuple[int, float, float]:
     """Return the bytes of an answer, and the seconds to encode it and to take it in."""
     started = time.perf_counter()
@@ -87,16 +88,19 @@
 
 def main() -> None:
     """Print the table."""
-    print("GATEWAYS     BYTES ENCODE MS TAKE IN MS     KB/S  CORE %")
-    plain_bytes, _, plain_take = measure(make_feed(0))
+    print("GATEWAYS     BYTES  WITH DEMAND  ROSTER  TAKE IN MS     KB/S  CORE %")
+    question = len(msgspec.msgpack.encode(make_question()))
+    plain_bytes, _, plain_take = measure(make_feed(0, news=False))
     for gateways in GATEWAYS:
-        size, encode, take_in = measure(make_feed(gateways))
-        with_beats = 1 / GATEWAYS_EVERY_S
-        plain = REPLICAS / HOLD_S - with_beats
-        rate = (size * with_beats + plain_bytes * plain) / 1e3
-        core = (take_in * with_beats + plain_take * plain) * 100
+        size, _, take_in = measure(make_feed(gateways, news=True))
+        roster = len(msgspec.msgpack.encode(make_roster(gateways)))
+        with_demand = 1 / DEMAND_EVERY_S
+        answers = REPLICAS / HOLD_S
+        plain = answers - with_demand
+        rate = (size * with_demand + plain_bytes * plain + question * answers) / 1e3
+        core = (take_in * with_demand + plain_take * plain) * 100
         print(
-            f"{gateways:>8} {size:>9} {encode * 1e3:>9.3f} {take_in * 1e3:>10.3f} "
+            f"{gateways:>8} {plain_bytes:>9} {size:>12} {roster:>7} {take_in * 1e3:>11.3f} "
             f"{rate:>8.1f} {core:>7.2f}"
         )
 
--- a/src/finchway/control/_feed.py
+++ b/src/finchway/control/_feed.py
@@ -4,6 +4,7 @@
 
 import uuid
 
+import msgspec
 import trio
 
 from finchway.control._replica import ReplicaRunner
@@ -12,16 +13,18 @@
     GatewayBook,
     HeardUpstream,
     ReplicaAddress,
+    Roster,
     ShareHeard,
     Subscribe,
 )
-from finchway.registry import Registration, Registry
+from finchway.registry import Heard, Registration, Registry
 from finchway.transport import Link
 
-HOLD_S = 0.4
-COALESCE_S = 0.15
+HOLD_S = 0.6
 SHARE_EVERY_S = 0.1
-FORGET_UPSTREAM_AFTER_S = 30.0
+SHARE_SILENT_EVERY_S = 2.0
+SILENT_BEATS = 2.5
+FORGET_UPSTREAM_AFTER_S = 120.0
 GATEWAY_SILENT_AFTER_S = 2.0
 LEADER_HEARD_WITHIN_S = 1.5
 
@@ -29,14 +32,16 @@
 class FeedDesk:
     """What one replica knows beyond the committed state, and the answers to gateways."""
 
-    def __init__(self, runner: ReplicaRunner, link: Link) -> None:
+    def __init__(self, runner: ReplicaRunner, link: Link, heartbeat: float) -> None:
         self._runner = runner
         self._link = link
+        self._silent_after = SILENT_BEATS * heartbeat
         self._life = uuid.uuid4().hex[:12]
         self._registry = Registry(FORGET_UPSTREAM_AFTER_S)
         self._gateways = GatewayBook(GATEWAY_SILENT_AFTER_S)
         self._fresh: list[str] = []
-        self._leaving_heard = trio.Event()
+        self._roster = Roster(version=1)
+        self._silent_shared_at = float("-inf")
 
     @property
     def registry(self) -> Registry:
@@ -72,8 +77,11 @@
         """Share heartbeats until cancelled."""
         while True:
             await trio.sleep(SHARE_EVERY_S)
-            self._registry.forget_silent(trio.current_time())
-            self._share()
+            now = trio.current_time()
+            self._registry.forget_silent(now)
+            silent = self._registry.silent(now, self._silent_after)
+            self._renew_roster(silent, now)
+            self._share(silent or [], now)
 
     async def _wait_for_news(self, revision: int) -> None:
         with trio.move_on_after(HOLD_S):
@@ -84,6 +92,7 @@
         runner = self._runner
         steering = runner.machine.steering
         order = question.order if known else -1
+        has_roster = known and question.roster == self._roster.version
         return Feed(
             life=self._life,
             order=self._registry.order,
@@ -92,21 +101,41 @@
                 HeardUpstream(heard.registration, round(now - heard.heard_at, 3))
                 for heard in self._registry.since(order)
             ],
-            gateways=self._gateways.live(now) if question.gateways else [],
+            roster=None if has_roster else self._roster,
+            demand=self._gateways.demand(now) if question.demand else None,
+            confirmed=runner.core.heard_leader_within(LEADER_HEARD_WITHIN_S),
+        )
+
+    def _renew_roster(self, silent: list[Heard] | None, now: float) -> None:
+        """Work out who is there; a replica that hears no upstream keeps to what it knew."""
+        held = self._roster
+        members = self._runner.core.members
+        roster = Roster(
+            version=held.version,
+            serving=self._gateways.serving(now),
+            silent=(
+                held.silent
+                if silent is None
+                else sorted(heard.registration.instance for heard in silent)
+            ),
             replicas=[
                 ReplicaAddress(member.name, member.address)
-                for member in runner.core.members.voters + runner.core.members.learners
+                for member in members.voters + members.learners
                 if member.address
             ],
-            confirmed=runner.core.heard_leader_within(LEADER_HEARD_WITHIN_S),
         )
+        if roster != held:
+            self._roster = msgspec.structs.replace(roster, version=held.version + 1)
 
-    def _share(self) -> None:
-        if not self._fresh:
-            return
-        now = trio.current_time()
+    def _share(self, silent: list[Heard], now: float) -> None:
+        """Pass on what was heard here, and now and then what is silent: a new fellow lacks it."""
         heard = [self._registry.get(name) for name in dict.fromkeys(self._fresh)]
         self._fresh = []
+        if now - self._silent_shared_at >= SHARE_SILENT_EVERY_S:
+            self._silent_shared_at = now
+            heard += silent
+        if not heard:
+            return
         shared = ShareHeard(
             upstreams=[
                 HeardUpstream(h.registration, round(now - h.heard_at, 3)) for h in heard if h
--- a/src/finchway/control/_server.py
+++ b/src/finchway/control/_server.py
@@ -74,6 +74,7 @@
         loans: LoanTiming,
         platform: PlatformSource | None,
         open_to: int = 0,
+        upstream_heartbeat: float = 1.5,
     ) -> None:
         self._runner = runner
         self._link = link
@@ -85,7 +86,7 @@
         self._open_to = open_to
         self._started_at = trio.current_time()
         self._replicas = ReplicaPlan(open_to)
-        self._feed = FeedDesk(runner, link)
+        self._feed = FeedDesk(runner, link, upstream_heartbeat)
         self._seen_revision = -1
 
     @property
--- a/src/finchway/daemon.py
+++ b/src/finchway/daemon.py
@@ -174,6 +174,7 @@
             LoanTiming(ttl=settings.loan_s, margin=settings.clock_margin_s),
             platform_source(platform) if platform else None,
             settings.bounds.voters if settings.open_joining else 0,
+            settings.bounds.heartbeat,
         )
         for server in self._surface.control_servers(SteeringService(self._control)):
             await nursery.start(server.run)
--- a/src/finchway/feed/__init__.py
+++ b/src/finchway/feed/__init__.py
@@ -4,14 +4,15 @@
 and losing any one replica changes nothing. Everything it takes in only ever moves forward.
 """
 
-from finchway.feed._book import GatewayBook
+from finchway.feed._book import GatewayBook, HeardGateway
 from finchway.feed._directory import choose_gateways
 from finchway.feed._messages import (
     Feed,
     GatewayBeat,
-    HeardGateway,
     HeardUpstream,
+    RegionDemand,
     ReplicaAddress,
+    Roster,
     ServiceRate,
     ShareHeard,
     Subscribe,
@@ -24,7 +25,9 @@
     "GatewayBook",
     "HeardGateway",
     "HeardUpstream",
+    "RegionDemand",
     "ReplicaAddress",
+    "Roster",
     "ServiceRate",
     "ShareHeard",
     "Subscribe",
--- a/src/finchway/feed/_book.py
+++ b/src/finchway/feed/_book.py
@@ -2,7 +2,16 @@
 
 from __future__ import annotations
 
-from finchway.feed._messages import GatewayBeat, HeardGateway
+from msgspec import Struct
+
+from finchway.feed._messages import GatewayBeat, RegionDemand
+
+
+class HeardGateway(Struct, frozen=True):
+    """A gateway's newest word and its age in seconds."""
+
+    beat: GatewayBeat
+    age: float
 
 
 class GatewayBook:
@@ -29,6 +38,26 @@
             for _, (beat, heard_at) in sorted(self._heard.items())
         ]
 
+    def serving(self, now: float) -> list[str]:
+        """Return the names of the live gateways that take callers, in order."""
+        self._forget(now)
+        return sorted(
+            name for name, (beat, _) in self._heard.items() if beat.ready and not beat.leaving
+        )
+
+    def demand(self, now: float) -> list[RegionDemand]:
+        """Return what callers ask a second, summed over the live gateways of each region."""
+        self._forget(now)
+        sums: dict[tuple[str, str], float] = {}
+        for beat, _ in self._heard.values():
+            for rate in beat.rates:
+                place = (beat.region, rate.service)
+                sums[place] = sums.get(place, 0.0) + rate.rate
+        return [
+            RegionDemand(region, service, round(rate, 2))
+            for (region, service), rate in sorted(sums.items())
+        ]
+
     def _forget(self, now: float) -> None:
         oldest = now - self._silent_after
         for name in [n for n, (_, heard_at) in self._heard.items() if heard_at < oldest]:
--- a/src/finchway/feed/_messages.py
+++ b/src/finchway/feed/_messages.py
@@ -34,11 +34,12 @@
     rates: list[ServiceRate] = []
 
 
-class HeardGateway(Struct, frozen=True, array_like=True):
-    """A gateway's newest word and its age."""
+class RegionDemand(Struct, frozen=True, array_like=True):
+    """Requests a second that the callers of a region ask of a service, over all its gateways."""
 
-    beat: GatewayBeat
-    age: float
+    region: str
+    service: str
+    rate: float
 
 
 class HeardUpstream(Struct, frozen=True, array_like=True):
@@ -55,33 +56,49 @@
     address: str
 
 
+class Roster(Struct, frozen=True, kw_only=True):
+    """Who is there, as one replica sees it; it is sent whole, and only when it has changed.
+
+    `serving` are the gateways that take callers, by name; `silent` are the upstreams whose
+    heartbeats stopped; `version` counts this replica process's changes.
+    """
+
+    version: int = 0
+    serving: list[str] = []
+    silent: list[str] = []
+    replicas: list[ReplicaAddress] = []
+
+
 class Subscribe(Struct, frozen=True, kw_only=True, tag=True):
     """Ask a replica for what is newer; it answers at once, or when something comes up.
 
-    `life` names the replica process that `order` belongs to; another process starts anew. The
-    fellow gateways' beats come only where `gateways` asks for them: they are the largest part.
+    `life` names the replica process that `order` and `roster` belong to; another process starts
+    anew. `demand` asks for the regions' demand as well.
     """
 
     beat: GatewayBeat
     revision: int
     life: str = ""
     order: int = 0
-    gateways: bool = True
+    roster: int = 0
+    demand: bool = True
 
 
 class Feed(Struct, frozen=True, kw_only=True, tag=True):
     """What is newer than the question says; `image` holds only that part of the steering state.
 
-    `confirmed` tells whether the replica heard of the leader a moment ago.
+    `upstreams` are those that are new or say something new of themselves, `roster` is there if
+    it is another than the question's, and `demand` if it was asked for. `confirmed` tells whether
+    the replica heard of the leader a moment ago.
     """
 
     life: str
     order: int
     image: SteeringImage
-    upstreams: list[HeardUpstream]
-    gateways: list[HeardGateway]
-    replicas: list[ReplicaAddress]
     confirmed: bool
+    upstreams: list[HeardUpstream] = []
+    roster: Roster | None = None
+    demand: list[RegionDemand] | None = None
 
 
 class ShareHeard(Struct, frozen=True, kw_only=True, tag=True):
--- a/src/finchway/feed/_world.py
+++ b/src/finchway/feed/_world.py
@@ -2,28 +2,51 @@
 
 from __future__ import annotations
 
-from finchway.feed._book import GatewayBook
-from finchway.feed._messages import Feed, GatewayBeat
+from collections import deque
+
+from msgspec import Struct
+
+from finchway.feed._messages import Feed, RegionDemand, Roster
 from finchway.registry import Registry
 from finchway.state import Steering
 
-FORGET_UPSTREAM_AFTER_S = 30.0
-GATEWAY_SILENT_AFTER_S = 3.0
+FORGET_SILENT_AFTER_S = 30.0
+REPLICA_FRESH_S = 2.0
 UNCONFIRMED_FOR_S = 3.0
+COUNT_HELD_S = 10.0
+
+
+class ReplicaWord(Struct):
+    """What one replica process said last, and when it was heard."""
+
+    heard_at: float
+    roster: Roster = Roster()
+    demand: list[RegionDemand] = []
+    demand_at: float = float("-inf")
 
 
 class World:
-    """The steering state, upstreams and fellow gateways as a gateway knows them."""
+    """The steering state, upstreams and fellow gateways as a gateway knows them.
+
+    Replicas may differ, so what they say of who is there is kept by replica. The fresh ones count:
+    those heard within a moment of the newest. When none is heard any more, their last words
+    stand.
+    """
 
     def __init__(self) -> None:
         self._steering = Steering()
-        self._registry = Registry(FORGET_UPSTREAM_AFTER_S)
-        self._gateways = GatewayBook(GATEWAY_SILENT_AFTER_S)
+        self._registry = Registry(FORGET_SILENT_AFTER_S)
+        self._words: dict[str, ReplicaWord] = {}
         self._replicas: dict[str, str] = {}
         self._heard_at = float("-inf")
         self._first_heard_at = float("inf")
         self._confirmed = False
-        self._changed_at: dict[str, float] = {}
+        self._evacuation_changed_at: dict[str, float] = {}
+        self._silent: frozenset[str] = frozenset()
+        self._silent_since: dict[str, float] = {}
+        self._serving: tuple[str, ...] = ()
+        self._counts: deque[tuple[float, int]] = deque()
+        self._changes = 0
 
     @property
     def steering(self) -> Steering:
@@ -32,7 +55,7 @@
 
     @property
     def registry(self) -> Registry:
-        """The upstreams' heartbeats."""
+        """What the upstreams say of themselves."""
         return self._registry
 
     @property
@@ -56,30 +79,104 @@
         """When a replica was heard last."""
         return self._heard_at
 
+    @property
+    def changes(self) -> int:
+        """Grows whenever an upstream, a mark, an item or an evacuation has changed here."""
+        return self._changes
+
+    @property
+    def serving(self) -> tuple[str, ...]:
+        """The gateways that take callers, as any fresh replica says, by name."""
+        return self._serving
+
+    def serving_count(self, now: float) -> int:
+        """Return the largest number of serving gateways that was known lately, at least one.
+
+        Sums over all gateways are divided by it: a replica that has just started may not have
+        heard all of them yet.
+        """
+        counts = self._counts
+        while len(counts) > 1 and counts[1][0] <= now - COUNT_HELD_S:
+            counts.popleft()
+        return max([1, *(count for _, count in counts)])
+
+    @property
+    def demand(self) -> list[RegionDemand]:
+        """The regions' demand, from the fresh replica that hears most gateways."""
+        words = [word for word in self._fresh() if word.demand]
+        if not words:
+            return []
+        return max(words, key=lambda word: (len(word.roster.serving), word.demand_at)).demand
+
+    def roster_version(self, life: str) -> int:
+        """Return which roster of a replica process is known; 0 for none."""
+        word = self._words.get(life)
+        return word.roster.version if word else 0
+
+    def is_silent(self, instance: str) -> bool:
+        """Tell whether all fresh replicas say that an upstream's heartbeats have stopped."""
+        return instance in self._silent
+
     def evacuation_changed_at(self, zone: str) -> float:
         """When this gateway learned of the newest word on a zone's evacuation."""
-        return self._changed_at.get(zone, float("-inf"))
-
-    def gateways(self, now: float) -> list[GatewayBeat]:
-        """Return the gateways that were heard lately, by name."""
-        return [heard.beat for heard in self._gateways.live(now)]
+        return self._evacuation_changed_at.get(zone, float("-inf"))
 
     def learn(self, feed: Feed, now: float) -> bool:
         """Take in a feed; tells whether the committed state moved on."""
         self._heard_at = now
         self._first_heard_at = min(self._first_heard_at, now)
         self._confirmed = self._confirmed or feed.confirmed
-        for replica in feed.replicas:
-            self._replicas[replica.name] = replica.address
-        if feed.confirmed and feed.replicas:
-            current = {replica.name for replica in feed.replicas}
-            self._replicas = {n: a for n, a in self._replicas.items() if n in current}
+        self._learn_word(feed, now)
         before = self._steering.evacuated
         moved = self._steering.merge(feed.image)
         for zone in before ^ self._steering.evacuated:
-            self._changed_at[zone] = now
+            self._evacuation_changed_at[zone] = now
         for heard in feed.upstreams:
             self._registry.record(heard.registration, now - heard.age)
-        for heard in feed.gateways:
-            self._gateways.record(heard.beat, now - heard.age)
+        self._changes += bool(moved or feed.upstreams)
         return moved
+
+    def forget_silent(self, now: float) -> None:
+        """Drop the upstreams that have been silent for long."""
+        oldest = now - FORGET_SILENT_AFTER_S
+        for instance in [name for name, since in self._silent_since.items() if since < oldest]:
+            self._registry.remove(instance)
+
+    def _learn_word(self, feed: Feed, now: float) -> None:
+        word = self._words.get(feed.life)
+        if word is None:
+            word = self._words[feed.life] = ReplicaWord(now)
+        word.heard_at = now
+        if feed.demand is not None:
+            word.demand, word.demand_at = feed.demand, now
+        if feed.roster is not None:
+            word.roster = feed.roster
+            self._learn_replicas(feed.roster, feed.confirmed)
+        stale = [life for life, w in self._words.items() if w.heard_at < now - REPLICA_FRESH_S]
+        for life in stale:
+            del self._words[life]
+        if feed.roster is not None or stale:
+            self._merge_rosters(now)
+
+    def _learn_replicas(self, roster: Roster, confirmed: bool) -> None:
+        for replica in roster.replicas:
+            self._replicas[replica.name] = replica.address
+        if confirmed and roster.replicas:
+            current = {replica.name for replica in roster.replicas}
+            self._replicas = {n: a for n, a in self._replicas.items() if n in current}
+
+    def _merge_rosters(self, now: float) -> None:
+        rosters = [word.roster for word in self._fresh()]
+        serving = tuple(sorted({name for roster in rosters for name in roster.serving}))
+        if serving != self._serving or not self._counts:
+            self._serving = serving
+            self._counts.append((now, len(serving)))
+        silent = [frozenset(roster.silent) for roster in rosters]
+        merged = frozenset.intersection(*silent) if silent else frozenset()
+        if merged != self._silent:
+            self._silent_since = {name: self._silent_since.get(name, now) for name in merged}
+            self._silent = merged
+            self._changes += 1
+
+    def _fresh(self) -> list[ReplicaWord]:
+        return list(self._words.values())
--- a/src/finchway/gateway/_forward.py
+++ b/src/finchway/gateway/_forward.py
@@ -242,7 +242,6 @@
     ) -> None:
         registration = record.registration
         self._metrics.count_attempt(task.service, outcome.verdict.value)
-        heard = self._world.registry.get(registration.instance)
         self._decisions.write(
             AttemptEnded(
                 id=task.request_id,
@@ -254,7 +253,7 @@
                 busy=round(busy, 1),
                 slots=registration.slots,
                 report_ms=_ms(started - record.reported_at),
-                heard_ms=_ms(started - heard.heard_at) if heard else -1.0,
+                heard_ms=_ms(started - self._world.heard_at),
                 choices=task.choices,
                 result=outcome.verdict.value,
                 detail=outcome.detail,
--- a/src/finchway/gateway/_role.py
+++ b/src/finchway/gateway/_role.py
@@ -88,7 +88,7 @@
             connections=self._server.connections,
             upstream_connections_opened=self._table.opened,
             upstreams=self._table.states(),
-            gateways=len(self._world.gateways(now)),
+            gateways=len(self._world.serving),
             log_lines_dropped=self._decisions.writer.dropped,
         )
         return self._metrics.render(state)
--- a/src/finchway/gateway/_router.py
+++ b/src/finchway/gateway/_router.py
@@ -112,8 +112,7 @@
 
     def may_repeat(self, service: str, now: float) -> bool:
         """Take one repeat from this gateway's part of the budget; False if it is used up."""
-        serving = [beat for beat in self._world.gateways(now) if not beat.leaving]
-        return self._budget(service).spend(now, len(serving))
+        return self._budget(service).spend(now, self._world.serving_count(now))
 
     def note_work(self, task: Task, seconds: float) -> None:
         """Take in how long an answered attempt took.
@@ -204,7 +203,7 @@
             meter.rate(now) if meter else 0.0,
             region,
             loads,
-            len(self._world.gateways(now)),
+            self._world.serving_count(now),
         )
         self._shares[service, region] = (share, now)
         return share
@@ -234,10 +233,9 @@
 
     def _loads(self, service: str, now: float) -> dict[str, RegionLoad]:
         demand: dict[str, float] = {}
-        for beat in self._world.gateways(now):
-            for rate in beat.rates:
-                if rate.service == service:
-                    demand[beat.region] = demand.get(beat.region, 0.0) + rate.rate
+        for asked in self._world.demand:
+            if asked.service == service:
+                demand[asked.region] = asked.rate
         slots = {
             region: upstreams.slots
             for region, upstreams in self._table.regions(service, now).items()
--- a/src/finchway/gateway/_session.py
+++ b/src/finchway/gateway/_session.py
@@ -13,11 +13,11 @@
 from finchway.transport import Link
 
 _LOG = logging.getLogger(__name__)
-ANSWER_WITHIN_S = 0.8
+ANSWER_WITHIN_S = 1.0
 PAUSE_S = 0.02
 RETRY_S = 0.1
 MOST_REPLICAS = 9
-GATEWAYS_EVERY_S = 0.5
+DEMAND_EVERY_S = 0.5
 
 
 class GatewaySession:
@@ -43,7 +43,7 @@
         self._asking: set[str] = set()
         self._answered: set[str] = set()
         self._left = trio.Event()
-        self._gateways_asked_at = float("-inf")
+        self._demand_asked_at = float("-inf")
 
     @property
     def is_leaving(self) -> bool:
@@ -115,23 +115,24 @@
             revision=self._world.steering.revision,
             life=life,
             order=order,
-            gateways=self._wants_gateways(),
+            roster=self._world.roster_version(life),
+            demand=self._wants_demand(),
         )
         try:
             answer = await self._link.request(address, question, timeout=ANSWER_WITHIN_S)
         except FinchwayError as error:
             _LOG.debug("no feed from %s: %s", address, error)
-            if question.gateways:
-                self._gateways_asked_at = float("-inf")
+            if question.demand:
+                self._demand_asked_at = float("-inf")
             return None
         return answer if isinstance(answer, Feed) else None
 
-    def _wants_gateways(self) -> bool:
-        """Ask one replica after the other for the fellows' beats, now and then."""
+    def _wants_demand(self) -> bool:
+        """Ask one replica after the other for the regions' demand, now and then."""
         now = trio.current_time()
-        if now - self._gateways_asked_at < GATEWAYS_EVERY_S:
+        if now - self._demand_asked_at < DEMAND_EVERY_S:
             return False
-        self._gateways_asked_at = now
+        self._demand_asked_at = now
         return True
 
     def _learn(self, feed: Feed) -> None:
--- a/src/finchway/gateway/_table.py
+++ b/src/finchway/gateway/_table.py
@@ -15,18 +15,16 @@
 from finchway.policy import Pacer, rank
 from finchway.registry import Registration, UpstreamState
 
-SILENT_BEATS = 2.5
 REPORT_GOOD_FOR_S = 2.0
 FIRST_REST_S = 0.5
 LONGEST_REST_S = 4.0
 SHED_REST_S = 0.1
 COLD_SAFETY = 0.8
-EVACUATED_COLD_S = 3.0
 IDLE_KEPT = 16
 DARK_AFTER = 3
 IN_USE = "in use"
 SILENT = "silent"
-_REFRESH_S = 0.05
+_REFRESH_S = 0.5
 
 
 class UpstreamRecord:
@@ -133,6 +131,7 @@
         self._records: dict[str, UpstreamRecord] = {}
         self._by_service: dict[str, dict[str, RegionUpstreams]] = {}
         self._refreshed_at = float("-inf")
+        self._seen_changes = -1
         self._opened = 0
 
     @property
@@ -150,21 +149,23 @@
 
     def regions(self, service: str, now: float) -> dict[str, RegionUpstreams]:
         """Return by region the upstreams of a service that may get something new."""
-        if now - self._refreshed_at >= _REFRESH_S:
+        changed = self._world.changes != self._seen_changes
+        if changed or now - self._refreshed_at >= _REFRESH_S:
             self.refresh(now)
         return self._by_service.get(service, {})
 
     def refresh(self, now: float) -> None:
         """Bring the table up to what the world says."""
         self._refreshed_at = now
-        self._world.registry.forget_silent(now)
+        self._seen_changes = self._world.changes
+        self._world.forget_silent(now)
         by_service: dict[str, list[UpstreamRecord]] = {}
         seen = set()
         for heard in self._world.registry.all():
             registration = heard.registration
             seen.add(registration.instance)
             record = self._record(registration, heard.heard_at)
-            state = self._state(registration, now - heard.heard_at, now)
+            state = self._state(registration)
             self._note_state(record, state, now - heard.heard_at)
             if state == IN_USE:
                 by_service.setdefault(registration.service, []).append(record)
@@ -234,8 +235,7 @@
         record.registration = registration
         cold_until = heard_at + registration.cold_for if registration.cold_for > 0 else heard_at
         ended_at = self._world.evacuation_changed_at(registration.zone)
-        if heard_at <= ended_at + self._bounds.heartbeat:
-            cold_until = max(cold_until, ended_at + self._cold_start(registration.service))
+        cold_until = max(cold_until, ended_at + self._cold_start(registration.service))
         record.cold_until = max(record.cold_until, cold_until)
         return record
 
@@ -243,14 +243,13 @@
         spec = self._world.steering.catalog.service(service)
         return (spec.cold_start if spec else 0.0) + self._bounds.heartbeat
 
-    def _state(self, registration: Registration, age: float, now: float) -> str:
+    def _state(self, registration: Registration) -> str:
         if registration.state is not UpstreamState.READY:
             return registration.state.value
         mark = self._world.steering.marks.get(registration.instance)
         if mark is not None:
             return mark.kind.value
-        control_is_fresh = now - self._world.heard_at < self._bounds.heartbeat
-        if control_is_fresh and age >= SILENT_BEATS * self._bounds.heartbeat:
+        if self._world.is_silent(registration.instance):
             return SILENT
         return IN_USE
 
@@ -280,7 +279,7 @@
         spec = self._world.steering.catalog.service(registration.service)
         if spec is None or spec.cold_rate <= 0:
             return True
-        names = [b.name for b in self._world.gateways(now) if b.ready and not b.leaving]
+        names = self._world.serving
         if not names or rank(registration.instance, names)[0] != self._name:
             return False
         if record.pacer is None:
--- a/src/finchway/registry/_registry.py
+++ b/src/finchway/registry/_registry.py
@@ -1,7 +1,8 @@
 """The newest heartbeat of each upstream, with the time at which it was heard.
 
 Heartbeats are not committed: each replica passes on what it hears, and an upstream that a new
-replica does not know is back within one heartbeat.
+replica does not know is back within one heartbeat. Most heartbeats only repeat what the one
+before them said; the order of changes leaves these out.
 """
 
 from __future__ import annotations
@@ -10,17 +11,23 @@
 
 from finchway.registry._upstream import Registration
 
+COLD_TOLERANCE_S = 0.3
+
 
 class Heard(Struct, frozen=True):
-    """A registration, when it was heard (steady clock, seconds), and its place in the order."""
+    """A registration, when it was heard (steady clock, seconds), and its place in the order.
+
+    `cold_until` is when it stops being cold as it was told when it took its place.
+    """
 
     registration: Registration
     heard_at: float
     order: int
+    cold_until: float
 
 
 class Registry:
-    """Registrations by instance."""
+    """Registrations by instance, in the order in which they last said something new."""
 
     def __init__(self, forget_after: float) -> None:
         self._forget_after = forget_after
@@ -29,19 +36,25 @@
 
     @property
     def order(self) -> int:
-        """The place of the newest heartbeat."""
+        """The place of the newest change."""
         return self._order
 
     def __len__(self) -> int:
         return len(self._heard)
 
     def record(self, registration: Registration, heard_at: float) -> bool:
-        """Take in a heartbeat; one with an older sequence is passed over."""
-        held = self._heard.get(registration.instance)
+        """Take in a heartbeat; False for one with an older sequence, which is passed over."""
+        instance = registration.instance
+        held = self._heard.get(instance)
         if held is not None and held.registration.sequence >= registration.sequence:
             return False
+        cold_until = heard_at + registration.cold_for
+        if held is not None and _repeats(held, registration, heard_at, cold_until):
+            self._heard[instance] = Heard(registration, heard_at, held.order, held.cold_until)
+            return True
         self._order += 1
-        self._heard[registration.instance] = Heard(registration, heard_at, self._order)
+        self._heard.pop(instance, None)
+        self._heard[instance] = Heard(registration, heard_at, self._order, cold_until)
         return True
 
     def remove(self, instance: str) -> None:
@@ -53,12 +66,27 @@
         return self._heard.get(instance)
 
     def all(self) -> list[Heard]:
-        """Return everything that is known, in the order in which it was heard."""
-        return sorted(self._heard.values(), key=lambda heard: heard.order)
+        """Return everything that is known, in the order of changes."""
+        return list(self._heard.values())
 
     def since(self, order: int) -> list[Heard]:
-        """Return what was heard after a place in the order."""
-        return [heard for heard in self.all() if heard.order > order]
+        """Return what has said something new after a place in the order."""
+        newer = []
+        for heard in reversed(self._heard.values()):
+            if heard.order <= order:
+                break
+            newer.append(heard)
+        newer.reverse()
+        return newer
+
+    def silent(self, now: float, silent_after: float) -> list[Heard] | None:
+        """Return the upstreams that have not been heard for a while.
+
+        None if no upstream has: then it may be this process that hears nothing.
+        """
+        oldest = now - silent_after
+        silent = [heard for heard in self._heard.values() if heard.heard_at < oldest]
+        return silent if len(silent) < len(self._heard) else None
 
     def forget_silent(self, now: float) -> list[str]:
         """Drop the upstreams that have been silent for long; returns their names."""
@@ -67,3 +95,12 @@
         for name in silent:
             del self._heard[name]
         return silent
+
+
+def _repeats(held: Heard, registration: Registration, heard_at: float, cold_until: float) -> bool:
+    """Tell whether a heartbeat says nothing that the held one has not said."""
+    if not registration.says_same(held.registration):
+        return False
+    if registration.cold_for <= 0 and held.cold_until <= heard_at:
+        return True
+    return abs(cold_until - held.cold_until) <= COLD_TOLERANCE_S
--- a/src/finchway/registry/_upstream.py
+++ b/src/finchway/registry/_upstream.py
@@ -37,6 +37,17 @@
     cold_for: float = 0.0
     version: str = ""
 
+    def says_same(self, earlier: Registration) -> bool:
+        """Tell whether it differs from an earlier heartbeat only in what time changes."""
+        return (
+            self.state is earlier.state
+            and self.address == earlier.address
+            and self.slots == earlier.slots
+            and self.service == earlier.service
+            and self.zone == earlier.zone
+            and self.version == earlier.version
+        )
+
 
 class Mark(Struct, frozen=True, array_like=True):
     """The committed word that an incarnation leaves, and the revision that brought it."""
--- a/src/finchway/state/_steering.py
+++ b/src/finchway/state/_steering.py
@@ -68,6 +68,8 @@
 
     def image(self, since: int = -1) -> SteeringImage:
         """Return everything that is newer than a revision, in a stable order."""
+        if since >= self._revision:
+            return SteeringImage(self._revision)
         return SteeringImage(
             self._revision,
             [held for held in self._catalog.held if held.revision > since],
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -8,7 +8,7 @@
 import trio
 
 from finchway.catalog import Backend, Item, ItemKind, Limits, Route, RouteType, ServiceSpec
-from finchway.feed import Feed, GatewayBeat, HeardGateway, HeardUpstream, World
+from finchway.feed import Feed, HeardUpstream, Roster, World
 from finchway.gateway import Bounds, Forwarder, HeaderNames, HttpServer, Router, UpstreamTable
 from finchway.observe import DecisionLog, GatewayMetrics, LogWriter
 from finchway.registry import Registration, UpstreamState
@@ -179,6 +179,7 @@
             GatewayMetrics("g1"),
         )
         self.steering = Steering()
+        self.told = 0
         self.address = ("127.0.0.1", 0)
         self.server: HttpServer | None = None
 
@@ -195,18 +196,12 @@
         await self.nursery.start(self.server.run)
 
     def tell(self, upstreams=(), gateways=("g1",), **fields) -> None:
-        beats = [
-            HeardGateway(
-                GatewayBeat(name=g, incarnation="1", address=g, zone="", region="", ready=True), 0.0
-            )
-            for g in gateways
-        ]
+        self.told += 1
         feed = Feed(
             life="l",
             order=0,
             image=self.steering.image(),
-            gateways=beats,
-            replicas=[],
+            roster=Roster(version=self.told, serving=list(gateways)),
             upstreams=[HeardUpstream(registration, 0.0) for registration in upstreams],
             confirmed=True,
             **fields,
--- a/tests/gateway/test_session.py
+++ b/tests/gateway/test_session.py
@@ -4,7 +4,7 @@
 import trio.testing
 
 from finchway.exceptions import TransportError
-from finchway.feed import Feed, GatewayBeat, World
+from finchway.feed import Feed, GatewayBeat, Roster, World
 from finchway.gateway import GatewaySession
 from finchway.observe import DecisionLog, LogWriter
 from finchway.state import SteeringImage
@@ -29,9 +29,7 @@
             life=address,
             order=0,
             image=SteeringImage(),
-            upstreams=[],
-            gateways=[],
-            replicas=[],
+            roster=Roster(version=7) if question.roster != 7 else None,
             confirmed=True,
         )
 
@@ -55,22 +53,30 @@
     return trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
-def test_every_replica_is_asked_and_beats_are_asked_for_now_and_then():
+def test_every_replica_is_asked_and_demand_is_asked_for_now_and_then():
     asked = play(ScriptedLink(set()))
     assert {address for _, address, _ in asked} == set(SEEDS)
-    times = [at for at, _, question in asked if question.gateways]
+    times = [at for at, _, question in asked if question.demand]
     assert 4 <= len(times) <= 6
     assert all(later - earlier >= 0.5 for earlier, later in zip(times, times[1:], strict=False))
 
 
-def test_beats_are_asked_for_again_when_the_answer_is_lost():
+def test_demand_is_asked_for_again_when_the_answer_is_lost():
     asked = play(ScriptedLink({"a:1"}))
-    answered = [at for at, address, q in asked if q.gateways and address != "a:1"]
+    answered = [at for at, address, q in asked if q.demand and address != "a:1"]
     gaps = [later - earlier for earlier, later in zip(answered, answered[1:], strict=False)]
     assert answered[0] < 0.5
     assert max(gaps) < 1.0
 
 
+def test_a_roster_that_is_known_is_not_asked_for_again():
+    asked = play(ScriptedLink(set()))
+    for replica in SEEDS:
+        versions = [q.roster for _, address, q in asked if address == replica]
+        assert versions[0] == 0
+        assert set(versions[1:]) == {7}
+
+
 def test_leaving_is_said_to_all_at_once():
     asked = play(ScriptedLink(set()), leave_at=1.05)
     said = {address for at, address, q in asked if q.beat.leaving and at < 1.2}
--- a/tests/unit/test_registry.py
+++ b/tests/unit/test_registry.py
@@ -4,9 +4,11 @@
     Feed,
     GatewayBeat,
     GatewayBook,
-    HeardGateway,
     HeardUpstream,
+    RegionDemand,
     ReplicaAddress,
+    Roster,
+    ServiceRate,
     World,
     choose_gateways,
 )
@@ -45,9 +47,6 @@
         "life": "l",
         "order": 0,
         "image": Steering().image(),
-        "upstreams": [],
-        "gateways": [],
-        "replicas": [],
         "confirmed": True,
     } | fields
     return Feed(**values)
@@ -60,13 +59,36 @@
     assert registry.get("i").registration.state is UpstreamState.READY
 
 
-def test_since_gives_what_was_heard_later_in_order():
+def test_since_gives_what_has_said_something_new_in_order():
     registry = Registry(10.0)
     registry.record(registration("a"), 1.0)
     registry.record(registration("b"), 1.0)
+    registry.record(registration("c"), 1.0)
     mark = registry.order
-    registry.record(registration("a", 2), 2.0)
-    assert [heard.registration.instance for heard in registry.since(mark)] == ["a"]
+    assert registry.record(registration("b", 2), 2.0)
+    assert registry.record(registration("c", 2, state=UpstreamState.DRAINING), 2.1)
+    assert registry.record(registration("a", 2, zone="y"), 2.2)
+    assert [heard.registration.instance for heard in registry.since(mark)] == ["c", "a"]
+    assert registry.get("b").heard_at == 2.0
+
+
+def test_only_a_new_end_of_the_cold_time_is_a_change():
+    registry = Registry(10.0)
+    registry.record(registration(cold_for=3.0), 1.0)
+    mark = registry.order
+    registry.record(registration(sequence=2, cold_for=1.6), 2.5)
+    registry.record(registration(sequence=3), 4.1)
+    assert registry.order == mark
+    registry.record(registration(sequence=4, cold_for=3.0), 5.6)
+    assert registry.order == mark + 1
+
+
+def test_upstreams_are_silent_only_while_others_are_heard():
+    registry = Registry(10.0)
+    registry.record(registration("a"), 1.0)
+    registry.record(registration("b"), 4.0)
+    assert [heard.registration.instance for heard in registry.silent(5.0, 3.0)] == ["a"]
+    assert registry.silent(9.0, 3.0) is None
 
 
 def test_silent_upstreams_are_forgotten():
@@ -84,6 +106,20 @@
     assert book.live(3.5) == []
 
 
+def test_a_book_sums_the_demand_of_each_region():
+    book = GatewayBook(2.0)
+    book.record(beat("a", rates=[ServiceRate("s", 2.0), ServiceRate("t", 1.0)]), 1.0)
+    book.record(beat("b", rates=[ServiceRate("s", 3.0)], leaving=True), 1.0)
+    book.record(beat("c", rates=[ServiceRate("s", 4.0)], region="south", ready=False), 1.0)
+    assert book.demand(1.0) == [
+        RegionDemand("north", "s", 5.0),
+        RegionDemand("north", "t", 1.0),
+        RegionDemand("south", "s", 4.0),
+    ]
+    assert book.serving(1.0) == ["a"]
+    assert book.demand(3.5) == []
+
+
 def test_a_gateway_that_starts_anew_replaces_its_earlier_life():
     book = GatewayBook(2.0)
     book.record(beat(sequence=9, leaving=True), 1.0)
@@ -117,17 +153,82 @@
     assert world.is_ready
     world.learn(feed(upstreams=[HeardUpstream(registration(), 2.0)]), 12.0)
     assert world.registry.get("i").heard_at == 10.0
-    world.learn(feed(gateways=[HeardGateway(beat(), 1.0)]), 12.0)
-    assert [known.name for known in world.gateways(12.0)] == ["g"]
-    assert world.gateways(15.0) == []
+
+
+def roster(version=1, **fields):
+    return Roster(version=version, **fields)
+
+
+def test_gateways_are_those_that_any_fresh_replica_names():
+    world = World()
+    world.learn(feed(life="k", roster=roster(serving=["a", "b"])), 1.0)
+    world.learn(feed(life="l", roster=roster(serving=["b", "c"])), 1.5)
+    assert world.serving == ("a", "b", "c")
+    assert (world.roster_version("k"), world.roster_version("m")) == (1, 0)
+    world.learn(feed(life="l"), 3.5)
+    assert world.serving == ("b", "c")
+    assert world.roster_version("k") == 0
+
+
+def test_the_last_words_stand_when_control_is_lost():
+    world = World()
+    demand = [RegionDemand("north", "s", 5.0)]
+    world.learn(feed(roster=roster(serving=["a", "b"]), demand=demand), 1.0)
+    assert (world.serving, world.demand) == (("a", "b"), demand)
+    assert world.serving_count(500.0) == 2
+
+
+def test_sums_are_divided_by_the_most_gateways_known_lately():
+    world = World()
+    assert world.serving_count(0.0) == 1
+    world.learn(feed(life="k", roster=roster(serving=["a", "b", "c"])), 1.0)
+    world.learn(feed(life="l", roster=roster(serving=["a"])), 4.0)
+    assert world.serving == ("a",)
+    assert world.serving_count(5.0) == 3
+    assert world.serving_count(15.0) == 1
+
+
+def test_demand_is_taken_from_the_replica_that_hears_most_gateways():
+    world = World()
+    few = [RegionDemand("north", "s", 1.0)]
+    most = [RegionDemand("north", "s", 5.0)]
+    world.learn(feed(life="k", roster=roster(serving=["a", "b"]), demand=most), 1.0)
+    world.learn(feed(life="l", roster=roster(serving=["a"]), demand=few), 1.5)
+    assert world.demand == most
+
+
+def test_an_upstream_is_silent_when_all_fresh_replicas_say_so():
+    world = World()
+    world.learn(feed(upstreams=[HeardUpstream(registration(), 0.0)]), 1.0)
+    world.learn(feed(life="k", roster=roster(silent=["i"])), 1.0)
+    world.learn(feed(life="l", roster=roster(silent=[])), 1.5)
+    assert not world.is_silent("i")
+    world.learn(feed(life="l", roster=roster(2, silent=["i"])), 2.0)
+    assert world.is_silent("i")
+    changes = world.changes
+    world.learn(feed(life="l", roster=roster(3, silent=[])), 2.5)
+    assert not world.is_silent("i")
+    assert world.changes > changes
+
+
+def test_an_upstream_that_stays_silent_is_forgotten():
+    world = World()
+    world.learn(feed(upstreams=[HeardUpstream(registration(), 0.0)]), 1.0)
+    world.learn(feed(roster=roster(silent=["i"])), 2.0)
+    world.forget_silent(31.0)
+    assert world.registry.get("i") is not None
+    world.forget_silent(33.0)
+    assert world.registry.get("i") is None
 
 
 def test_replicas_of_an_unconfirmed_replica_are_added_only():
     world = World()
-    world.learn(feed(replicas=[ReplicaAddress("a", "a:1"), ReplicaAddress("b", "b:1")]), 1.0)
-    world.learn(feed(replicas=[ReplicaAddress("c", "c:1")], confirmed=False), 2.0)
+    world.learn(
+        feed(roster=roster(replicas=[ReplicaAddress("a", "a:1"), ReplicaAddress("b", "b:1")])), 1.0
+    )
+    world.learn(feed(roster=roster(2, replicas=[ReplicaAddress("c", "c:1")]), confirmed=False), 2.0)
     assert sorted(world.replicas) == ["a", "b", "c"]
-    world.learn(feed(replicas=[ReplicaAddress("c", "c:1")]), 3.0)
+    world.learn(feed(roster=roster(3, replicas=[ReplicaAddress("c", "c:1")])), 3.0)
     assert sorted(world.replicas) == ["c"]
 
 
