Let a key wait a turn at its home; do not spill over to regions where it is not warm

A home was left when 85% of its slots were busy; a second home in each of three regions made six. Each remembers 25 to 47 things, so all forgot them and worked at a third of the speed: cold work kept itself going.

--- a/src/finchway/gateway/_router.py
+++ b/src/finchway/gateway/_router.py
@@ -33,7 +33,7 @@
 OWN_ADMITTED = 2.0
 OWN_LEAST = 2
 OWN_ADMITTED_STRAINED = 1.0
-OWN_LEAST_STRAINED = 1
+OWN_LEAST_STRAINED = 2
 STRAINED_ABOVE = 0.3
 STRAIN_WEIGHT = 0.02
 PLAN_EVERY_S = 0.1
@@ -149,9 +149,19 @@
             record = self._choose_in(task, key, region, regions[region], now, position > 0)
             if record is not None:
                 return record
+            if self._has_usable(regions[region], now):
+                break
         task.refusal = "all upstreams for the key are full or resting"
         return None
 
+    def _has_usable(self, upstreams: RegionUpstreams, now: float) -> bool:
+        """Tell whether any of a region's upstreams may get something now.
+
+        Then a region is only full, and the spread sees to that, slowly. To send what is too much
+        to other regions would bring its keys to upstreams that are not warm for them.
+        """
+        return any(self._table.may_get(record, now) for record in upstreams.records.values())
+
     def _choose_in(
         self,
         task: Task,
--- a/src/finchway/policy/_placement.py
+++ b/src/finchway/policy/_placement.py
@@ -1,9 +1,11 @@
 """Which upstream of a region gets a request: warm for its key, and with room.
 
 Upstreams work faster on keys that they have seen lately and keep a bounded number of them. So each
-key has an order of the upstreams of a region, by rendezvous hashing, and goes to the first with
-room. Only the first two of the order, the key's homes, serve it: beyond them, a surge would bring
-every key to every upstream, all would forget them, and work would stay slow after the surge.
+key has an order of the upstreams of a region, by rendezvous hashing. The first of the order, the
+key's home, serves it even when it has to wait there for a turn or two: warm work after a short
+wait is done before cold work at once. Only the second of the order relieves it, when a slot is
+free there: beyond them, a surge would bring every key to every upstream, all would forget them,
+and work would stay slow after the surge.
 
     placement = Placement()
     chosen = placement.choose(candidates, "17")
@@ -17,7 +19,7 @@
 
 HOMES = 2
 FILLED = 0.85
-ADMITTED = 1.5
+ADMITTED = 2.0
 
 
 class Candidate(Struct):
@@ -42,9 +44,9 @@
 class Placement:
     """Orders upstreams for keys, and remembers the orders.
 
-    An upstream has room while one more request keeps it at `filled` of its slots. When none has,
-    the least loaded of a key's homes takes it up to `admitted`; what is beyond would wait for
-    longer than its answer is worth, and keep those behind it waiting.
+    A key's home takes requests up to `admitted` for each of its slots; what is beyond would wait
+    for longer than its answer is worth. Another upstream takes one only while that keeps it at
+    `filled` of its slots.
     """
 
     def __init__(
@@ -75,15 +77,14 @@
         return self._homes
 
     def choose(self, ordered: list[Candidate], spilled: bool = False) -> Candidate | None:
-        """Return the best of a key's homes, in their order; None if all are full.
+        """Return the upstream for a request out of its key's homes, in order; None if all are full.
 
-        A request that spills over from another region only goes where a slot is free.
+        A request that `spilled` over from elsewhere is warm nowhere and only takes a free slot.
         """
-        ordered = [candidate for candidate in ordered if candidate.own < candidate.own_most]
-        for candidate in ordered:
-            if candidate.after <= self._filled:
+        for position, candidate in enumerate(ordered):
+            if candidate.own >= candidate.own_most:
+                continue
+            is_home = position == 0 and not spilled
+            if candidate.after <= (self._admitted if is_home else self._filled):
                 return candidate
-        if spilled:
-            return None
-        best = min(ordered, key=lambda candidate: candidate.after, default=None)
-        return best if best is not None and best.after <= self._admitted else None
+        return None
