Log and count orders at replicas; show a replica's figures as metrics

SteeringService now writes one 'order' line for each change, evacuation and leaving mark, and counts them; a histogram holds the time to the acknowledgement. Seen in tests/adapter/test_processes.py: figures and lines of real replicas.

--- a/src/finchway/control/_api.py
+++ b/src/finchway/control/_api.py
@@ -89,13 +89,14 @@
     def __init__(
         self,
         server: ControlServer,
+        steering: SteeringService,
         link: Link,
         timeline: Timeline,
         metrics: Metrics,
         address: str,
     ) -> None:
         self._server = server
-        self._steering = SteeringApi(SteeringService(server))
+        self._steering = SteeringApi(steering)
         self._link = link
         self._timeline = timeline
         self._metrics = metrics
--- a/src/finchway/control/_feed.py
+++ b/src/finchway/control/_feed.py
@@ -53,6 +53,11 @@
         """The gateways that this replica hears."""
         return self._gateways
 
+    @property
+    def silent_count(self) -> int:
+        """How many upstreams this replica holds to be silent."""
+        return len(self._roster.silent)
+
     def hear(self, registration: Registration) -> None:
         """Take in a heartbeat of an upstream."""
         if self._registry.record(registration, trio.current_time()):
--- a/src/finchway/control/_steering.py
+++ b/src/finchway/control/_steering.py
@@ -3,13 +3,23 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 import trio
 
 from finchway.catalog import Item
+from finchway.control._feed import LEADER_HEARD_WITHIN_S
 from finchway.control._server import ControlServer
-from finchway.exceptions import ConflictError, Finding, ResourceError, UnavailableError
+from finchway.exceptions import (
+    ConflictError,
+    FinchwayError,
+    Finding,
+    ResourceError,
+    UnavailableError,
+)
 from finchway.feed import choose_gateways
+from finchway.observe import DecisionLog, OrderEnded, ReplicaMetrics, ReplicaState
 from finchway.registry import MarkKind, Registration, UpstreamState
 from finchway.state import (
     AnyCommand,
@@ -21,6 +31,8 @@
     VersionTaken,
 )
 
+ITEMS_NAMED = 5
+
 
 class SteeringService:
     """The steering calls of one replica.
@@ -28,8 +40,12 @@
     An answer to a change means that a quorum has it on disk.
     """
 
-    def __init__(self, control: ControlServer) -> None:
+    def __init__(
+        self, control: ControlServer, decisions: DecisionLog, metrics: ReplicaMetrics
+    ) -> None:
         self._control = control
+        self._decisions = decisions
+        self._metrics = metrics
 
     @property
     def control(self) -> ControlServer:
@@ -42,13 +58,16 @@
         Raises `ResourceError` with all findings, or `ConflictError` if a version is taken by
         other content; nothing is in force then. `UnavailableError` leaves it open.
         """
-        result = await self._submit(ChangeItems(now_ms=_now_ms(), items=items))
-        match result:
-            case Rejected(findings=findings):
-                raise ResourceError([Finding(place, text) for place, text in findings], "change")
-            case VersionTaken(items=taken):
-                raise ConflictError(f"held with other content: {', '.join(taken)}")
-        return result.revision
+        subject = ", ".join(f"{item.key} version {item.version}" for item in items[:ITEMS_NAMED])
+        with self._noted("change", subject):
+            result = await self._submit(ChangeItems(now_ms=_now_ms(), items=items))
+            match result:
+                case Rejected(findings=findings):
+                    found = [Finding(place, text) for place, text in findings]
+                    raise ResourceError(found, "change")
+                case VersionTaken(items=taken):
+                    raise ConflictError(f"held with other content: {', '.join(taken)}")
+            return result.revision
 
     async def read_items(self) -> list[Item]:
         """Return all items that stand, not older than any change accepted before the call."""
@@ -57,6 +76,7 @@
 
     async def hear(self, registration: Registration) -> None:
         """Take in an upstream's heartbeat; one that says that it leaves is committed first."""
+        self._metrics.count_heartbeat()
         self._control.feed.hear(registration)
         if registration.state is UpstreamState.DRAINING:
             await self._mark(registration.instance, MarkKind.DRAINING)
@@ -67,7 +87,8 @@
 
     async def evacuate(self, zone: str, active: bool) -> None:
         """Begin or end the evacuation of a zone."""
-        await self._submit(SetEvacuation(now_ms=_now_ms(), zone=zone, active=active))
+        with self._noted("evacuate" if active else "readmit", f"zone/{zone}"):
+            await self._submit(SetEvacuation(now_ms=_now_ms(), zone=zone, active=active))
 
     def gateways(self, host: str, region: str, zone: str) -> list[str]:
         """Return the gateways' addresses for a caller; raises `UnavailableError` without any."""
@@ -85,7 +106,58 @@
         held = self._control.runner.machine.steering.marks.get(instance)
         if held is not None and (held.kind is kind or held.kind is MarkKind.GONE):
             return
-        await self._submit(MarkUpstream(now_ms=_now_ms(), instance=instance, kind=kind))
+        with self._noted(kind.value, f"upstream/{instance}"):
+            await self._submit(MarkUpstream(now_ms=_now_ms(), instance=instance, kind=kind))
+
+    def render_metrics(self) -> bytes:
+        """Return the replica's figures in the Prometheus text form."""
+        now = trio.current_time()
+        runner = self._control.runner
+        feed = self._control.feed
+        return self._metrics.render(
+            ReplicaState(
+                is_leader=runner.is_leader,
+                hears_leader=runner.core.heard_leader_within(LEADER_HEARD_WITHIN_S),
+                voters=len(runner.core.members.voters),
+                applied=runner.applied,
+                revision=runner.machine.steering.revision,
+                upstreams=len(feed.registry),
+                upstreams_silent=feed.silent_count,
+                gateways=len(feed.gateways.live(now)),
+                log_lines_dropped=self._decisions.writer.dropped,
+            )
+        )
+
+    @contextmanager
+    def _noted(self, order: str, subject: str) -> Iterator[None]:
+        """Log and count an order with how it ends."""
+        started = trio.current_time()
+        outcome, detail = "open", "cut short"
+        try:
+            yield
+            outcome, detail = "committed", ""
+        except ResourceError as error:
+            outcome, detail = "refused", str(error)
+            raise
+        except ConflictError as error:
+            outcome, detail = "conflict", error.message
+            raise
+        except FinchwayError as error:
+            detail = error.message
+            raise
+        finally:
+            seconds = trio.current_time() - started
+            self._metrics.count_order(order, outcome, seconds)
+            self._decisions.write(
+                OrderEnded(
+                    order=order,
+                    subject=subject,
+                    outcome=outcome,
+                    detail=detail,
+                    revision=self._control.runner.machine.steering.revision,
+                    ms=round(seconds * 1000, 1),
+                )
+            )
 
     async def _submit(self, command: AnyCommand) -> Steered | Rejected | VersionTaken:
         return await self._control.submit(command)
--- a/src/finchway/daemon.py
+++ b/src/finchway/daemon.py
@@ -46,6 +46,7 @@
     LogWriter,
     Metrics,
     ProcessChanged,
+    ReplicaMetrics,
     Timeline,
     configure_logs,
 )
@@ -176,13 +177,20 @@
             settings.bounds.voters if settings.open_joining else 0,
             settings.bounds.heartbeat,
         )
-        for server in self._surface.control_servers(SteeringService(self._control)):
+        metrics = ReplicaMetrics(settings.instance)
+        steering = SteeringService(self._control, self._decisions, metrics)
+        for server in self._surface.control_servers(steering):
             await nursery.start(server.run)
         if not settings.api_address:
             nursery.start_soon(self._control.run)
             return
         api = ResourceApi(
-            self._control, self._link, self._timeline, self._metrics, settings.peer_address
+            self._control,
+            steering,
+            self._link,
+            self._timeline,
+            self._metrics,
+            settings.peer_address,
         )
         nursery.start_soon(self._control.run)
         await self._listen(nursery, settings.api_address, api)
--- a/src/finchway/observe/__init__.py
+++ b/src/finchway/observe/__init__.py
@@ -5,6 +5,7 @@
     AttemptEnded,
     BeliefChanged,
     DecisionLog,
+    OrderEnded,
     ProcessChanged,
     RepeatDenied,
     RequestEnded,
@@ -13,6 +14,7 @@
 from finchway.observe._gateway_metrics import GatewayMetrics, GatewayState
 from finchway.observe._logs import configure_logs
 from finchway.observe._metrics import Metrics
+from finchway.observe._replica_metrics import ReplicaMetrics, ReplicaState
 from finchway.observe._writer import LogWriter
 
 __all__ = [
@@ -27,8 +29,11 @@
     "LogWriter",
     "LogicalClock",
     "Metrics",
+    "OrderEnded",
     "ProcessChanged",
     "RepeatDenied",
+    "ReplicaMetrics",
+    "ReplicaState",
     "RequestEnded",
     "Timeline",
     "configure_logs",
--- a/src/finchway/observe/_decisions.py
+++ b/src/finchway/observe/_decisions.py
@@ -100,7 +100,24 @@
     detail: str = ""
 
 
-AnyDecision = RequestEnded | AttemptEnded | RepeatDenied | BeliefChanged | ProcessChanged
+class OrderEnded(Decision, frozen=True, kw_only=True, tag="order"):
+    """The end of an operator's or upstream's order at a replica.
+
+    `outcome` is committed, refused, conflict or open (no quorum confirmed it in time); `revision`
+    is the steering revision at this replica.
+    """
+
+    order: str
+    subject: str
+    outcome: str
+    detail: str = ""
+    revision: int = 0
+    ms: float
+
+
+AnyDecision = (
+    RequestEnded | AttemptEnded | RepeatDenied | BeliefChanged | ProcessChanged | OrderEnded
+)
 
 
 class DecisionLog:
--- /dev/null
+++ b/src/finchway/observe/_replica_metrics.py
@@ -0,0 +1,73 @@
+"""What a control replica counts, in the Prometheus text form; all label sets are bounded."""
+
+from __future__ import annotations
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+from msgspec import Struct
+
+COMMIT_BUCKETS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, float("inf"))
+
+
+class ReplicaState(Struct, frozen=True, kw_only=True):
+    """What a replica holds at the moment of a scrape."""
+
+    is_leader: bool
+    hears_leader: bool
+    voters: int
+    applied: int
+    revision: int
+    upstreams: int
+    upstreams_silent: int
+    gateways: int
+    log_lines_dropped: int
+
+
+class ReplicaMetrics:
+    """The counters, histograms and gauges of one replica."""
+
+    def __init__(self, instance: str) -> None:
+        labels = {"instance": instance}
+        registry = self._registry = Registry()
+        self._orders = Counter(
+            "finchway_replica_orders_total", "Orders by kind and outcome", labels, registry
+        )
+        self._commits = Histogram(
+            "finchway_replica_order_seconds",
+            "Time from an order to its acknowledgement",
+            labels,
+            registry,
+            buckets=COMMIT_BUCKETS_S,
+        )
+        self._heartbeats = Counter(
+            "finchway_replica_heartbeats_total", "Heartbeats of upstreams", labels, registry
+        )
+        self._gauge = Gauge("finchway_replica_state", "State by name", labels, registry)
+
+    def count_order(self, order: str, outcome: str, seconds: float) -> None:
+        """Count one order that has ended; only committed ones are timed."""
+        self._orders.inc({"order": order, "outcome": outcome})
+        if outcome == "committed":
+            self._commits.observe({"order": order}, seconds)
+
+    def count_heartbeat(self) -> None:
+        """Count one heartbeat of an upstream."""
+        self._heartbeats.inc({})
+
+    def render(self, state: ReplicaState) -> bytes:
+        """Return all figures in the text form."""
+        figures = {
+            "is_leader": float(state.is_leader),
+            "hears_leader": float(state.hears_leader),
+            "voters": state.voters,
+            "applied_index": state.applied,
+            "revision": state.revision,
+            "upstreams": state.upstreams,
+            "upstreams_silent": state.upstreams_silent,
+            "gateways": state.gateways,
+            "log_lines_dropped": state.log_lines_dropped,
+        }
+        for name, value in figures.items():
+            self._gauge.set({"name": name}, value)
+        content, _ = render(self._registry, ["text/plain"])
+        return content
--- a/tests/adapter/test_processes.py
+++ b/tests/adapter/test_processes.py
@@ -230,6 +230,11 @@
             assert "finchway_gateway_requests_total{" in figures
             assert "finchway_gateway_latency_seconds_bucket{" in figures
             assert "finchway_gateway_upstreams{" in figures
+            figures = (await subject.call(CORES[0], "metrics", "GET", "/metrics"))[2].decode()
+            assert 'finchway_replica_state{instance="127.0.1.1",name="voters"} 5' in figures
+            assert "finchway_replica_heartbeats_total{" in figures
+            log = "".join((subject.folder / f"log-{ip}").read_text() for ip in CORES)
+            assert '"event":"order","order":"change","subject":' in log
             nursery.cancel_scope.cancel()
 
     run(check, tmp_path)
