Take work as the target latency and demand as even until they are known

Now demand counts once it has stopped growing for 1.5 s, before that it is taken as even; and work is taken as the route's target latency until answers tell more.

--- a/src/finchway/gateway/__init__.py
+++ b/src/finchway/gateway/__init__.py
@@ -5,7 +5,7 @@
 from finchway.gateway._http import CallerConnection, CallerRequest, HttpServer, Reply
 from finchway.gateway._names import HeaderNames
 from finchway.gateway._role import GatewayRole, GatewaySettings
-from finchway.gateway._router import Router
+from finchway.gateway._router import Router, Task
 from finchway.gateway._session import GatewaySession
 from finchway.gateway._table import UpstreamTable
 
@@ -21,5 +21,6 @@
     "HttpServer",
     "Reply",
     "Router",
+    "Task",
     "UpstreamTable",
 ]
--- a/src/finchway/gateway/_forward.py
+++ b/src/finchway/gateway/_forward.py
@@ -135,7 +135,7 @@
     async def _serve_task(self, connection: CallerConnection, task: Task) -> None:
         left = trio.Event()
         outcome = Outcome(Verdict.LEFT)
-        self._router.count_request(task.service, trio.current_time())
+        self._router.count_request(task, trio.current_time())
         async with trio.open_nursery() as nursery:
             if not task.request.more:
                 nursery.start_soon(self._watch, connection, left, nursery.cancel_scope)
--- a/src/finchway/gateway/_router.py
+++ b/src/finchway/gateway/_router.py
@@ -19,6 +19,7 @@
     Placement,
     RateMeter,
     RegionLoad,
+    Settled,
     Spread,
     assume_even_demand,
     plan_spread,
@@ -27,7 +28,6 @@
 )
 
 USE_OF_SLOTS = 0.7
-FIRST_WORK_S = 0.3
 WORK_WEIGHT_UP = 0.005
 WORK_WEIGHT_DOWN = 0.05
 OWN_ADMITTED = 2.0
@@ -38,6 +38,7 @@
 STRAIN_WEIGHT = 0.02
 PLAN_EVERY_S = 0.1
 SHIFT_SAFETY = 0.5
+DEMAND_SETTLED_S = 1.5
 
 
 class Task(Struct):
@@ -83,6 +84,7 @@
         self._meters: dict[str, RateMeter] = {}
         self._work: dict[str, float] = {}
         self._splits: dict[str, dict[str, float]] = {}
+        self._settled: dict[str, Settled] = {}
         self._shares: dict[tuple[str, str], tuple[float, float]] = {}
 
     def rates(self) -> list[ServiceRate]:
@@ -90,10 +92,14 @@
         now = trio.current_time()
         return [ServiceRate(s, round(m.rate(now), 2)) for s, m in sorted(self._meters.items())]
 
-    def count_request(self, service: str, now: float) -> None:
-        """Count a request that callers ask of a service."""
-        self._meters.setdefault(service, RateMeter()).add()
-        self._budget(service).count_request(now)
+    def count_request(self, task: Task, now: float) -> None:
+        """Count a request that callers ask of a service.
+
+        Until answers tell more, an upstream is taken to work for the route's target latency.
+        """
+        self._meters.setdefault(task.service, RateMeter()).add()
+        self._work.setdefault(task.service, task.route.target_latency)
+        self._budget(task.service).count_request(now)
 
     def split(self, name: str, route: Route) -> str:
         """Divide a route's requests among its services by weight, as evenly as can be."""
@@ -120,7 +126,7 @@
         The estimate of the work follows the lower part of the times: what is above was mostly
         spent waiting.
         """
-        held = self._work.get(task.service, FIRST_WORK_S)
+        held = self._work[task.service]
         weight = WORK_WEIGHT_UP if seconds > held else WORK_WEIGHT_DOWN
         self._work[task.service] = held + weight * (seconds - held)
         self._note_strain(task.service, seconds > task.route.target_latency)
@@ -237,7 +243,8 @@
 
     def _plan(self, home: str, service: str, now: float) -> dict[str, float]:
         loads = self._loads(service, now)
-        if not any(load.demand for load in loads.values()):
+        watch = self._settled.setdefault(service, Settled(DEMAND_SETTLED_S))
+        if not watch.note(sum(load.demand for load in loads.values()), now):
             loads = assume_even_demand(loads, set(self._zones().values()))
         return plan_spread(home, loads)
 
@@ -250,7 +257,7 @@
             region: upstreams.slots
             for region, upstreams in self._table.regions(service, now).items()
         }
-        work = self._work.get(service, FIRST_WORK_S)
+        work = self._work[service]
         return {
             region: RegionLoad(
                 demand.get(region, 0.0), slots.get(region, 0.0) * USE_OF_SLOTS / work
--- a/src/finchway/policy/__init__.py
+++ b/src/finchway/policy/__init__.py
@@ -57,7 +57,7 @@
     plan_spread,
     share_of_flow,
 )
-from finchway.policy._windows import AttemptBudget, Pacer, RateMeter, WindowCount
+from finchway.policy._windows import AttemptBudget, Pacer, RateMeter, Settled, WindowCount
 
 __all__ = [
     "DEMOTED_RANK",
@@ -87,6 +87,7 @@
     "RetryBudget",
     "Routes",
     "ServiceRate",
+    "Settled",
     "ShareKey",
     "ShiftView",
     "Slots",
--- a/src/finchway/policy/_windows.py
+++ b/src/finchway/policy/_windows.py
@@ -110,3 +110,24 @@
             self._count = 0
             self._since = now
         return self._rate
+
+
+class Settled:
+    """Tells when a figure that starts from nothing has stopped growing, and from then on."""
+
+    __slots__ = ("_after", "_grew_at", "_highest", "_is_settled")
+    GROWTH = 1.25
+
+    def __init__(self, after: float) -> None:
+        self._after = after
+        self._highest = 0.0
+        self._grew_at = float("inf")
+        self._is_settled = False
+
+    def note(self, value: float, now: float) -> bool:
+        """Take in the figure; tell whether it has not grown by a quarter for `after` seconds."""
+        if value > self._highest * self.GROWTH:
+            self._highest = value
+            self._grew_at = now
+        self._is_settled = self._is_settled or now - self._grew_at >= self._after
+        return self._is_settled
--- /dev/null
+++ b/tests/gateway/test_router.py
@@ -0,0 +1,140 @@
+"""A gateway's routing decisions, from beliefs that the test sets; no sockets."""
+
+from __future__ import annotations
+
+import trio
+import trio.testing
+
+from finchway.catalog import Backend, Item, ItemKind, Limits, Route, RouteType, ServiceSpec
+from finchway.feed import Feed, HeardUpstream, RegionDemand, Roster, World
+from finchway.gateway import Bounds, CallerRequest, Router, Task, UpstreamTable
+from finchway.observe import DecisionLog, LogWriter
+from finchway.registry import Registration, UpstreamState
+from finchway.state import ChangeItems, Steering, SteeringImage
+
+ZONES = {"north-a": "north", "north-b": "north", "south-a": "south"}
+
+
+def upstream(instance, zone, slots=6):
+    return Registration(
+        instance=instance,
+        address="127.0.0.1:1",
+        service="s",
+        zone=zone,
+        slots=slots,
+        state=UpstreamState.READY,
+        sequence=1,
+    )
+
+
+class Subject:
+    """A router in zone north-a and what it believes; must be used within a trio run."""
+
+    def __init__(self, upstreams, demand=None, target_latency=0.3, gateways=("g1",)):
+        spec = {"backends": (Backend("s", 1.0),), "timeout": 2.0, "max_attempts": 2}
+        self.route = Route(
+            host="a.example",
+            path_prefix="/x/",
+            type=RouteType.SAFE,
+            target_latency=target_latency,
+            affinity=True,
+            **spec,
+        )
+        steering = Steering()
+        items = [
+            Item(kind=ItemKind.SERVICE, name="s", version=1, spec=ServiceSpec()),
+            Item(kind=ItemKind.ROUTE, name="r", version=1, spec=self.route),
+            Item(kind=ItemKind.LIMITS, name="limits", version=1, spec=Limits()),
+        ]
+        steering.change_items(ChangeItems(now_ms=0, items=items))
+        self.world = World()
+        self.world.learn(
+            Feed(
+                life="l",
+                order=1,
+                image=steering.image(),
+                confirmed=True,
+                upstreams=[HeardUpstream(registration, 0.0) for registration in upstreams],
+                roster=Roster(version=1, serving=list(gateways)),
+                demand=[RegionDemand(region, "s", rate) for region, rate in (demand or {}).items()],
+            ),
+            trio.current_time(),
+        )
+        log = DecisionLog("g1", LogWriter())
+        self.table = UpstreamTable("g1", lambda: ZONES, self.world, Bounds(), log)
+        self.router = Router("north-a", lambda: ZONES, self.world, self.table, Bounds())
+
+    def task(self, key):
+        now = trio.current_time()
+        request = CallerRequest("GET", "/x/1", "a.example", [], b"", now)
+        return Task(request, "r", self.route, "s", f"id-{key}", str(key), now + 2.0, tried=set())
+
+    def zones_of(self, keys):
+        """Return the zones that requests with these keys go to; None for a refusal."""
+        chosen = []
+        for key in keys:
+            task = self.task(key)
+            self.router.count_request(task, trio.current_time())
+            record = self.router.choose(task, trio.current_time())
+            chosen.append(record.registration.zone if record else None)
+        return chosen
+
+
+def on_virtual_time(check):
+    def test():
+        trio.run(check, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    test.__name__ = check.__name__
+    return test
+
+
+def a_small_and_a_large_region():
+    return [upstream(f"n{n}", "north-a") for n in range(2)] + [
+        upstream(f"s{n}", "south-a") for n in range(20)
+    ]
+
+
+async def passed_on_after(subject, seconds):
+    """Return the part of requests that go south once some time has gone by."""
+    until = trio.current_time() + seconds
+    while trio.current_time() < until:
+        subject.zones_of(range(20))
+        await trio.sleep(0.2)
+    return subject.zones_of(range(400)).count("south-a") / 400
+
+
+@on_virtual_time
+async def test_a_small_region_passes_on_what_slow_work_leaves_no_room_for():
+    # Two upstreams bear 12 x 0.7 / 1.2 = 7 requests a second of the 14 that are asked.
+    demand = {"north": 14.0, "south": 10.0}
+    subject = Subject(a_small_and_a_large_region(), demand, target_latency=1.2)
+    assert 0.4 <= await passed_on_after(subject, 20.0) <= 0.6
+
+
+@on_virtual_time
+async def test_a_small_region_keeps_what_quick_work_leaves_room_for():
+    demand = {"north": 14.0, "south": 10.0}
+    subject = Subject(a_small_and_a_large_region(), demand, target_latency=0.3)
+    assert await passed_on_after(subject, 40.0) == 0.0
+
+
+@on_virtual_time
+async def test_until_demand_has_stopped_growing_it_is_taken_as_even():
+    # The first reports come from few gateways; a plan by them would keep everything at home, and
+    # a tenth of the slots would get half of the requests for many seconds.
+    subject = Subject(a_small_and_a_large_region(), {"north": 0.5}, target_latency=0.3)
+    assert 0.7 <= await passed_on_after(subject, 1.0) <= 0.85
+
+
+@on_virtual_time
+async def test_a_full_region_does_not_spill_over_to_where_nothing_is_warm():
+    subject = Subject([upstream("n", "north-a", slots=1), upstream("s", "south-a")])
+    demand = [RegionDemand("north", "s", 0.1), RegionDemand("south", "s", 0.1)]
+    feed = Feed(life="l", order=1, image=SteeringImage(), confirmed=True, demand=demand)
+    subject.world.learn(feed, trio.current_time())
+    assert await passed_on_after(subject, 60.0) == 0.0
+    held = subject.table.get("n")
+    held.in_flight = 2
+    assert set(subject.zones_of(range(30))) == {None}
+    held.rest(trio.current_time(), 5.0)
+    assert set(subject.zones_of(range(30))) == {"south-a"}
