Let the spread hurry only when much of a region's room is lost or returns

Cause: the first capacity that a gateway learned counted as one that had returned, so its parts moved eight times faster for 4 s; and a tenth of all slots that left by plan (scale-in, release) did the same, though the rule on shifts covers changes of room. Now a region's slots must change by three tenths. The new test failed first.

--- a/src/finchway/policy/_spread.py
+++ b/src/finchway/policy/_spread.py
@@ -90,7 +90,7 @@
     """
 
     FEEDBACK = 0.02
-    CAPACITY_CHANGE = 0.1
+    CAPACITY_CHANGE = 0.3
     HURRY_S = 4.0
     HURRY = 8.0
 
@@ -114,17 +114,24 @@
         return dict(self._parts or {self._home: 1.0})
 
     def note_capacity(self, capacity: dict[str, float], now: float) -> None:
-        """Take in the regions' capacities; when one is lost or returns, the parts may hurry.
+        """Take in the regions' capacities; when much of one is lost or returns, the parts hurry.
 
-        The bound on their speed is for changes of traffic; room that is gone cannot wait for it.
+        The bound on their speed is for changes of traffic and of some upstreams; when a zone or
+        region is gone, its callers cannot wait for it.
         """
-        total = sum(capacity.values()) or 1.0
+        if not self._capacity:
+            self._capacity = dict(capacity)
+            return
         regions = set(capacity) | set(self._capacity)
-        moved = sum(abs(capacity.get(r, 0.0) - self._capacity.get(r, 0.0)) for r in regions)
-        if moved / total >= self.CAPACITY_CHANGE:
+        if any(self._changed(capacity, region) for region in regions):
             self._capacity = dict(capacity)
             self._hurry_until = now + self.HURRY_S
 
+    def _changed(self, capacity: dict[str, float], region: str) -> bool:
+        """Tell whether a region's capacity is another by a large part of the larger value."""
+        before, after = self._capacity.get(region, 0.0), capacity.get(region, 0.0)
+        return abs(after - before) >= self.CAPACITY_CHANGE * max(before, after, 1.0)
+
     def follow(self, plan: dict[str, float], now: float) -> None:
         """Move the parts towards a plan, by at most `speed` a second in all."""
         if self._parts is None:
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -98,6 +98,19 @@
     assert spread.parts["south"] == pytest.approx(0.45)
 
 
+def test_parts_do_not_hurry_at_first_nor_when_a_few_upstreams_leave():
+    # Grown quiet-1: 34% of Mindanao's requests changed region in 2 s, since the first capacity
+    # that was known counted as one that had come back.
+    spread = Spread("north", speed=0.05)
+    spread.follow({"north": 1.0}, 0.0)
+    spread.note_capacity({"north": 10, "south": 10}, 0.0)
+    spread.follow({"south": 1.0}, 1.0)
+    assert spread.parts["south"] == pytest.approx(0.05)
+    spread.note_capacity({"north": 8, "south": 10}, 1.0)
+    spread.follow({"south": 1.0}, 2.0)
+    assert spread.parts["south"] == pytest.approx(0.1)
+
+
 def test_a_region_keeps_what_it_can_bear_and_passes_the_rest_to_spare_room():
     loads = {
         "north": RegionLoad(90, 60),
