Tell refused callers to come back after 0.4 to 1 s, each another time

Cause: a caller that was refused came back after 0.25 s, into the same surge or the same cold start, and was refused for good; all that were refused together came back together.

--- a/src/finchway/gateway/_forward.py
+++ b/src/finchway/gateway/_forward.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable
 from enum import Enum
 
@@ -29,7 +30,8 @@
     RequestEnded,
 )
 
-COME_BACK_S = 0.25
+COME_BACK_LEAST_S = 0.4
+COME_BACK_MOST_S = 1.0
 CANCELLED = "cancelled: out of time, or the caller left"
 _LEAST_LEFT_S = 0.02
 
@@ -397,5 +399,9 @@
 
 
 def _come_back(status: int) -> Reply:
-    """Return a refusal that says when to come back."""
-    return Reply(status, headers=((b"Retry-After", f"{COME_BACK_S:g}".encode()),))
+    """Return a refusal that says when to come back.
+
+    The time is drawn, so that callers who were refused together do not come back together.
+    """
+    after = random.uniform(COME_BACK_LEAST_S, COME_BACK_MOST_S)
+    return Reply(status, headers=((b"Retry-After", f"{after:.2f}".encode()),))
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -98,6 +98,19 @@
         assert float(header_of(head, b"retry-after")) > 0
 
 
+@on_trio
+async def test_refused_callers_are_told_different_times_to_come_back():
+    async with gateway() as subject:
+        times = set()
+        for _ in range(20):
+            status, head, _ = await (await subject.connect()).ask()
+            assert status == 503
+            times.add(float(header_of(head, b"retry-after")))
+        assert len(times) > 10
+        assert min(times) >= 0.4
+        assert max(times) <= 1.0
+
+
 @on_trio
 async def test_a_path_without_a_route_is_404():
     async with gateway(Upstream("i-1", serve_well)) as subject:
