Let a gateway that no replica answers ask by way of a fellow

A gateway that is only cut off from control was also deaf to drains and evacuations.

Now rosters carry the gateways' peer addresses; a gateway without an answer for 1 s asks a fellow, which passes the question on to a replica that answers there, so it is still named and still learns. Tests on virtual time in tests/gateway/test_session.py. Ruled out: naming silent gateways for longer (callers of dead ones would wait a second each).

--- a/bench/feed.py
+++ b/bench/feed.py
@@ -15,6 +15,7 @@
 from finchway.feed import (
     Feed,
     GatewayBeat,
+    GatewayPeer,
     RegionDemand,
     ReplicaAddress,
     Roster,
@@ -52,7 +53,7 @@
     """Return who is there, as it is sent when a gateway comes or goes."""
     return Roster(
         version=1_000,
-        serving=[f"gateway-{n}" for n in range(gateways)],
+        serving=[GatewayPeer(f"gateway-{n}", "10.1.250.250:7540") for n in range(gateways)],
         replicas=[ReplicaAddress(f"10.0.0.{n}", f"10.0.0.{n}:7540") for n in range(REPLICAS)],
     )
 
--- a/src/finchway/daemon.py
+++ b/src/finchway/daemon.py
@@ -37,6 +37,7 @@
     platform_source,
 )
 from finchway.exceptions import FinchwayError, StorageDamagedError
+from finchway.feed import Subscribe
 from finchway.gateway import GatewayRole, GatewaySettings
 from finchway.membership import Heartbeat, LeaseTiming
 from finchway.observe import (
@@ -159,6 +160,8 @@
         to_entry = isinstance(body, FetchChanges | Heartbeat) and self._control is None
         if self._entry is not None and to_entry:
             return await self._entry.session.handle(body, sender)
+        if isinstance(body, Subscribe) and self._control is None and self._gateway is not None:
+            return await self._gateway.relay(body)
         if self._control is not None:
             return await self._control.handle(body, sender)
         raise FinchwayError(f"{self._settings.instance} cannot answer {type(body).__name__}")
@@ -264,6 +267,7 @@
                 address=settings.gateway_address,
                 zone=settings.zone,
                 region=settings.region,
+                peer=settings.peer_address,
             ),
             lambda: self._settings.zones | self._surface.zones(),
             self._other_peers,
--- a/src/finchway/feed/__init__.py
+++ b/src/finchway/feed/__init__.py
@@ -9,6 +9,7 @@
 from finchway.feed._messages import (
     Feed,
     GatewayBeat,
+    GatewayPeer,
     HeardUpstream,
     RegionDemand,
     ReplicaAddress,
@@ -23,6 +24,7 @@
     "Feed",
     "GatewayBeat",
     "GatewayBook",
+    "GatewayPeer",
     "HeardGateway",
     "HeardUpstream",
     "RegionDemand",
--- a/src/finchway/feed/_book.py
+++ b/src/finchway/feed/_book.py
@@ -4,7 +4,7 @@
 
 from msgspec import Struct
 
-from finchway.feed._messages import GatewayBeat, RegionDemand
+from finchway.feed._messages import GatewayBeat, GatewayPeer, RegionDemand
 
 
 class HeardGateway(Struct, frozen=True):
@@ -38,12 +38,14 @@
             for _, (beat, heard_at) in sorted(self._heard.items())
         ]
 
-    def serving(self, now: float) -> list[str]:
-        """Return the names of the live gateways that take callers, in order."""
+    def serving(self, now: float) -> list[GatewayPeer]:
+        """Return the live gateways that take callers, in order of their names."""
         self._forget(now)
-        return sorted(
-            name for name, (beat, _) in self._heard.items() if beat.ready and not beat.leaving
-        )
+        return [
+            GatewayPeer(name, beat.peer)
+            for name, (beat, _) in sorted(self._heard.items())
+            if beat.ready and not beat.leaving
+        ]
 
     def demand(self, now: float) -> list[RegionDemand]:
         """Return what callers ask a second, summed over the live gateways of each region."""
--- a/src/finchway/feed/_messages.py
+++ b/src/finchway/feed/_messages.py
@@ -18,8 +18,8 @@
 class GatewayBeat(Struct, frozen=True, kw_only=True):
     """What a gateway says of itself.
 
-    `leaving` means that it must not be named to callers any more; `revision` is the steering
-    revision that it has in force.
+    `address` is for callers and `peer` for finchway's processes. `leaving` means that it must not
+    be named to callers any more; `revision` is the steering revision that it has in force.
     """
 
     name: str
@@ -27,6 +27,7 @@
     address: str
     zone: str
     region: str
+    peer: str = ""
     leaving: bool = False
     ready: bool = False
     revision: int = 0
@@ -49,6 +50,13 @@
     age: float
 
 
+class GatewayPeer(Struct, frozen=True, array_like=True):
+    """A gateway and where it is reached by other processes."""
+
+    name: str
+    address: str
+
+
 class ReplicaAddress(Struct, frozen=True, array_like=True):
     """A replica and where it is reached by other processes."""
 
@@ -59,12 +67,12 @@
 class Roster(Struct, frozen=True, kw_only=True):
     """Who is there, as one replica sees it; it is sent whole, and only when it has changed.
 
-    `serving` are the gateways that take callers, by name; `silent` are the upstreams whose
-    heartbeats stopped; `version` counts this replica process's changes.
+    `serving` are the gateways that take callers, in order of their names; `silent` are the
+    upstreams whose heartbeats stopped; `version` counts this replica process's changes.
     """
 
     version: int = 0
-    serving: list[str] = []
+    serving: list[GatewayPeer] = []
     silent: list[str] = []
     replicas: list[ReplicaAddress] = []
 
--- a/src/finchway/feed/_world.py
+++ b/src/finchway/feed/_world.py
@@ -45,6 +45,7 @@
         self._silent: frozenset[str] = frozenset()
         self._silent_since: dict[str, float] = {}
         self._serving: tuple[str, ...] = ()
+        self._peers: dict[str, str] = {}
         self._counts: deque[tuple[float, int]] = deque()
         self._changes = 0
 
@@ -89,6 +90,11 @@
         """The gateways that take callers, as any fresh replica says, by name."""
         return self._serving
 
+    @property
+    def peers(self) -> dict[str, str]:
+        """Where the serving gateways are reached by other processes, by name."""
+        return self._peers
+
     def serving_count(self, now: float) -> int:
         """Return the largest number of serving gateways that was known lately, at least one.
 
@@ -167,7 +173,8 @@
 
     def _merge_rosters(self, now: float) -> None:
         rosters = [word.roster for word in self._fresh()]
-        serving = tuple(sorted({name for roster in rosters for name in roster.serving}))
+        self._peers = {peer.name: peer.address for roster in rosters for peer in roster.serving}
+        serving = tuple(sorted(self._peers))
         if serving != self._serving or not self._counts:
             self._serving = serving
             self._counts.append((now, len(serving)))
--- a/src/finchway/gateway/_role.py
+++ b/src/finchway/gateway/_role.py
@@ -8,7 +8,7 @@
 import trio
 from msgspec import Struct
 
-from finchway.feed import GatewayBeat, World
+from finchway.feed import Feed, GatewayBeat, Subscribe, World
 from finchway.gateway._bounds import Bounds
 from finchway.gateway._forward import Forwarder
 from finchway.gateway._http import HttpServer
@@ -30,6 +30,7 @@
     address: str
     zone: str
     region: str
+    peer: str = ""
 
 
 class GatewayRole:
@@ -60,6 +61,7 @@
             address=settings.address,
             zone=settings.zone,
             region=settings.region,
+            peer=settings.peer,
         )
         self._session = GatewaySession(beat, link, self._world, seeds, router.rates, decisions)
         self._server = HttpServer(
@@ -93,6 +95,10 @@
         )
         return self._metrics.render(state)
 
+    async def relay(self, question: Subscribe) -> Feed:
+        """Pass on the question of a fellow that reaches no replica; raises `UnavailableError`."""
+        return await self._session.relay(question)
+
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Run until cancelled."""
         async with trio.open_nursery() as nursery:
--- a/src/finchway/gateway/_session.py
+++ b/src/finchway/gateway/_session.py
@@ -1,4 +1,8 @@
-"""The gateway's open questions to the replicas: its beats go out, the feed comes in."""
+"""The gateway's open questions to the replicas: its beats go out, the feed comes in.
+
+A gateway that no replica answers asks by way of a fellow gateway, so that one that is only cut off
+from control is still named to callers and still learns what changes.
+"""
 
 from __future__ import annotations
 
@@ -7,7 +11,7 @@
 
 import trio
 
-from finchway.exceptions import FinchwayError
+from finchway.exceptions import FinchwayError, UnavailableError
 from finchway.feed import Feed, GatewayBeat, ServiceRate, Subscribe, World
 from finchway.observe import BeliefChanged, DecisionLog, ProcessChanged
 from finchway.transport import Link
@@ -17,6 +21,8 @@
 PAUSE_S = 0.02
 RETRY_S = 0.1
 MOST_REPLICAS = 9
+RELAY_AFTER_S = 1.0
+RELAYED_WITHIN_S = 1.5
 DEMAND_EVERY_S = 0.5
 
 
@@ -43,6 +49,8 @@
         self._asking: set[str] = set()
         self._answered: set[str] = set()
         self._left = trio.Event()
+        self._answered_at = trio.current_time()
+        self._turn = 0
         self._demand_asked_at = float("-inf")
 
     @property
@@ -53,6 +61,7 @@
     async def run(self) -> None:
         """Ask each known replica until cancelled; replicas come and go."""
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._ask_by_fellows)
             while True:
                 for address in self._addresses():
                     if address not in self._asking:
@@ -88,6 +97,7 @@
                     await trio.sleep(RETRY_S)
                     continue
                 self._note_heard(address)
+                self._answered_at = trio.current_time()
                 life, order = answer.life, answer.order
                 self._learn(answer)
                 await trio.sleep(PAUSE_S)
@@ -95,6 +105,38 @@
             self._asking.discard(address)
             self._answered.discard(address)
 
+    async def relay(self, question: Subscribe) -> Feed:
+        """Pass on a fellow's question to a replica that answers here.
+
+        Raises `UnavailableError` if none does, and the link's errors.
+        """
+        answering = sorted(self._answered & set(self._addresses()))
+        if not answering:
+            raise UnavailableError("no replica answers here either")
+        return await self._link.request(answering[0], question, timeout=ANSWER_WITHIN_S)
+
+    async def _ask_by_fellows(self) -> None:
+        """Ask by way of fellows, one after the other, while no replica answers."""
+        life = ""
+        order = 0
+        while True:
+            silent_for = trio.current_time() - self._answered_at
+            fellows = [
+                a for n, a in sorted(self._world.peers.items()) if n != self._beat.name and a
+            ]
+            if silent_for < RELAY_AFTER_S or not fellows:
+                await trio.sleep(RETRY_S)
+                continue
+            address = fellows[self._turn % len(fellows)]
+            answer = await self._ask(address, life, order, RELAYED_WITHIN_S)
+            if answer is None:
+                self._turn += 1
+                await trio.sleep(RETRY_S)
+                continue
+            life, order = answer.life, answer.order
+            self._learn(answer)
+            await trio.sleep(PAUSE_S)
+
     def _note_lost(self, address: str) -> None:
         if address in self._answered:
             self._answered.discard(address)
@@ -109,7 +151,9 @@
         await self._left.wait()
         scope.cancel()
 
-    async def _ask(self, address: str, life: str, order: int) -> Feed | None:
+    async def _ask(
+        self, address: str, life: str, order: int, within: float = ANSWER_WITHIN_S
+    ) -> Feed | None:
         question = Subscribe(
             beat=self._current_beat(),
             revision=self._world.steering.revision,
@@ -119,7 +163,7 @@
             demand=self._wants_demand(),
         )
         try:
-            answer = await self._link.request(address, question, timeout=ANSWER_WITHIN_S)
+            answer = await self._link.request(address, question, timeout=within)
         except FinchwayError as error:
             _LOG.debug("no feed from %s: %s", address, error)
             if question.demand:
@@ -171,6 +215,7 @@
             address=beat.address,
             zone=beat.zone,
             region=beat.region,
+            peer=beat.peer,
             leaving=self._leaving,
             ready=self._world.is_ready,
             revision=self._world.steering.revision,
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -8,7 +8,7 @@
 import trio
 
 from finchway.catalog import Backend, Item, ItemKind, Limits, Route, RouteType, ServiceSpec
-from finchway.feed import Feed, HeardUpstream, Roster, World
+from finchway.feed import Feed, GatewayPeer, HeardUpstream, Roster, World
 from finchway.gateway import Bounds, Forwarder, HeaderNames, HttpServer, Router, UpstreamTable
 from finchway.observe import DecisionLog, GatewayMetrics, LogWriter
 from finchway.registry import Registration, UpstreamState
@@ -201,7 +201,7 @@
             life="l",
             order=0,
             image=self.steering.image(),
-            roster=Roster(version=self.told, serving=list(gateways)),
+            roster=Roster(version=self.told, serving=[GatewayPeer(name, "") for name in gateways]),
             upstreams=[HeardUpstream(registration, 0.0) for registration in upstreams],
             confirmed=True,
             **fields,
--- a/tests/gateway/test_router.py
+++ b/tests/gateway/test_router.py
@@ -6,7 +6,7 @@
 import trio.testing
 
 from finchway.catalog import Backend, Item, ItemKind, Limits, Route, RouteType, ServiceSpec
-from finchway.feed import Feed, HeardUpstream, RegionDemand, Roster, World
+from finchway.feed import Feed, GatewayPeer, HeardUpstream, RegionDemand, Roster, World
 from finchway.gateway import Bounds, CallerRequest, Router, Task, UpstreamTable
 from finchway.observe import DecisionLog, LogWriter
 from finchway.registry import Registration, UpstreamState
@@ -55,7 +55,7 @@
                 image=steering.image(),
                 confirmed=True,
                 upstreams=[HeardUpstream(registration, 0.0) for registration in upstreams],
-                roster=Roster(version=1, serving=list(gateways)),
+                roster=Roster(version=1, serving=[GatewayPeer(name, "") for name in gateways]),
                 demand=[RegionDemand(region, "s", rate) for region, rate in (demand or {}).items()],
             ),
             trio.current_time(),
--- a/tests/gateway/test_session.py
+++ b/tests/gateway/test_session.py
@@ -1,10 +1,11 @@
 """The gateway's questions to replicas, against scripted links."""
 
+import pytest
 import trio
 import trio.testing
 
-from finchway.exceptions import TransportError
-from finchway.feed import Feed, GatewayBeat, Roster, World
+from finchway.exceptions import TransportError, UnavailableError
+from finchway.feed import Feed, GatewayBeat, GatewayPeer, Roster, Subscribe, World
 from finchway.gateway import GatewaySession
 from finchway.observe import DecisionLog, LogWriter
 from finchway.state import SteeringImage
@@ -13,11 +14,16 @@
 LASTS_S = 2.4
 
 
+def peers(*names):
+    return [GatewayPeer(name, f"{name}:9") for name in names]
+
+
 class ScriptedLink:
     """Answers every question after a while, but for the replicas that are down."""
 
-    def __init__(self, down: set[str]) -> None:
+    def __init__(self, down: set[str], fellows: tuple[str, ...] = ()) -> None:
         self.down = down
+        self.serving = peers(*fellows)
         self.asked = []
 
     async def request(self, address, question, timeout):
@@ -29,18 +35,28 @@
             life=address,
             order=0,
             image=SteeringImage(),
-            roster=Roster(version=7) if question.roster != 7 else None,
+            roster=Roster(version=7, serving=self.serving) if question.roster != 7 else None,
             confirmed=True,
         )
 
 
-def play(link, leave_at=None):
+def world_with(*fellows):
+    """Return a world that knows fellow gateways, each reached at its name and port 9."""
+    world = World()
+    roster = Roster(version=1, serving=peers(*fellows))
+    world.learn(
+        Feed(life="k", order=0, image=SteeringImage(), confirmed=True, roster=roster), float("-inf")
+    )
+    return world
+
+
+def play(link, leave_at=None, world=None):
     """Run a session on virtual time; returns the questions with their time from the start."""
 
     async def run():
         beat = GatewayBeat(name="g", incarnation="1", address="g:1", zone="z", region="r")
         log = DecisionLog("g", LogWriter())
-        session = GatewaySession(beat, link, World(), lambda: SEEDS, list, log)
+        session = GatewaySession(beat, link, world or World(), lambda: SEEDS, list, log)
         started = trio.current_time()
         with trio.move_on_after(LASTS_S):
             async with trio.open_nursery() as nursery:
@@ -81,3 +97,42 @@
     asked = play(ScriptedLink(set()), leave_at=1.05)
     said = {address for at, address, q in asked if q.beat.leaving and at < 1.2}
     assert said == set(SEEDS)
+
+
+def test_a_gateway_that_no_replica_answers_asks_by_way_of_a_fellow():
+    asked = play(ScriptedLink(set(SEEDS), ("g", "h")), world=world_with("g", "h"))
+    relayed = [at for at, address, _ in asked if address == "h:9"]
+    assert 1.0 <= relayed[0] < 1.3
+    assert len(relayed) > 5
+    assert not [address for _, address, _ in asked if address == "g:9"]
+
+
+def test_a_fellow_that_does_not_answer_is_followed_by_the_next():
+    asked = play(ScriptedLink({*SEEDS, "h:9"}, ("g", "h", "i")), world=world_with("g", "h", "i"))
+    addresses = [address for _, address, _ in asked if address in ("h:9", "i:9")]
+    assert addresses[:2] == ["h:9", "i:9"]
+    assert set(addresses[1:]) == {"i:9"}
+
+
+def test_fellows_are_left_alone_while_a_replica_answers():
+    asked = play(ScriptedLink({"a:1", "b:1"}), world=world_with("g", "h"))
+    assert {address for _, address, _ in asked} == set(SEEDS)
+
+
+def test_a_fellows_question_is_passed_on_to_a_replica_that_answers():
+    link = ScriptedLink({"a:1"})
+
+    async def run():
+        beat = GatewayBeat(name="g", incarnation="1", address="g:1", zone="z", region="r")
+        log = DecisionLog("g", LogWriter())
+        session = GatewaySession(beat, link, World(), lambda: SEEDS, list, log)
+        question = Subscribe(beat=beat, revision=0)
+        with pytest.raises(UnavailableError):
+            await session.relay(question)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(session.run)
+            await trio.sleep(0.5)
+            assert (await session.relay(question)).life == "b:1"
+            nursery.cancel_scope.cancel()
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
--- a/tests/unit/test_registry.py
+++ b/tests/unit/test_registry.py
@@ -4,6 +4,7 @@
     Feed,
     GatewayBeat,
     GatewayBook,
+    GatewayPeer,
     HeardUpstream,
     RegionDemand,
     ReplicaAddress,
@@ -116,7 +117,7 @@
         RegionDemand("north", "t", 1.0),
         RegionDemand("south", "s", 4.0),
     ]
-    assert book.serving(1.0) == ["a"]
+    assert [peer.name for peer in book.serving(1.0)] == ["a"]
     assert book.demand(3.5) == []
 
 
@@ -155,15 +156,20 @@
     assert world.registry.get("i").heard_at == 10.0
 
 
+def peers(*names):
+    return [GatewayPeer(name, f"{name}:9") for name in names]
+
+
 def roster(version=1, **fields):
     return Roster(version=version, **fields)
 
 
 def test_gateways_are_those_that_any_fresh_replica_names():
     world = World()
-    world.learn(feed(life="k", roster=roster(serving=["a", "b"])), 1.0)
-    world.learn(feed(life="l", roster=roster(serving=["b", "c"])), 1.5)
+    world.learn(feed(life="k", roster=roster(serving=peers("a", "b"))), 1.0)
+    world.learn(feed(life="l", roster=roster(serving=peers("b", "c"))), 1.5)
     assert world.serving == ("a", "b", "c")
+    assert world.peers == {"a": "a:9", "b": "b:9", "c": "c:9"}
     assert (world.roster_version("k"), world.roster_version("m")) == (1, 0)
     world.learn(feed(life="l"), 3.5)
     assert world.serving == ("b", "c")
@@ -173,7 +179,7 @@
 def test_the_last_words_stand_when_control_is_lost():
     world = World()
     demand = [RegionDemand("north", "s", 5.0)]
-    world.learn(feed(roster=roster(serving=["a", "b"]), demand=demand), 1.0)
+    world.learn(feed(roster=roster(serving=peers("a", "b")), demand=demand), 1.0)
     assert (world.serving, world.demand) == (("a", "b"), demand)
     assert world.serving_count(500.0) == 2
 
@@ -181,8 +187,8 @@
 def test_sums_are_divided_by_the_most_gateways_known_lately():
     world = World()
     assert world.serving_count(0.0) == 1
-    world.learn(feed(life="k", roster=roster(serving=["a", "b", "c"])), 1.0)
-    world.learn(feed(life="l", roster=roster(serving=["a"])), 4.0)
+    world.learn(feed(life="k", roster=roster(serving=peers("a", "b", "c"))), 1.0)
+    world.learn(feed(life="l", roster=roster(serving=peers("a"))), 4.0)
     assert world.serving == ("a",)
     assert world.serving_count(5.0) == 3
     assert world.serving_count(15.0) == 1
@@ -192,8 +198,8 @@
     world = World()
     few = [RegionDemand("north", "s", 1.0)]
     most = [RegionDemand("north", "s", 5.0)]
-    world.learn(feed(life="k", roster=roster(serving=["a", "b"]), demand=most), 1.0)
-    world.learn(feed(life="l", roster=roster(serving=["a"]), demand=few), 1.5)
+    world.learn(feed(life="k", roster=roster(serving=peers("a", "b")), demand=most), 1.0)
+    world.learn(feed(life="l", roster=roster(serving=peers("a")), demand=few), 1.5)
     assert world.demand == most
 
 
