Name a region's gateways to callers of a zone that has lost many of its own

Now a zone's own are named alone only if they are three quarters of the mean of its region's zones. The new test failed first. Ruled out: naming by load, which swings with its own effect.

--- a/src/finchway/feed/_directory.py
+++ b/src/finchway/feed/_directory.py
@@ -6,6 +6,7 @@
 
 MOST_NAMED = 64
 LEAST_NAMED = 2
+FAIR_PART = 0.75
 
 
 def choose_gateways(
@@ -14,7 +15,8 @@
     """Return addresses for a caller of a zone: its own zone's gateways, its region's, or others'.
 
     A zone's callers ask for the same things, so few gateways see each of them and know best what
-    they have sent; a single gateway is not named alone, since its callers would all lose it.
+    they have sent. A single gateway is not named alone, since its callers would all lose it; nor
+    are those of a zone that has lost many, since its callers would be too much for the rest.
     `allowed` are the regions that the caller's requests may pass through beside its own; empty
     means all. Gateways that leave or have no configuration are not named while there are others.
     """
@@ -23,6 +25,7 @@
     if not near:
         near = [beat for beat in serving if not allowed or beat.region in allowed]
     own = [beat for beat in near if beat.zone == zone]
-    if len(own) >= LEAST_NAMED:
+    mean = len(near) / max(1, len({beat.zone for beat in near}))
+    if len(own) >= max(LEAST_NAMED, FAIR_PART * mean):
         near = own
     return [beat.address for beat in sorted(near, key=lambda b: b.name)[:MOST_NAMED]]
--- a/tests/unit/test_registry.py
+++ b/tests/unit/test_registry.py
@@ -144,6 +144,16 @@
     assert choose_gateways(gateways, "west", "", frozenset({"south"})) == ["e:1"]
 
 
+def test_a_zone_that_has_lost_many_gateways_is_helped_by_its_region():
+    # Grown trouble-1: three of eight gateways left in a zone choked on its callers.
+    whole = [beat(f"w{n}", zone="y") for n in range(8)]
+    left = [beat(f"l{n}", zone="z") for n in range(3)]
+    assert len(choose_gateways([*whole, *left], "north", "z", frozenset())) == 11
+    assert len(choose_gateways([*whole, *left], "north", "y", frozenset())) == 8
+    even = [beat(f"l{n}", zone="z") for n in range(6)]
+    assert len(choose_gateways([*whole, *even], "north", "z", frozenset())) == 6
+
+
 def test_the_world_takes_ages_into_account_and_never_goes_back():
     steering = Steering()
     steering.change_items(change(service(), route()))
