--- a/src/finchway/gateway/_router.py
+++ b/src/finchway/gateway/_router.py
@@ -30,10 +30,9 @@
 USE_OF_SLOTS = 0.7
 WORK_WEIGHT_UP = 0.005
 WORK_WEIGHT_DOWN = 0.05
-OWN_ADMITTED = 2.0
 OWN_LEAST = 2
+OWN_ADMITTED = 2.0
 OWN_ADMITTED_STRAINED = 1.0
-OWN_LEAST_STRAINED = 2
 STRAINED_ABOVE = 0.3
 STRAIN_WEIGHT = 0.02
 PLAN_EVERY_S = 0.1
@@ -201,8 +200,7 @@
         slots = record.registration.slots
         strained = self._strain.get(service, 1.0) > STRAINED_ABOVE
         admitted = OWN_ADMITTED_STRAINED if strained else OWN_ADMITTED
-        least = OWN_LEAST_STRAINED if strained else OWN_LEAST
-        own_most = max(least, math.ceil(slots * admitted * share))
+        own_most = max(OWN_LEAST, math.ceil(slots * admitted * share))
         return Candidate(
             record.registration.instance, slots, record.busy(now), record.in_flight, own_most
         )
