--- a/bench/soak/_run.py
+++ b/bench/soak/_run.py
@@ -56,7 +56,10 @@
 
 
 class _Soak:
-    """The parts of one run."""
+    """The parts of one run; `run` makes the processes and the client of their API."""
+
+    _machines: Machines
+    _control: ControlClient
 
     def __init__(self, seed: int, shape: Shape, folder: Path) -> None:
         self._seed = seed
@@ -65,7 +68,6 @@
         self._ledger = Ledger()
         self._plan = make_plan(seed, shape)
         self._rng = random.Random(seed + 1)
-        self._busy: Counter[str] = Counter()
 
     async def run(self) -> Report:
         """Play the run."""
@@ -143,11 +145,9 @@
         at = trio.current_time()
         place = len(self._ledger.faults)
         self._ledger.faults.append(FaultWindow(fault.kind.value, fault.target, at, float("inf")))
-        self._busy[fault.target] += 1
         try:
             await self._strike(fault)
         finally:
-            self._busy[fault.target] -= 1
             self._ledger.faults[place] = FaultWindow(
                 fault.kind.value, fault.target, at, trio.current_time()
             )
