Let a process that is still starting end by the signal itself in the soak's checks

Ruled out: a handler that does not work, since the first stop ended with 0. Such a process serves nothing. The check stays strict for one that has logged its start, for any other signal, and for one that was not told to stop; the test breaks each of these on paper.

--- a/bench/soak/_ledger.py
+++ b/bench/soak/_ledger.py
@@ -67,12 +67,13 @@
 
 
 class Ended(Struct, frozen=True):
-    """A process that ended, and whether it was told to."""
+    """A process that ended, whether it was told to, and whether it was still starting then."""
 
     name: str
     at: float
     code: int
     expected: bool
+    starting: bool = False
 
 
 class Ledger:
--- a/bench/soak/_machines.py
+++ b/bench/soak/_machines.py
@@ -21,6 +21,7 @@
 INTRUSION = Path(__file__).resolve().parent / "intrusion"
 GRACE_S = 6.0
 _SYNC_NOTE = ".synced"
+_START_LINE = b'"change":"start"'
 
 
 class Machines:
@@ -34,6 +35,7 @@
         self._ledger = ledger
         self._running: dict[str, subprocess.Popen] = {}
         self._told: set[str] = set()
+        self._started: set[int] = set()
         names = shape.replica_names + shape.gateway_names
         ports = iter(free_ports(4 * len(names)))
         self._peer = {name: f"127.0.0.1:{next(ports)}" for name in names}
@@ -86,7 +88,7 @@
         )
         os.close(writing)
         self._told.discard(name)
-        self._nursery.start_soon(self._read_log, name, reading)
+        self._nursery.start_soon(self._read_log, name, self._running[name].pid, reading)
 
     def kill(self, name: str) -> None:
         """End a process without notice."""
@@ -110,6 +112,7 @@
         is waited for.
         """
         process = self._running[name]
+        starting = process.pid not in self._started
         self._told.add(name)
         self.signal(name, signal.SIGTERM)
         with trio.move_on_after(GRACE_S):
@@ -118,7 +121,9 @@
         if process.poll() is None:
             process.kill()
             process.wait()
-        self._ledger.ended.append(Ended(name, trio.current_time(), process.returncode, True))
+        self._ledger.ended.append(
+            Ended(name, trio.current_time(), process.returncode, True, starting)
+        )
 
     def is_running(self, name: str) -> bool:
         """Tell whether a process runs."""
@@ -151,11 +156,13 @@
         if name in self._hears:
             self._hears.pop(name).set()
 
-    async def _read_log(self, name: str, descriptor: int) -> None:
+    async def _read_log(self, name: str, pid: int, descriptor: int) -> None:
         async with trio.lowlevel.FdStream(descriptor) as stream:
             with (self.folder / f"{name}.log").open("ab", buffering=0) as log:
                 while data := await stream.receive_some(64 * 1024):
                     log.write(data)
+                    if _START_LINE in data:
+                        self._started.add(pid)
                     if name in self._hears:
                         await self._hears[name].wait()
 
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -103,6 +103,17 @@
     assert broken(subject) == ["service comes back"]
 
 
+def test_only_a_process_that_is_still_starting_may_end_by_the_signal_itself():
+    # tests/process/test_soak.py, seed 1 beside load: a stop met a process that was importing.
+    subject = Ledger()
+    subject.ended.append(Ended("c1", 1.0, -15, True, starting=True))
+    assert broken(subject) == []
+    subject.ended.append(Ended("c1", 1.0, -15, True))
+    subject.ended.append(Ended("c1", 1.0, -1, True, starting=True))
+    subject.ended.append(Ended("c1", 1.0, -15, False, starting=True))
+    assert broken(subject) == ["planned stops end well"] * 2 + ["processes stay up"]
+
+
 def test_a_plan_follows_from_its_seed_and_loses_few_disks():
     plan = make_plan(7, Shape(faults=60, seconds=60.0))
     assert plan == make_plan(7, Shape(faults=60, seconds=60.0))
