--- a/tests/unit/test_registry.py
+++ b/tests/unit/test_registry.py
@@ -145,7 +145,7 @@
 
 
 def test_a_zone_that_has_lost_many_gateways_is_helped_by_its_region():
-    # Grown trouble-1: three of eight gateways left in a zone choked on its callers.
+    # An assumed case after the grown trouble-1, where many of 74 gateways were down or cut.
     whole = [beat(f"w{n}", zone="y") for n in range(8)]
     left = [beat(f"l{n}", zone="z") for n in range(3)]
     assert len(choose_gateways([*whole, *left], "north", "z", frozenset())) == 11
