Divide what a region passes on by capacity; let a new report lift a gateway's own part

Now what is passed on is divided by the others' capacity as far as they have room, and a report of load from the last 0.3 s that shows a free slot needs no part.

--- a/src/finchway/gateway/_router.py
+++ b/src/finchway/gateway/_router.py
@@ -36,6 +36,9 @@
 OWN_ADMITTED = 2.0
 OWN_ADMITTED_STRAINED = 1.0
 STRAINED_ABOVE = 0.3
+# A report of load that is no older than this many seconds is trusted alone: an upstream gets about
+# one request from each gateway of its region in this time.
+REPORT_NEW_S = 0.3
 STRAIN_WEIGHT = 0.02
 PLAN_EVERY_S = 0.1
 # A repeat is slow when it takes this many times the work of a warm one. Work for a key that is not
@@ -262,15 +265,17 @@
         """Describe an upstream; while many answers are late, this gateway's part is strict.
 
         Reports of load come with answers and fail when these come late, so the sum of the parts
-        is what then bounds the queues. In calm a wider part keeps keys on their first home.
+        is what then bounds the queues. In calm a wider part keeps keys on their first home, and a
+        report from a moment ago that shows a free slot needs no part at all.
         """
         slots = record.registration.slots
+        busy = record.busy(now)
+        if busy + 1 <= slots and now - record.reported_at <= REPORT_NEW_S:
+            return Candidate(record.registration.instance, slots, busy, record.in_flight)
         strained = self._strain.get(service, 1.0) > STRAINED_ABOVE
         admitted = OWN_ADMITTED_STRAINED if strained else OWN_ADMITTED
         own_most = max(OWN_LEAST, math.ceil(slots * admitted * share))
-        return Candidate(
-            record.registration.instance, slots, record.busy(now), record.in_flight, own_most
-        )
+        return Candidate(record.registration.instance, slots, busy, record.in_flight, own_most)
 
     def _share(self, service: str, region: str, now: float) -> float:
         """Return this gateway's part of what a region's upstreams get; worked out now and then."""
--- a/src/finchway/policy/_spread.py
+++ b/src/finchway/policy/_spread.py
@@ -22,6 +22,9 @@
 def plan_spread(home: str, loads: dict[str, RegionLoad]) -> dict[str, float]:
     """Return the parts of the home region's requests that each region should serve.
 
+    What a region passes on is divided by the others' capacity, as far as they have room: a
+    division by room would change with every wave of demand, and each key that moves is slow once.
+
     plan_spread("north", {"north": RegionLoad(90, 60), "south": RegionLoad(30, 60)})
     # {"north": 0.67, "south": 0.33}
     """
@@ -30,25 +33,43 @@
         return {home: 1.0}
     own = loads.get(home, RegionLoad(0.0, 0.0))
     kept = 1.0 if own.demand <= own.capacity else own.capacity / own.demand
-    spare = {
+    room = {
         region: max(0.0, load.capacity - load.demand)
         for region, load in loads.items()
         if region != home
     }
-    room = sum(spare.values())
     over = sum(max(0.0, load.demand - load.capacity) for load in loads.values())
-    if kept >= 1.0 or not spare:
+    if kept >= 1.0 or not room:
         return {home: 1.0}
-    if room <= 0.0:
+    taken = _fill(over, room, {region: loads[region].capacity for region in room})
+    fits = sum(taken.values())
+    if fits <= 0.0:
         return {region: load.capacity / total for region, load in loads.items()}
-    # When the spare room falls short, all regions are filled above their mark alike.
-    fits = min(1.0, room / over) if over > 0 else 1.0
-    passed = (1.0 - kept) * fits
-    parts = {region: passed * value / room for region, value in spare.items()}
+    # When the room falls short, all regions are filled above their mark alike.
+    passed = (1.0 - kept) * min(1.0, fits / over)
+    parts = {region: passed * value / fits for region, value in taken.items()}
     parts[home] = 1.0 - passed
     return parts
 
 
+def _fill(amount: float, room: dict[str, float], weights: dict[str, float]) -> dict[str, float]:
+    """Divide an amount by weight, nowhere above the room; what does not fit is left."""
+    taken = dict.fromkeys(room, 0.0)
+    left = amount
+    open_ones = [region for region in room if room[region] > 0 and weights[region] > 0]
+    while open_ones and left > 1e-9:
+        weight = sum(weights[region] for region in open_ones)
+        share = min(
+            left / weight,
+            min((room[region] - taken[region]) / weights[region] for region in open_ones),
+        )
+        for region in open_ones:
+            taken[region] += share * weights[region]
+        left -= share * weight
+        open_ones = [region for region in open_ones if room[region] - taken[region] > 1e-9]
+    return taken
+
+
 def assume_even_demand(loads: dict[str, RegionLoad], regions: set[str]) -> dict[str, RegionLoad]:
     """Return loads as they would be if every region asked alike of well-used upstreams.
 
--- a/src/finchway/replication/_elections.py
+++ b/src/finchway/replication/_elections.py
@@ -8,7 +8,6 @@
 from finchway.replication import _messages as m
 from finchway.replication._ready import RoleName
 
-
 # Part of the election time that a replica waits while it has heard no leader since it started.
 # After a start of all replicas nobody leads, and every moment until someone does is lost; where
 # there is a leader, its next heartbeat (a tenth of the election time) comes first, and pre-votes
--- a/tests/gateway/test_router.py
+++ b/tests/gateway/test_router.py
@@ -201,3 +201,22 @@
         answer_all(subject, slow)
         await trio.sleep(0.2)
     assert answer_all(subject, slow) == before
+
+
+@on_virtual_time
+async def test_a_new_report_of_free_slots_lifts_the_gateways_own_part():
+    # Brazos quiet-1: with two of its own under way at an idle upstream of five slots, a gateway
+    # sent the next request for a key to an upstream that did not know it.
+    gateways = tuple(f"g{n}" for n in range(12))
+    subject = Subject([upstream(f"n{n}", "north-a", slots=5) for n in range(4)], gateways=gateways)
+    task = subject.task("a")
+    subject.router.count_request(task, trio.current_time())
+    home = subject.router.choose(task, trio.current_time())
+    home.in_flight = 3
+    home.report(running=3, waiting=0, now=trio.current_time())
+    assert subject.router.choose(subject.task("a"), trio.current_time()) is home
+    await trio.sleep(1.0)
+    assert subject.router.choose(subject.task("a"), trio.current_time()) is not home
+    home.report(running=5, waiting=0, now=trio.current_time())
+    home.in_flight = 4
+    assert subject.router.choose(subject.task("a"), trio.current_time()) is not home
