Hold upstreams against the middle one of their fellows; log a choice as it was made

Now the lower median counts, and requests for remembered keys that are overdue count before they end.

An attempt line now carries the inputs as they were when the choice was made: report_ms was negative, since the report had been renewed by the answer itself.

--- a/src/finchway/gateway/__init__.py
+++ b/src/finchway/gateway/__init__.py
@@ -5,14 +5,17 @@
 from finchway.gateway._http import CallerConnection, CallerRequest, HttpServer, Reply
 from finchway.gateway._names import HeaderNames
 from finchway.gateway._role import GatewayRole, GatewaySettings
-from finchway.gateway._router import Router, Task
+from finchway.gateway._router import Router
 from finchway.gateway._session import GatewaySession
 from finchway.gateway._table import UpstreamTable
+from finchway.gateway._task import Choice, ChoiceReason, Task
 
 __all__ = [
     "Bounds",
     "CallerConnection",
     "CallerRequest",
+    "Choice",
+    "ChoiceReason",
     "Forwarder",
     "GatewayRole",
     "GatewaySession",
--- a/src/finchway/gateway/_forward.py
+++ b/src/finchway/gateway/_forward.py
@@ -20,8 +20,9 @@
     Reply,
 )
 from finchway.gateway._names import HOP_HEADERS, HeaderNames
-from finchway.gateway._router import Router, Task
+from finchway.gateway._router import Router
 from finchway.gateway._table import SHED_REST_S, UpstreamRecord, UpstreamTable
+from finchway.gateway._task import Choice, Task
 from finchway.observe import (
     AttemptEnded,
     DecisionLog,
@@ -173,21 +174,21 @@
         while task.attempts < task.route.max_attempts:
             now = trio.current_time()
             denied = self._forbidden(task, outcome, now) if task.attempts else ""
-            record = None if denied else self._router.choose(task, now)
-            if record is None and not task.attempts:
+            choice = None if denied else self._router.choose(task, now)
+            if choice is None and not task.attempts:
                 return Outcome(Verdict.NOT_RUN, task.refusal)
             if (
-                record is not None
+                choice is not None
                 and task.attempts
                 and not self._router.may_repeat(task.service, now)
             ):
                 denied = "the budget for repeats is used up"
-            if denied or record is None:
+            if denied or choice is None:
                 self._note_denied(task, denied or task.refusal, outcome)
                 return outcome
-            task.tried.add(record.registration.instance)
+            task.tried.add(choice.record.registration.instance)
             earlier = outcome
-            outcome = await self._attempt(connection, task, record)
+            outcome = await self._attempt(connection, task, choice)
             if outcome.verdict is Verdict.ANSWERED:
                 return outcome
             if earlier.verdict is Verdict.UNKNOWN:
@@ -212,12 +213,10 @@
             )
         )
 
-    async def _attempt(
-        self, connection: CallerConnection, task: Task, record: UpstreamRecord
-    ) -> Outcome:
+    async def _attempt(self, connection: CallerConnection, task: Task, choice: Choice) -> Outcome:
+        record = choice.record
         now = started = trio.current_time()
-        busy = record.busy(now)
-        self._table.note_sent(record, now)
+        self._table.note_sent(record, task.request_id, task.key, now)
         upstream = None
         whole = streams = False
         outcome = Outcome(Verdict.UNKNOWN, CANCELLED)
@@ -241,21 +240,19 @@
                 outcome = Outcome(Verdict.UNKNOWN, error.detail, record=record)
             return outcome
         finally:
-            record.in_flight -= 1
+            self._table.note_ended(record, task.request_id)
             if outcome.detail == CANCELLED and trio.current_time() >= task.deadline:
                 record.leave_unanswered(trio.current_time())
                 self._router.note_unanswered(task, record)
-            self._note_attempt(task, record, outcome, busy, started)
+            self._note_attempt(task, choice, outcome, started)
             if upstream is not None:
                 if whole:
                     self._table.put_back(record, upstream)
                 elif not streams:
                     upstream.close()
 
-    def _note_attempt(
-        self, task: Task, record: UpstreamRecord, outcome: Outcome, busy: float, started: float
-    ) -> None:
-        registration = record.registration
+    def _note_attempt(self, task: Task, choice: Choice, outcome: Outcome, started: float) -> None:
+        registration = choice.record.registration
         self._metrics.count_attempt(task.service, outcome.verdict.value)
         self._decisions.write(
             AttemptEnded(
@@ -264,11 +261,13 @@
                 key=task.key,
                 upstream=registration.instance,
                 zone=registration.zone,
-                region=self._zones().get(registration.zone, ""),
-                busy=round(busy, 1),
+                region=choice.region,
+                reason=choice.reason.value,
+                busy=round(choice.busy, 1),
                 slots=registration.slots,
-                report_ms=_ms(started - record.reported_at),
-                heard_ms=_ms(started - self._world.heard_at),
+                report_ms=_ms(choice.report_age),
+                heard_ms=_ms(choice.heard_age),
+                kept=round(choice.kept_part, 3),
                 choices=task.choices,
                 result=outcome.verdict.value,
                 detail=outcome.detail,
--- a/src/finchway/gateway/_table.py
+++ b/src/finchway/gateway/_table.py
@@ -50,6 +50,7 @@
         "standing",
         "state",
         "unanswered",
+        "under_way",
     )
 
     def __init__(self, registration: Registration) -> None:
@@ -67,11 +68,16 @@
         self.idle: list[UpstreamConnection] = []
         self.standing = Standing()
         self.answered_keys: dict[str, float] = {}
+        self.under_way: dict[str, float] = {}
 
     def remembers(self, key: str, now: float) -> bool:
         """Tell whether the upstream has answered a request for a key lately."""
         return now - self.answered_keys.get(key, float("-inf")) <= KEY_REMEMBERED_S
 
+    def overdue(self, now: float, seconds: float) -> int:
+        """Count the requests for remembered keys that are under way for longer than a time."""
+        return sum(now - since > seconds for since in self.under_way.values())
+
     def note_key(self, key: str, now: float) -> None:
         """Note that the upstream has answered a request for a key."""
         self.answered_keys.pop(key, None)
@@ -236,12 +242,19 @@
         """Tell whether an upstream may get a request at this moment."""
         return record.resting_until <= now and self._cold_allows(record, now)
 
-    def note_sent(self, record: UpstreamRecord, now: float) -> None:
+    def note_sent(self, record: UpstreamRecord, request_id: str, key: str, now: float) -> None:
         """Count a request that is being sent."""
         record.in_flight += 1
+        if record.remembers(key, now):
+            record.under_way[request_id] = now
         if record.pacer is not None and record.cold_until > now:
             record.pacer.take(now)
 
+    def note_ended(self, record: UpstreamRecord, request_id: str) -> None:
+        """Count a request that is not under way any more."""
+        record.in_flight -= 1
+        record.under_way.pop(request_id, None)
+
     async def connect(self, record: UpstreamRecord, now: float) -> UpstreamConnection:
         """Return an idle connection or a new one; raises `AttemptError`."""
         while record.idle:
--- /dev/null
+++ b/src/finchway/gateway/_task.py
@@ -0,0 +1,63 @@
+"""A request on its way, and the choice of an upstream for it with the reasons."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from msgspec import Struct
+
+from finchway.catalog import Route
+from finchway.gateway._http import CallerRequest
+from finchway.gateway._table import UpstreamRecord
+
+
+class Task(Struct):
+    """A request on its way; `refusal` says why no upstream was chosen.
+
+    `has_key` tells whether the caller named the thing that the request concerns; `key` is the
+    request's id otherwise.
+    """
+
+    request: CallerRequest
+    route_name: str
+    route: Route
+    service: str
+    request_id: str
+    key: str
+    deadline: float
+    attempts: int = 0
+    choices: int = 0
+    refusal: str = ""
+    tried: set[str] = set()
+    has_key: bool = True
+
+
+class ChoiceReason(Enum):
+    """Why an upstream gets a request.
+
+    HOME: it is where the key belongs. RELIEF: that one has no room, and this one has a free slot.
+    TRIAL: it was left out for its poor answers, and one request tries it again. OTHER_REGION: the
+    region whose turn it is has no upstream that may get anything.
+    """
+
+    HOME = "home"
+    RELIEF = "relief"
+    TRIAL = "trial"
+    OTHER_REGION = "other-region"
+
+
+class Choice(Struct):
+    """An upstream for one attempt, and what decided for it.
+
+    `busy` is the estimated requests at it, from a report that was `report_age` seconds old;
+    `heard_age` is the age of the newest word of a replica, and `kept_part` the part of the
+    service's requests that this region keeps at the moment.
+    """
+
+    record: UpstreamRecord
+    region: str
+    reason: ChoiceReason
+    busy: float
+    report_age: float
+    heard_age: float
+    kept_part: float
--- a/src/finchway/observe/_decisions.py
+++ b/src/finchway/observe/_decisions.py
@@ -49,7 +49,10 @@
 class AttemptEnded(Decision, frozen=True, kw_only=True, tag="attempt"):
     """One attempt at an upstream: why it was chosen, and how it ended.
 
-    `busy` is the estimated requests at it, resting on a report of `report_ms` ago (-1: none).
+    What decided stands as it was when the choice was made: `reason` is home, relief, trial or
+    other-region; `busy` the estimated requests at the upstream, resting on a report of `report_ms`
+    before (-1: none); `heard_ms` the age of the newest word of a replica; `kept` the part of the
+    service's requests that this region keeps.
     """
 
     id: str
@@ -58,10 +61,12 @@
     upstream: str
     zone: str
     region: str
+    reason: str
     busy: float
     slots: int
     report_ms: float
     heard_ms: float
+    kept: float
     choices: int
     result: str
     detail: str = ""
--- a/src/finchway/policy/__init__.py
+++ b/src/finchway/policy/__init__.py
@@ -29,7 +29,7 @@
 from finchway.policy._key_map import KeyMap
 from finchway.policy._lender import Lender
 from finchway.policy._outliers import Standing, find_poor
-from finchway.policy._placement import Candidate, Placement
+from finchway.policy._placement import HOMES, Candidate, UpstreamOrders, choose_home
 from finchway.policy._retries import MAX_ATTEMPTS, Attempt, Outcome, RetryBudget, may_retry
 from finchway.policy._routing import Caller, EntryPoint, Routes, caller_position, client_block
 from finchway.policy._shares import (
@@ -63,6 +63,7 @@
 
 __all__ = [
     "DEMOTED_RANK",
+    "HOMES",
     "MAX_ATTEMPTS",
     "Attempt",
     "BlockTable",
@@ -95,9 +96,11 @@
     "ShiftView",
     "Slots",
     "Ticket",
+    "UpstreamOrders",
     "UpstreamState",
     "WaitingQueue",
     "caller_position",
+    "choose_home",
     "client_block",
     "drained_instances",
     "drained_upstreams",
@@ -123,7 +126,6 @@
     "AttemptBudget",
     "Candidate",
     "Pacer",
-    "Placement",
     "RateMeter",
     "RegionLoad",
     "Spread",
--- a/src/finchway/policy/_outliers.py
+++ b/src/finchway/policy/_outliers.py
@@ -16,11 +16,9 @@
 JUDGED = 4
 # Of these, so many must be bad; one or two in a row happen to upstreams that only forgot a key.
 BAD_OF_JUDGED = 3
-# Outcomes that the share of bad ones is taken over when fellows are compared.
-COMPARED = 8
-# When the fellows' mean share of bad outcomes is above this, something else is wrong than one
-# upstream, and their keys would only be slow elsewhere as well.
-FELLOWS_WELL_BELOW = 0.35
+# When the middle one of the fellows has more than this part of bad outcomes, something else is
+# wrong than some upstreams, and their keys would be slow elsewhere as well.
+FELLOWS_BAD_AT_MOST = 0.3
 # At most this part of a region's upstreams is left out: the rest could not bear more.
 MOST_LEFT_OUT = 0.5
 # Seconds between two requests that try a poor upstream again, at each gateway.
@@ -30,26 +28,40 @@
 class Standing:
     """How the last requests at one upstream went."""
 
-    __slots__ = ("_outcomes", "_trial_at")
+    __slots__ = ("_outcomes", "_overdue", "_trial_at")
 
     def __init__(self) -> None:
-        self._outcomes: deque[bool] = deque(maxlen=COMPARED)
+        self._outcomes: deque[bool] = deque(maxlen=JUDGED)
+        self._overdue = 0
         self._trial_at = float("-inf")
 
+    @property
+    def is_known(self) -> bool:
+        """Whether anything is known of the upstream."""
+        return bool(self._outcomes) or self._overdue > 0
+
     @property
     def is_suspect(self) -> bool:
         """Whether most of the very last outcomes were bad."""
-        return sum(list(self._outcomes)[-JUDGED:]) >= BAD_OF_JUDGED
+        return sum(self._judged()) >= BAD_OF_JUDGED
 
     @property
     def bad_share(self) -> float:
         """The part of bad outcomes among the last ones; 0 without any."""
-        return sum(self._outcomes) / len(self._outcomes) if self._outcomes else 0.0
+        judged = self._judged()
+        return sum(judged) / len(judged) if judged else 0.0
 
     def note(self, is_bad: bool) -> None:
         """Take in how a request went."""
         self._outcomes.append(is_bad)
 
+    def note_overdue(self, count: int) -> None:
+        """Take in how many requests under way have taken longer than a good one already."""
+        self._overdue = count
+
+    def _judged(self) -> list[bool]:
+        return [*self._outcomes, *[True] * self._overdue][-JUDGED:]
+
     def may_try(self, now: float) -> bool:
         """Tell whether it is time to try the upstream again although it is poor."""
         return now >= self._trial_at
@@ -64,20 +76,17 @@
 
     Those that are left out already, `held`, come first when a region has too many.
     """
-    standings = [standing for found in regions.values() for standing in found.values()]
-    total = sum(standing.bad_share for standing in standings)
+    known = [s for found in regions.values() for s in found.values() if s.is_known]
+    if len(known) < 2 or _middle([s.bad_share for s in known]) > FELLOWS_BAD_AT_MOST:
+        return frozenset()
     poor: set[str] = set()
     for found in regions.values():
-        suspects = [
-            name
-            for name, standing in found.items()
-            if standing.is_suspect
-            and _fellows_are_well(total - standing.bad_share, len(standings) - 1)
-        ]
+        suspects = [name for name, standing in found.items() if standing.is_suspect]
         suspects.sort(key=lambda name: (name not in held, -found[name].bad_share, name))
         poor.update(suspects[: int(MOST_LEFT_OUT * len(found))])
     return frozenset(poor)
 
 
-def _fellows_are_well(bad: float, fellows: int) -> bool:
-    return fellows > 0 and bad / fellows < FELLOWS_WELL_BELOW
+def _middle(values: list[float]) -> float:
+    """Return the lower median."""
+    return sorted(values)[(len(values) - 1) // 2]
--- a/src/finchway/policy/_placement.py
+++ b/src/finchway/policy/_placement.py
@@ -7,8 +7,8 @@
 free there: beyond them, a surge would bring every key to every upstream, all would forget them,
 and work would stay slow after the surge.
 
-    placement = Placement()
-    chosen = placement.choose(candidates, "17")
+    order = UpstreamOrders().order("17", names)
+    chosen = choose_home([candidates[name] for name in order[:HOMES]])
 """
 
 from __future__ import annotations
@@ -17,8 +17,11 @@
 
 from finchway.policy._hashing import rank
 
+# Upstreams of a region that serve a key: more make all of them forget (docs/DESIGN.md, "Gateways").
 HOMES = 2
+# Requests for each slot up to which an upstream takes those of keys that belong elsewhere.
 FILLED = 0.85
+# Requests for each slot up to which an upstream takes those of its own keys: one turn of waiting.
 ADMITTED = 2.0
 
 
@@ -41,24 +44,10 @@
         return (self.busy + 1) / max(self.slots, 1)
 
 
-class Placement:
-    """Orders upstreams for keys, and remembers the orders.
+class UpstreamOrders:
+    """The orders of upstreams for keys, remembered up to a bounded number of them."""
 
-    A key's home takes requests up to `admitted` for each of its slots; what is beyond would wait
-    for longer than its answer is worth. Another upstream takes one only while that keeps it at
-    `filled` of its slots.
-    """
-
-    def __init__(
-        self,
-        homes: int = HOMES,
-        filled: float = FILLED,
-        admitted: float = ADMITTED,
-        remembered: int = 20_000,
-    ) -> None:
-        self._homes = homes
-        self._filled = filled
-        self._admitted = admitted
+    def __init__(self, remembered: int = 20_000) -> None:
         self._remembered = remembered
         self._orders: dict[tuple[str, tuple[str, ...]], list[str]] = {}
 
@@ -71,20 +60,19 @@
             held = self._orders[key, names] = rank(key, names)
         return held
 
-    @property
-    def homes(self) -> int:
-        """How many of an order's first upstreams serve a key."""
-        return self._homes
-
-    def choose(self, ordered: list[Candidate], spilled: bool = False) -> Candidate | None:
-        """Return the upstream for a request out of its key's homes, in order; None if all are full.
-
-        A request that `spilled` over from elsewhere is warm nowhere and only takes a free slot.
-        """
-        for position, candidate in enumerate(ordered):
-            if candidate.own >= candidate.own_most:
-                continue
-            is_home = position == 0 and not spilled
-            if candidate.after <= (self._admitted if is_home else self._filled):
-                return candidate
-        return None
+
+def choose_home(ordered: list[Candidate], spilled: bool = False) -> Candidate | None:
+    """Return the upstream for a request out of its key's homes, in order; None if all are full.
+
+    The first takes requests up to `ADMITTED` for each of its slots: what is beyond would wait for
+    longer than its answer is worth. Another one takes a request only while that keeps it at
+    `FILLED` of its slots. A request that `spilled` over from elsewhere is warm nowhere and only
+    takes a free slot.
+    """
+    for place, candidate in enumerate(ordered):
+        if candidate.own >= candidate.own_most:
+            continue
+        is_home = place == 0 and not spilled
+        if candidate.after <= (ADMITTED if is_home else FILLED):
+            return candidate
+    return None
