Keep less in a region whose upstreams forget; even out keys only where upstreams have many

Now a repeat that takes 2.2 times the usual work counts as forgotten, and a region whose upstreams forget more often than those elsewhere keeps less, at the speed that shifts are allowed; keys are evened out from ten for each upstream. Ruled out: a number of keys set in advance (it is nowhere told, and differs: 33, 20 and 17 here).

At the trough of its wave Austin still forgets: its gateways see too few repeats then to learn fast.

--- a/src/finchway/gateway/_estimates.py
+++ b/src/finchway/gateway/_estimates.py
@@ -12,6 +12,9 @@
 # A repeat is slow when it takes this many times the work of a warm one. Work for a key that is not
 # remembered takes about 3.4 times as long on all users' sites.
 SLOW_FACTOR = 3.5
+# Beyond this many times the work of a warm one, a repeat was most likely for a forgotten key: half
+# way, by ratio, between the two.
+FORGOTTEN_FACTOR = 2.2
 
 
 class ServiceEstimate:
@@ -42,6 +45,11 @@
         """Seconds after which an answer for a remembered key is slow."""
         return SLOW_FACTOR * self._work
 
+    @property
+    def forgotten_after(self) -> float:
+        """Seconds after which an answer was most likely for a key that is not remembered."""
+        return FORGOTTEN_FACTOR * self._work
+
     def note_answer(self, seconds: float, target_latency: float) -> None:
         """Take in the time of a good answer."""
         weight = WORK_WEIGHT_UP if seconds > self._work else WORK_WEIGHT_DOWN
--- a/src/finchway/gateway/_forward.py
+++ b/src/finchway/gateway/_forward.py
@@ -224,7 +224,7 @@
             upstream = await self._table.connect(record, now)
             task.attempts += 1
             answer = await self._exchange(connection, task, record, upstream)
-            outcome = self._judge(task, record, upstream, answer, now)
+            outcome = self._judge(task, choice, upstream, answer, now)
             whole = answer.complete
             streams = not whole and outcome.verdict is Verdict.ANSWERED
             return outcome
@@ -317,17 +317,18 @@
     def _judge(
         self,
         task: Task,
-        record: UpstreamRecord,
+        choice: Choice,
         upstream: UpstreamConnection,
         answer: Answer,
         sent_at: float,
     ) -> Outcome:
+        record = choice.record
         now = trio.current_time()
         self._note_load(record, answer, now)
         refused = answer.status == 421 or answer.header(self._names.not_executed) is not None
         if not refused:
             record.succeed()
-            self._router.note_answer(task, record, answer.status, now - sent_at, now)
+            self._router.note_answer(task, choice, answer.status, now - sent_at, now)
             return Outcome(Verdict.ANSWERED, "", answer, upstream, record)
         if answer.status == 421:
             record.fail(now)
--- a/src/finchway/gateway/_router.py
+++ b/src/finchway/gateway/_router.py
@@ -81,18 +81,22 @@
         return self._budget(service).spend(now, self._world.serving_count(now))
 
     def note_answer(
-        self, task: Task, record: UpstreamRecord, status: int, seconds: float, now: float
+        self, task: Task, choice: Choice, status: int, seconds: float, now: float
     ) -> None:
         """Take in how long an answered attempt took, and what it says of the upstream.
 
         A slow answer speaks against it only if it remembered the key; one whose body was streamed
         took as long as its caller did.
         """
-        estimate = self._plan(task).estimate
+        plan = self._plan(task)
+        estimate = plan.estimate
+        record = choice.record
         known = record.remembers(task.key, now)
         record.note_key(task.key, now)
         if status < 300:
             estimate.note_answer(seconds, task.route.target_latency)
+            if known and not record.standing.is_suspect:
+                plan.note_repeat(choice.region, seconds)
         if task.request.more:
             return
         is_slow = seconds > estimate.slow_after
--- a/src/finchway/gateway/_service.py
+++ b/src/finchway/gateway/_service.py
@@ -10,6 +10,7 @@
 from finchway.gateway._table import UpstreamTable
 from finchway.gateway._task import Task
 from finchway.policy import (
+    KeepLimit,
     KeyMap,
     RateMeter,
     RegionLoad,
@@ -56,6 +57,8 @@
         speed = SHIFT_SAFETY * bounds.shift_per_window / bounds.shift_window
         self._spread = Spread(home, speed)
         self._settled = Settled(DEMAND_SETTLED_S)
+        self._keep_limit = KeepLimit()
+        self._most_kept = 1.0
         self._key_map = KeyMap(home)
         self._orders = UpstreamOrders()
         self._poor: frozenset[str] = frozenset()
@@ -79,6 +82,11 @@
         if task.has_key:
             self._key_map.note(task.key)
 
+    def note_repeat(self, region: str, seconds: float) -> None:
+        """Take in the time of an answer for a key that the upstream has answered a moment ago."""
+        has_forgotten = seconds > self._estimate.forgotten_after
+        self._keep_limit.note(region == self._home, has_forgotten)
+
     def rate(self, now: float) -> float:
         """Return the requests a second that callers ask here."""
         return self._meter.rate(now)
@@ -150,6 +158,7 @@
         self._key_map.follow(self._spread.parts, names, now)
 
     def _plan(self, now: float) -> dict[str, float]:
+        self._most_kept = self._keep_limit.most_kept(now)
         loads = self._loads(now)
         if not self._settled.note(sum(load.demand for load in loads.values()), now):
             loads = assume_even_demand(loads, set(self._zones().values()))
@@ -167,7 +176,12 @@
             for region, found in self._table.regions(self._service, now).items()
         }
         a_slot = USE_OF_SLOTS / self._estimate.work
-        return {
+        loads = {
             region: RegionLoad(demand.get(region, 0.0), slots.get(region, 0.0) * a_slot)
             for region in {*demand, *slots}
         }
+        home = loads.get(self._home)
+        if home is not None and self._most_kept < 1.0:
+            remembered = self._most_kept * home.demand
+            loads[self._home] = RegionLoad(home.demand, min(home.capacity, remembered))
+        return loads
--- a/src/finchway/policy/__init__.py
+++ b/src/finchway/policy/__init__.py
@@ -30,6 +30,7 @@
 from finchway.policy._lender import Lender
 from finchway.policy._outliers import Standing, find_poor
 from finchway.policy._placement import HOMES, Candidate, UpstreamOrders, choose_home
+from finchway.policy._recall import KeepLimit
 from finchway.policy._retries import MAX_ATTEMPTS, Attempt, Outcome, RetryBudget, may_retry
 from finchway.policy._routing import Caller, EntryPoint, Routes, caller_position, client_block
 from finchway.policy._shares import (
@@ -78,6 +79,7 @@
     "Gate",
     "Grant",
     "Holder",
+    "KeepLimit",
     "KeyMap",
     "Lender",
     "LoadReport",
--- a/src/finchway/policy/_key_map.py
+++ b/src/finchway/policy/_key_map.py
@@ -8,8 +8,8 @@
 - a region keeps the first keys of the order, as many as make up its part of the requests, and
   passes on the rest; when its part changes, only the keys next to the border move, and those come
   back to where they were when it changes back;
-- within a region a key goes to the first upstream of its rendezvous order that has no more keys
-  than its even share of the keys before it.
+- within a region with few upstreams for its keys, a key goes to the first upstream of its
+  rendezvous order that has no more keys than its even share of the keys before it.
 
     keys = KeyMap("north")
     keys.note("17")
@@ -38,6 +38,10 @@
 # known, and each key that is turned away from its first choice is one more to agree on.
 EVEN_SHARE_SLACK = 1.1
 EVEN_SHARE_EXTRA = 2
+# Keys for each upstream of a region from which they are evened out. With fewer, the most loaded
+# upstream still has about twenty, which all those seen remember; and while a gateway learns the
+# keys, each evened one may move once (Brazos quiet-1: 52 more moves in 10 s without this bound).
+EVENED_FROM = 10
 # Beyond this many keys, hashing alone is even to a few percent.
 MOST_BALANCED = 2_000
 # Keys that are remembered at most; the ones beyond are placed by their hash alone.
@@ -124,7 +128,7 @@
         return chosen
 
     def home_of(self, key: str, region: str) -> str | None:
-        """Return the upstream of a region that a key belongs to; None if it is not known yet."""
+        """Return the upstream of a region that a key was given to; None: the first of its order."""
         return self._homes.get(region, {}).get(key)
 
     def _forget(self, now: float) -> None:
@@ -173,8 +177,8 @@
         A key's place depends only on the keys before it in the order, so the border may move
         without moving the others.
         """
-        names = self._names.get(region, ())
-        if not names or len(self._keys) > MOST_BALANCED:
+        names = self._names[region]
+        if not EVENED_FROM * len(names) <= len(self._keys) <= MOST_BALANCED:
             return {}
         counts = dict.fromkeys(names, 0)
         homes: dict[str, str] = {}
