--- a/src/finchway/gateway/_forward.py
+++ b/src/finchway/gateway/_forward.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
 from enum import Enum
 
 import trio
@@ -20,8 +19,9 @@
     Reply,
 )
 from finchway.gateway._names import HOP_HEADERS, HeaderNames
+from finchway.gateway._record import SHED_REST_S, UpstreamRecord
 from finchway.gateway._router import Router
-from finchway.gateway._table import SHED_REST_S, UpstreamRecord, UpstreamTable
+from finchway.gateway._table import UpstreamTable
 from finchway.gateway._task import Choice, Task
 from finchway.observe import (
     AttemptEnded,
@@ -31,9 +31,12 @@
     RequestEnded,
 )
 
+# Seconds after which refused callers are told to come back, drawn between the two: 0.25 s for all
+# brought them back into the same surge (docs/DESIGN.md, "Gateways").
 COME_BACK_LEAST_S = 0.4
 COME_BACK_MOST_S = 1.0
 CANCELLED = "cancelled: out of time, or the caller left"
+# Seconds that must be left for a further attempt: a round trip within a region and some work.
 _LEAST_LEFT_S = 0.02
 
 
@@ -61,7 +64,6 @@
 
     def __init__(
         self,
-        zones: Callable[[], dict[str, str]],
         world: World,
         table: UpstreamTable,
         router: Router,
@@ -69,7 +71,6 @@
         decisions: DecisionLog,
         metrics: GatewayMetrics,
     ) -> None:
-        self._zones = zones
         self._world = world
         self._table = table
         self._router = router
--- a/src/finchway/gateway/_role.py
+++ b/src/finchway/gateway/_role.py
@@ -53,7 +53,7 @@
         self._table = UpstreamTable(settings.name, zones, self._world, bounds, decisions)
         router = Router(settings.zone, zones, self._world, self._table, bounds)
         self._forwarder = Forwarder(
-            zones, self._world, self._table, router, names, decisions, self._metrics
+            self._world, self._table, router, names, decisions, self._metrics
         )
         beat = GatewayBeat(
             name=settings.name,
--- a/src/finchway/gateway/_router.py
+++ b/src/finchway/gateway/_router.py
@@ -10,8 +10,9 @@
 from finchway.catalog import Backend, Route
 from finchway.feed import ServiceRate, World
 from finchway.gateway._bounds import Bounds
+from finchway.gateway._record import UpstreamRecord
 from finchway.gateway._service import ServicePlan
-from finchway.gateway._table import RegionUpstreams, UpstreamRecord, UpstreamTable
+from finchway.gateway._table import RegionUpstreams, UpstreamTable
 from finchway.gateway._task import Choice, ChoiceReason, Task
 from finchway.policy import HOMES, AttemptBudget, Candidate, choose_home
 
--- a/src/finchway/gateway/_task.py
+++ b/src/finchway/gateway/_task.py
@@ -8,7 +8,7 @@
 
 from finchway.catalog import Route
 from finchway.gateway._http import CallerRequest
-from finchway.gateway._table import UpstreamRecord
+from finchway.gateway._record import UpstreamRecord
 
 
 class Task(Struct):
--- a/src/finchway/policy/_spread.py
+++ b/src/finchway/policy/_spread.py
@@ -9,6 +9,7 @@
 
 from msgspec import Struct
 
+# Part of all capacity that is taken to be asked for until the demand is known.
 ASSUMED_USE = 0.8
 
 
@@ -100,7 +101,10 @@
 class Spread:
     """The parts in use, which follow the plan at a bounded speed."""
 
+    # Part of a region's capacity that must be lost or return for the parts to hurry: a zone of two
+    # or three, not some upstreams that are replaced.
     CAPACITY_CHANGE = 0.3
+    # Seconds of hurry, and how many times faster the parts move then: all of a region in that time.
     HURRY_S = 4.0
     HURRY = 8.0
 
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -170,7 +170,6 @@
         self.table = UpstreamTable("g1", lambda: ZONES, self.world, bounds, self.decisions)
         router = Router("north-a", lambda: ZONES, self.world, self.table, bounds)
         self.forwarder = Forwarder(
-            lambda: ZONES,
             self.world,
             self.table,
             router,
