Work out the keys' homes only when keys or upstreams have changed; know 2,000 keys at most

Cause (read in the code, then timed): each renewal, four a second, ranked every key in every region, and the ranks of forgotten keys stayed. The homes are a pure function of keys and upstreams, so nothing else changes below 2,000 keys.

--- a/src/finchway/policy/_key_map.py
+++ b/src/finchway/policy/_key_map.py
@@ -42,10 +42,10 @@
 # upstream still has about twenty, which all those seen remember; and while a gateway learns the
 # keys, each evened one may move once (Brazos quiet-1: 52 more moves in 10 s without this bound).
 EVENED_FROM = 10
-# Beyond this many keys, hashing alone is even to a few percent.
-MOST_BALANCED = 2_000
-# Keys that are remembered at most; the ones beyond are placed by their hash alone.
-MOST_KNOWN = 20_000
+# Keys that are known at most; hashing places the ones beyond, and is even to a few percent then. A
+# renewal with so many takes about 4 ms (docs/CAPACITY.md).
+MOST_KNOWN = 2_000
+# Count below which a key is forgotten: a single request after 43 s.
 FORGET_BELOW = 0.05
 
 
@@ -72,6 +72,7 @@
         self._homes: dict[str, dict[str, str]] = {}
         self._ranks: dict[tuple[str, str], tuple[tuple[str, ...], list[str]]] = {}
         self._renewed_at = float("-inf")
+        self._has_other_keys = False
         self._owed: dict[str, float] = {}
 
     def __len__(self) -> int:
@@ -85,6 +86,7 @@
                 return
             held = self._keys[key] = _Key(position("spread", key))
             insort(self._order, (held.place, key))
+            self._has_other_keys = True
         held.count += 1.0
 
     def follow(
@@ -102,7 +104,9 @@
             self._names = dict(names)
             self._ranks.clear()
         self._draw_border()
-        self._homes = {region: self._balance(region) for region in names}
+        if changed or self._has_other_keys:
+            self._homes = {region: self._balance(region) for region in names}
+            self._has_other_keys = False
 
     def region_of(self, key: str) -> str:
         """Return the region that serves a request for a key."""
@@ -139,8 +143,11 @@
         for held in self._keys.values():
             held.count *= fade
         for key in [key for key, held in self._keys.items() if held.count < FORGET_BELOW]:
+            self._has_other_keys = True
             place = self._keys.pop(key).place
             del self._order[bisect_left(self._order, (place, key))]
+            for region in self._names:
+                self._ranks.pop((key, region), None)
 
     def _draw_border(self) -> None:
         """Mark the keys that the home region keeps, in order, up to its part of the requests.
@@ -178,7 +185,7 @@
         without moving the others.
         """
         names = self._names[region]
-        if not EVENED_FROM * len(names) <= len(self._keys) <= MOST_BALANCED:
+        if not EVENED_FROM * len(names) <= len(self._keys) < MOST_KNOWN:
             return {}
         counts = dict.fromkeys(names, 0)
         homes: dict[str, str] = {}
--- a/tests/unit/test_key_map.py
+++ b/tests/unit/test_key_map.py
@@ -131,6 +131,7 @@
     assert len(keys_map) == len(KEYS)
     keys_map.follow({"north": 1.0}, NAMES, 100.0)
     assert len(keys_map) == 0
+    assert not keys_map._ranks
     assert keys_map.home_of(KEYS[0], "north") is None
 
 
