--- a/tests/gateway/test_router.py
+++ b/tests/gateway/test_router.py
@@ -2,12 +2,20 @@
 
 from __future__ import annotations
 
+import msgspec
 import trio
 import trio.testing
 
 from finchway.catalog import Backend, Item, ItemKind, Limits, Route, RouteType, ServiceSpec
 from finchway.feed import Feed, GatewayPeer, HeardUpstream, RegionDemand, Roster, World
-from finchway.gateway import Bounds, CallerRequest, Router, Task, UpstreamTable
+from finchway.gateway import (
+    Bounds,
+    CallerRequest,
+    ChoiceReason,
+    Router,
+    Task,
+    UpstreamTable,
+)
 from finchway.observe import DecisionLog, LogWriter
 from finchway.registry import Registration, UpstreamState
 from finchway.state import ChangeItems, Steering, SteeringImage
@@ -60,10 +68,19 @@
             ),
             trio.current_time(),
         )
-        log = DecisionLog("g1", LogWriter())
+        self.writer = LogWriter()
+        log = DecisionLog("g1", self.writer)
         self.table = UpstreamTable("g1", lambda: ZONES, self.world, Bounds(), log)
         self.router = Router("north-a", lambda: ZONES, self.world, self.table, Bounds())
 
+    def lines(self, event):
+        """Return the log lines of one kind that were written since the last call."""
+        data = b""
+        while part := self.writer._take():
+            data += part
+        decoded = [msgspec.json.decode(line) for line in data.splitlines()]
+        return [line for line in decoded if line["event"] == event]
+
     def task(self, key):
         now = trio.current_time()
         request = CallerRequest("GET", "/x/1", "a.example", [], b"", now)
@@ -220,3 +237,52 @@
     home.report(running=5, waiting=0, now=trio.current_time())
     home.in_flight = 4
     assert subject.router.choose(subject.task("a"), trio.current_time()).record is not home
+
+
+@on_virtual_time
+async def test_a_choice_says_why_and_what_was_known():
+    subject = Subject([upstream(f"n{n}", "north-a", slots=4) for n in range(5)])
+    first = subject.router.choose(subject.task("a"), trio.current_time())
+    assert (first.reason, first.region, first.busy) == (ChoiceReason.HOME, "north", 0.0)
+    assert first.report_age == float("inf")
+    first.record.report(running=4, waiting=5, now=trio.current_time())
+    await trio.sleep(0.1)
+    second = subject.router.choose(subject.task("a"), trio.current_time())
+    assert second.reason is ChoiceReason.RELIEF
+    assert second.record is not first.record
+    for record in (first.record, second.record):
+        record.rest(trio.current_time(), 5.0)
+    third = subject.router.choose(subject.task("a"), trio.current_time())
+    assert third.record not in (first.record, second.record)
+
+
+@on_virtual_time
+async def test_a_plan_is_logged_when_it_has_moved_and_only_then():
+    subject = Subject(a_small_and_a_large_region(), {"north": 14.0, "south": 10.0})
+    subject.zones_of(range(5))
+    (line,) = subject.lines("plan")
+    assert line["service"] == "s"
+    assert set(line["regions"]) == {"north", "south"}
+    assert line["regions"]["south"]["part"] > 0.5
+    assert line["work_ms"] == 300.0
+    subject.zones_of(range(5))
+    assert subject.lines("plan") == []
+    await passed_on_after(subject, 10.0)
+    kept = [line["kept"] for line in subject.lines("plan")]
+    assert kept == sorted(kept)
+    assert 3 <= len(kept) <= 20
+
+
+@on_virtual_time
+async def test_leaving_an_upstream_out_is_logged_with_its_cause():
+    subject = Subject([upstream(f"n{n}", "north-a") for n in range(5)])
+    for _ in range(5):
+        answer_all(subject, {})
+        await trio.sleep(0.2)
+    subject.lines("belief")
+    for _ in range(4):
+        answer_all(subject, {"n1": 1.2})
+        await trio.sleep(0.2)
+    (line,) = [line for line in subject.lines("belief") if line["subject"] == "upstream/n1"]
+    assert line["now"] == "answering worse than its fellows"
+    assert "bad 1.00" in line["source"] or "bad 0.75" in line["source"]
