Log and count how a gateway's questions to replicas go, and how late its event loop runs

Cause: the lines could not tell a full link from a busy processor, nor an answer that came too late from none, so the three hypotheses on the stale 404 stood alike. What: feed lines (first, slow, given-up), finchway_gateway_feeds_total and _feed_transit_seconds, loop_lag_seconds; refusals without an attempt tell the age of the process and the lag. Ruled out: the processor alone.

--- a/src/finchway/control/_feed.py
+++ b/src/finchway/control/_feed.py
@@ -74,13 +74,14 @@
 
     async def answer(self, question: Subscribe) -> Feed:
         """Answer a gateway: at once if something committed is new, else after a short while."""
-        self._gateways.record(question.beat, trio.current_time())
+        arrived_at = trio.current_time()
+        self._gateways.record(question.beat, arrived_at)
         known = question.life == self._life
         steering = self._runner.machine.steering
         if known and steering.revision <= question.revision:
             hold = HOLD_S if question.beat.ready else HOLD_UNREADY_S
             await self._wait_for_news(question.revision, hold)
-        return self._feed(question, known)
+        return self._feed(question, known, arrived_at)
 
     async def run(self) -> None:
         """Share heartbeats until cancelled."""
@@ -96,7 +97,7 @@
         with trio.move_on_after(hold):
             await self._runner.wait_steering(revision)
 
-    def _feed(self, question: Subscribe, known: bool) -> Feed:
+    def _feed(self, question: Subscribe, known: bool, arrived_at: float) -> Feed:
         now = trio.current_time()
         runner = self._runner
         steering = runner.machine.steering
@@ -112,6 +113,7 @@
             ],
             roster=None if has_roster else self._roster,
             demand=self._gateways.demand(now) if question.demand else None,
+            held=round(now - arrived_at, 3),
             confirmed=runner.core.heard_leader_within(LEADER_HEARD_WITHIN_S),
         )
 
--- a/src/finchway/feed/_messages.py
+++ b/src/finchway/feed/_messages.py
@@ -97,13 +97,14 @@
 
     `upstreams` are those that are new or say something new of themselves, `roster` is there if
     it is another than the question's, and `demand` if it was asked for. `confirmed` tells whether
-    the replica heard of the leader a moment ago.
+    the replica heard of the leader a moment ago; `held` is how long the question waited for news.
     """
 
     life: str
     order: int
     image: SteeringImage
     confirmed: bool
+    held: float = 0.0
     upstreams: list[HeardUpstream] = []
     roster: Roster | None = None
     demand: list[RegionDemand] | None = None
--- a/src/finchway/gateway/_forward.py
+++ b/src/finchway/gateway/_forward.py
@@ -27,6 +27,7 @@
     AttemptEnded,
     DecisionLog,
     GatewayMetrics,
+    LoopLag,
     RepeatDenied,
     RequestEnded,
 )
@@ -70,6 +71,7 @@
         names: HeaderNames,
         decisions: DecisionLog,
         metrics: GatewayMetrics,
+        lag: LoopLag,
     ) -> None:
         self._world = world
         self._table = table
@@ -77,6 +79,8 @@
         self._names = names
         self._decisions = decisions
         self._metrics = metrics
+        self._lag = lag
+        self._started_at = trio.current_time()
         self._in_flight = 0
 
     @property
@@ -116,6 +120,8 @@
                 ms=_ms(now - request.arrived_at),
                 revision=self._world.steering.revision,
                 heard_ms=_ms(now - self._world.heard_at),
+                up_ms=_ms(now - self._started_at),
+                lag_ms=_ms(self._lag.worst_s),
             )
         )
         await connection.reply(reply)
--- a/src/finchway/gateway/_role.py
+++ b/src/finchway/gateway/_role.py
@@ -16,7 +16,7 @@
 from finchway.gateway._router import Router
 from finchway.gateway._session import GatewaySession
 from finchway.gateway._table import UpstreamTable
-from finchway.observe import DecisionLog, GatewayMetrics, GatewayState
+from finchway.observe import DecisionLog, GatewayMetrics, GatewayState, LoopLag
 from finchway.transport import Link
 
 CACHED_ANSWERS = 3.0
@@ -49,11 +49,12 @@
         self._bounds = bounds
         self._metrics = GatewayMetrics(settings.name)
         self._decisions = decisions
+        self._lag = LoopLag()
         self._world = World()
         self._table = UpstreamTable(settings.name, zones, self._world, bounds, decisions)
         router = Router(settings.zone, zones, self._world, self._table, bounds)
         self._forwarder = Forwarder(
-            self._world, self._table, router, names, decisions, self._metrics
+            self._world, self._table, router, names, decisions, self._metrics, self._lag
         )
         beat = GatewayBeat(
             name=settings.name,
@@ -63,7 +64,16 @@
             region=settings.region,
             peer=settings.peer,
         )
-        self._session = GatewaySession(beat, link, self._world, seeds, router.rates, decisions)
+        self._session = GatewaySession(
+            beat,
+            link,
+            self._world,
+            seeds,
+            router.rates,
+            decisions,
+            self._metrics,
+            self._lag,
+        )
         self._server = HttpServer(
             settings.address,
             self._forwarder.serve,
@@ -86,6 +96,7 @@
         state = GatewayState(
             revision=self._world.steering.revision,
             feed_age_s=round(now - self._world.heard_at, 3),
+            loop_lag_s=round(self._lag.worst_s, 3),
             in_flight=self._forwarder.in_flight,
             connections=self._server.connections,
             upstream_connections_opened=self._table.opened,
@@ -102,6 +113,7 @@
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Run until cancelled."""
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._lag.run)
             nursery.start_soon(self._session.run)
             await nursery.start(self._server.run)
             task_status.started()
--- a/src/finchway/gateway/_session.py
+++ b/src/finchway/gateway/_session.py
@@ -13,7 +13,15 @@
 
 from finchway.exceptions import FinchwayError, UnavailableError
 from finchway.feed import Feed, GatewayBeat, ServiceRate, Subscribe, World
-from finchway.observe import BeliefChanged, DecisionLog, ProcessChanged
+from finchway.observe import (
+    BeliefChanged,
+    DecisionLog,
+    FeedEnded,
+    FeedOutcome,
+    GatewayMetrics,
+    LoopLag,
+    ProcessChanged,
+)
 from finchway.transport import Link
 
 _LOG = logging.getLogger(__name__)
@@ -24,6 +32,9 @@
 RELAY_AFTER_S = 1.0
 RELAYED_WITHIN_S = 1.5
 DEMAND_EVERY_S = 0.5
+# Seconds on the way, both ways together, from which an answer gets a line of its own: six round
+# trips between the regions that are furthest apart.
+SLOW_TRANSIT_S = 0.4
 
 
 class GatewaySession:
@@ -37,8 +48,12 @@
         seeds: Callable[[], list[str]],
         rates: Callable[[], list[ServiceRate]],
         decisions: DecisionLog,
+        metrics: GatewayMetrics,
+        lag: LoopLag,
     ) -> None:
         self._decisions = decisions
+        self._metrics = metrics
+        self._lag = lag
         self._beat = beat
         self._link = link
         self._world = world
@@ -162,14 +177,46 @@
             roster=self._world.roster_version(life),
             demand=self._wants_demand(),
         )
+        asked_at = trio.current_time()
         try:
             answer = await self._link.request(address, question, timeout=within)
         except FinchwayError as error:
             _LOG.debug("no feed from %s: %s", address, error)
             if question.demand:
                 self._demand_asked_at = float("-inf")
+            self._note_feed(address, question, asked_at, None)
             return None
-        return answer if isinstance(answer, Feed) else None
+        if not isinstance(answer, Feed):
+            return None
+        self._note_feed(address, question, asked_at, answer)
+        return answer
+
+    def _note_feed(
+        self, address: str, question: Subscribe, asked_at: float, answer: Feed | None
+    ) -> None:
+        """Count a question; log it if it was given up, slow, or the first of a replica process."""
+        seconds = trio.current_time() - asked_at
+        transit = None if answer is None else seconds - answer.held
+        self._metrics.count_feed(transit)
+        if transit is None:
+            outcome = FeedOutcome.GIVEN_UP
+        elif answer.life != question.life:
+            outcome = FeedOutcome.FIRST
+        elif transit >= SLOW_TRANSIT_S:
+            outcome = FeedOutcome.SLOW
+        else:
+            return
+        self._decisions.write(
+            FeedEnded(
+                replica=address,
+                outcome=outcome,
+                ms=round(seconds * 1000, 1),
+                held_ms=-1.0 if answer is None else round(answer.held * 1000, 1),
+                upstreams=0 if answer is None else len(answer.upstreams),
+                revision=question.revision,
+                lag_ms=round(self._lag.worst_s * 1000, 1),
+            )
+        )
 
     def _wants_demand(self) -> bool:
         """Ask one replica after the other for the regions' demand, now and then."""
--- a/src/finchway/observe/__init__.py
+++ b/src/finchway/observe/__init__.py
@@ -5,6 +5,8 @@
     AttemptEnded,
     BeliefChanged,
     DecisionLog,
+    FeedEnded,
+    FeedOutcome,
     OrderEnded,
     PlanChanged,
     ProcessChanged,
@@ -14,6 +16,7 @@
 )
 from finchway.observe._events import Event, EventKind, LogicalClock, Timeline, merge
 from finchway.observe._gateway_metrics import GatewayMetrics, GatewayState
+from finchway.observe._lag import LoopLag
 from finchway.observe._logs import configure_logs
 from finchway.observe._metrics import Metrics
 from finchway.observe._replica_metrics import ReplicaMetrics, ReplicaState
@@ -26,10 +29,13 @@
     "DecisionLog",
     "Event",
     "EventKind",
+    "FeedEnded",
+    "FeedOutcome",
     "GatewayMetrics",
     "GatewayState",
     "LogWriter",
     "LogicalClock",
+    "LoopLag",
     "Metrics",
     "OrderEnded",
     "PlanChanged",
--- a/src/finchway/observe/_decisions.py
+++ b/src/finchway/observe/_decisions.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import time
+from enum import Enum
 
 import msgspec
 from msgspec import Struct
@@ -25,7 +26,9 @@
 class RequestEnded(Decision, frozen=True, kw_only=True, tag="request"):
     """The end of a caller's request: what the caller was told, and why.
 
-    `revision` is the configuration that routed it, `heard_ms` the age of the newest feed.
+    `revision` is the configuration that routed it, `heard_ms` the age of the newest feed. Refusals
+    before any attempt also tell `up_ms`, the age of the process, and `lag_ms`, how late its event
+    loop ran in the last second.
     """
 
     id: str
@@ -39,6 +42,8 @@
     budget_ms: float = 0.0
     revision: int = 0
     heard_ms: float = -1.0
+    up_ms: float = -1.0
+    lag_ms: float = -1.0
 
     @property
     def is_vital(self) -> bool:
@@ -87,6 +92,31 @@
     after: str
 
 
+class FeedOutcome(Enum):
+    """How a question to a replica went, where that is worth a line."""
+
+    FIRST = "first"
+    SLOW = "slow"
+    GIVEN_UP = "given-up"
+
+
+class FeedEnded(Decision, frozen=True, kw_only=True, tag="feed"):
+    """A replica's first answer, a slow one, or a question that was given up.
+
+    `ms` counts from the question, `held_ms` is how much of it the replica waited for news;
+    `upstreams` are those in the answer, `revision` is the steering revision known before it, and
+    `lag_ms` is how late the event loop ran in the last second.
+    """
+
+    replica: str
+    outcome: FeedOutcome
+    ms: float
+    held_ms: float = -1.0
+    upstreams: int = 0
+    revision: int = 0
+    lag_ms: float
+
+
 class BeliefChanged(Decision, frozen=True, kw_only=True, tag="belief"):
     """Something this process holds to be true changed."""
 
@@ -148,6 +178,7 @@
     RequestEnded
     | AttemptEnded
     | RepeatDenied
+    | FeedEnded
     | BeliefChanged
     | PlanChanged
     | ProcessChanged
--- a/src/finchway/observe/_gateway_metrics.py
+++ b/src/finchway/observe/_gateway_metrics.py
@@ -6,6 +6,7 @@
 from aioprometheus.renderer import render
 from msgspec import Struct
 
+FEED_BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.4, 0.7, 1.0, 1.5, 2.5, 5.0, float("inf"))
 LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.75, 1.0, 2.0, 5.0, float("inf"))
 
 
@@ -14,6 +15,7 @@
 
     revision: int
     feed_age_s: float
+    loop_lag_s: float
     in_flight: int
     connections: int
     upstream_connections_opened: int
@@ -37,6 +39,16 @@
         self._denied = Counter(
             "finchway_gateway_repeats_denied_total", "Attempts not repeated", labels, registry
         )
+        self._feeds = Counter(
+            "finchway_gateway_feeds_total", "Questions to replicas by outcome", labels, registry
+        )
+        self._feed_latency = Histogram(
+            "finchway_gateway_feed_transit_seconds",
+            "Time from a question to its answer, less what the replica waited for news",
+            labels,
+            registry,
+            buckets=FEED_BUCKETS_S,
+        )
         self._latency = Histogram(
             "finchway_gateway_latency_seconds",
             "Time from a request's head to its answer",
@@ -59,6 +71,14 @@
         """Count one attempt at an upstream."""
         self._attempts.inc({"service": service, "result": result})
 
+    def count_feed(self, transit_s: float | None) -> None:
+        """Count one question to a replica; None for one that was given up."""
+        if transit_s is None:
+            self._feeds.inc({"outcome": "given-up"})
+            return
+        self._feeds.inc({"outcome": "answered"})
+        self._feed_latency.observe({}, transit_s)
+
     def count_denied(self, service: str, reason: str) -> None:
         """Count a further attempt that was not made."""
         self._denied.inc({"service": service, "reason": reason})
@@ -68,6 +88,7 @@
         figures = {
             "revision": state.revision,
             "feed_age_seconds": state.feed_age_s,
+            "loop_lag_seconds": state.loop_lag_s,
             "requests_in_flight": state.in_flight,
             "connections": state.connections,
             "upstream_connections_opened": state.upstream_connections_opened,
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -10,7 +10,7 @@
 from finchway.catalog import Backend, Item, ItemKind, Limits, Route, RouteType, ServiceSpec
 from finchway.feed import Feed, GatewayPeer, HeardUpstream, Roster, World
 from finchway.gateway import Bounds, Forwarder, HeaderNames, HttpServer, Router, UpstreamTable
-from finchway.observe import DecisionLog, GatewayMetrics, LogWriter
+from finchway.observe import DecisionLog, GatewayMetrics, LogWriter, LoopLag
 from finchway.registry import Registration, UpstreamState
 from finchway.state import ChangeItems, Steering
 
@@ -176,6 +176,7 @@
             NAMES,
             self.decisions,
             GatewayMetrics("g1"),
+            LoopLag(),
         )
         self.steering = Steering()
         self.told = 0
--- a/tests/gateway/test_session.py
+++ b/tests/gateway/test_session.py
@@ -1,5 +1,7 @@
 """The gateway's questions to replicas, against scripted links."""
 
+import json
+
 import pytest
 import trio
 import trio.testing
@@ -7,7 +9,7 @@
 from finchway.exceptions import TransportError, UnavailableError
 from finchway.feed import Feed, GatewayBeat, GatewayPeer, Roster, Subscribe, World
 from finchway.gateway import GatewaySession
-from finchway.observe import DecisionLog, LogWriter
+from finchway.observe import DecisionLog, GatewayMetrics, GatewayState, LogWriter, LoopLag
 from finchway.state import SteeringImage
 
 SEEDS = ["a:1", "b:1", "c:1"]
@@ -50,13 +52,19 @@
     return world
 
 
+def new_session(beat, link, world):
+    log = DecisionLog("g", LogWriter())
+    return GatewaySession(
+        beat, link, world, lambda: SEEDS, list, log, GatewayMetrics("g"), LoopLag()
+    )
+
+
 def play(link, leave_at=None, world=None):
     """Run a session on virtual time; returns the questions with their time from the start."""
 
     async def run():
         beat = GatewayBeat(name="g", incarnation="1", address="g:1", zone="z", region="r")
-        log = DecisionLog("g", LogWriter())
-        session = GatewaySession(beat, link, world or World(), lambda: SEEDS, list, log)
+        session = new_session(beat, link, world or World())
         started = trio.current_time()
         with trio.move_on_after(LASTS_S):
             async with trio.open_nursery() as nursery:
@@ -124,8 +132,7 @@
 
     async def run():
         beat = GatewayBeat(name="g", incarnation="1", address="g:1", zone="z", region="r")
-        log = DecisionLog("g", LogWriter())
-        session = GatewaySession(beat, link, World(), lambda: SEEDS, list, log)
+        session = new_session(beat, link, World())
         question = Subscribe(beat=beat, revision=0)
         with pytest.raises(UnavailableError):
             await session.relay(question)
@@ -136,3 +143,62 @@
             nursery.cancel_scope.cancel()
 
     trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_first_slow_and_given_up_questions_are_told_apart_in_lines_and_figures():
+    class UnevenLink(ScriptedLink):
+        """One replica answers at once, one late, one not at all."""
+
+        async def request(self, address, question, timeout):
+            if address == "b:1":
+                await trio.sleep(0.5)
+            return await super().request(address, question, timeout)
+
+    async def run():
+        writer, metrics = LogWriter(), GatewayMetrics("g")
+        beat = GatewayBeat(name="g", incarnation="1", address="g:1", zone="z", region="r")
+        session = GatewaySession(
+            beat,
+            UnevenLink({"c:1"}),
+            World(),
+            lambda: SEEDS,
+            list,
+            DecisionLog("g", writer),
+            metrics,
+            LoopLag(),
+        )
+        with trio.move_on_after(LASTS_S):
+            await session.run()
+        lines = [json.loads(line) for line in writer._take().splitlines()]
+        feeds = {(line["replica"], line["outcome"]) for line in lines if line["event"] == "feed"}
+        assert feeds == {("a:1", "first"), ("b:1", "first"), ("b:1", "slow"), ("c:1", "given-up")}
+        slow = next(line for line in lines if line.get("outcome") == "slow")
+        assert slow["ms"] == 600.0
+        assert slow["lag_ms"] == 0.0
+        figures = metrics.render(
+            GatewayState(
+                revision=0,
+                feed_age_s=0.0,
+                loop_lag_s=0.0,
+                in_flight=0,
+                connections=0,
+                upstream_connections_opened=0,
+                upstreams={},
+                gateways=0,
+                log_lines_dropped=0,
+            )
+        ).decode()
+        assert 'finchway_gateway_feeds_total{instance="g",outcome="given-up"}' in figures
+        assert "finchway_gateway_feed_transit_seconds_bucket" in figures
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_a_held_up_event_loop_shows_and_is_forgotten():
+    lag = LoopLag()
+    assert lag.worst_s == 0.0
+    lag.note(1.0, 0.7)
+    lag.note(1.5, 0.01)
+    assert lag.worst_s == 0.7
+    lag.note(2.1, 0.02)
+    assert lag.worst_s == 0.02
