--- /dev/null
+++ b/tests/known_red.py
@@ -0,0 +1,57 @@
+"""The list of tests that are known to fail, `KNOWN-RED.txt` at the root.
+
+A line reads `test | cause | issue`, and `#` begins a comment. A full run passes over just these
+tests and prints them; `--known-red` runs them as well, and is how a mend is tried.
+"""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from msgspec import Struct
+
+LIST = Path(__file__).resolve().parent.parent / "KNOWN-RED.txt"
+MOST_LISTED = 3
+
+
+class KnownRed(Struct, frozen=True):
+    """A test that fails for a real fault, with the fault and the issue that has it."""
+
+    test: str
+    cause: str
+    issue: str
+
+
+def parse_known_red(text: str) -> list[KnownRed]:
+    """Return the entries of a list; raises `ValueError` for lines that are none, or too many."""
+    lines = [line.strip() for line in text.splitlines()]
+    found = []
+    for line in lines:
+        if not line or line.startswith("#"):
+            continue
+        parts = [part.strip() for part in line.split("|")]
+        if len(parts) != 3 or not all(parts) or "::" not in parts[0]:
+            raise ValueError(f"not a line of the form test | cause | issue: {line!r}")
+        found.append(KnownRed(*parts))
+    if len(found) > MOST_LISTED:
+        raise ValueError(f"{len(found)} tests are listed as known to fail, {MOST_LISTED} may be")
+    return found
+
+
+def read_known_red(path: Path = LIST) -> list[KnownRed]:
+    """Return the entries of the list at the root; none if there is no list."""
+    return parse_known_red(path.read_text()) if path.exists() else []
+
+
+def without_known_red(names: list[str], listed: list[KnownRed]) -> set[str]:
+    """Return the names to run: all but those listed.
+
+    Raises `ValueError` for an entry whose file is collected but not the test itself: it was renamed
+    or removed, and the list would hide nothing.
+    """
+    left_out = {entry.test for entry in listed}
+    files = {name.partition("::")[0] for name in names}
+    missing = sorted(t for t in left_out if t.partition("::")[0] in files and t not in names)
+    if missing:
+        raise ValueError(f"listed as known to fail, but not to be found: {', '.join(missing)}")
+    return set(names) - left_out
--- /dev/null
+++ b/tests/unit/test_known_red.py
@@ -0,0 +1,40 @@
+"""The list of tests that are known to fail hides just what it names."""
+
+import pytest
+
+from tests.known_red import KnownRed, parse_known_red, read_known_red, without_known_red
+
+ENTRY = KnownRed("tests/a.py::test_x", "lost on a cut", "20")
+
+
+def test_lines_are_read_and_comments_passed_over():
+    text = "# three at most\n\ntests/a.py::test_x | lost on a cut | 20\n"
+    assert parse_known_red(text) == [ENTRY]
+
+
+@pytest.mark.parametrize(
+    "line", ["tests/a.py::test_x | lost", "tests/a.py | lost | 20", "tests/a.py::test_x | | 20"]
+)
+def test_a_line_that_lacks_something_is_refused(line):
+    with pytest.raises(ValueError, match="test | cause | issue"):
+        parse_known_red(line)
+
+
+def test_more_than_three_are_refused():
+    with pytest.raises(ValueError, match="4 tests"):
+        parse_known_red("tests/a.py::test_x | lost | 20\n" * 4)
+
+
+def test_only_what_is_listed_is_left_out():
+    names = ["tests/a.py::test_x", "tests/a.py::test_x2", "tests/b.py::test_x"]
+    assert without_known_red(names, [ENTRY]) == {"tests/a.py::test_x2", "tests/b.py::test_x"}
+
+
+def test_an_entry_whose_test_is_gone_is_refused():
+    with pytest.raises(ValueError, match="not to be found: tests/a.py::test_x"):
+        without_known_red(["tests/a.py::test_y"], [ENTRY])
+    assert without_known_red(["tests/b.py::test_y"], [ENTRY]) == {"tests/b.py::test_y"}
+
+
+def test_the_list_at_the_root_can_be_read():
+    assert len(read_known_red()) <= 3
