Deny a route only while the catalog is known to be new; count a state's age from the leader's quorum

Cause: a gateway said 404 from whatever it had heard of, however old, and a replica called its state confirmed on any message of the leader, also one that its log had to reject. What: replicas ask the leader for the index that a quorum confirmed last and say how old their state may be; gateways count that from their question on. Beyond what a change may take to be in force, a route that is not known gets 503 with Retry-After; known routes are served on. Ruled out: to refuse everything while the state may be old: all gateways would stop whenever control does. A round of the leader for each follower's question: its newest confirmation, at most 0.5 s old, costs no round.

--- a/src/finchway/control/_feed.py
+++ b/src/finchway/control/_feed.py
@@ -29,7 +29,6 @@
 SILENT_BEATS = 2.5
 FORGET_UPSTREAM_AFTER_S = 120.0
 GATEWAY_SILENT_AFTER_S = 2.0
-LEADER_HEARD_WITHIN_S = 1.5
 
 
 class FeedDesk:
@@ -114,7 +113,7 @@
             roster=None if has_roster else self._roster,
             demand=self._gateways.demand(now) if question.demand else None,
             held=round(now - arrived_at, 3),
-            confirmed=runner.core.heard_leader_within(LEADER_HEARD_WITHIN_S),
+            age=round(now - runner.covered_at, 3),
         )
 
     def _renew_roster(self, silent: list[Heard] | None, now: float) -> None:
--- a/src/finchway/control/_replica.py
+++ b/src/finchway/control/_replica.py
@@ -90,6 +90,8 @@
         self._failed: str = ""
         self._last_leader: str | None = None
         self._confirmed_at = float("-inf")
+        self._confirmed_index = 0
+        self._covered_at = float("-inf")
 
     @property
     def machine(self) -> StateMachine:
@@ -121,6 +123,20 @@
         """When the newest quorum-confirmed read was asked for, on this process's clock."""
         return self._confirmed_at
 
+    @property
+    def confirmed_index(self) -> int:
+        """The index that the newest quorum-confirmed read gave."""
+        return self._confirmed_index
+
+    @property
+    def covered_at(self) -> float:
+        """The newest moment up to which the state holds, for sure, all that was accepted.
+
+        It is on this process's clock, and is -inf before the first confirmation of a leader. To
+        have heard the leader says less: what it sent may not fit this replica's log yet.
+        """
+        return self._covered_at
+
     @property
     def failure(self) -> str:
         """Why the replica has stopped for good; empty while it works."""
@@ -173,11 +189,17 @@
                 await waiter.event.wait()
                 await self.wait_applied(waiter.index)
                 self._confirmed_at = max(self._confirmed_at, asked_at)
+                self._confirmed_index = max(self._confirmed_index, waiter.index)
+                self.note_covered(asked_at)
                 return waiter.index
         finally:
             self._reads.pop(number, None)
         raise UnavailableError("no quorum confirmed the leader in time")
 
+    def note_covered(self, at: float) -> None:
+        """Note that the applied state holds all that was accepted up to a moment."""
+        self._covered_at = max(self._covered_at, at)
+
     async def wait_applied(self, index: int) -> None:
         """Return once the entry at `index` is applied here."""
         while self._applied < index:
--- a/src/finchway/control/_server.py
+++ b/src/finchway/control/_server.py
@@ -54,6 +54,10 @@
 _LOG = logging.getLogger(__name__)
 CONFIRM_INTERVAL_S = 0.1
 CONFIRM_GOOD_FOR_S = 0.5
+# Seconds between two questions of a follower whether its state is covered, and for one of them;
+# both are well below what a change may take to be in force everywhere (2 s and more).
+COVER_INTERVAL_S = 0.2
+COVER_WITHIN_S = 1.0
 PLAN_INTERVAL_S = 0.1
 FORWARD_TIMEOUT_S = 3.0
 FORMS_WITHIN_S = 8.0
@@ -109,6 +113,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._runner.run)
             nursery.start_soon(self._confirm_forever)
+            nursery.start_soon(self._cover_forever)
             nursery.start_soon(self._plan_forever)
             nursery.start_soon(self._watch_changes)
             nursery.start_soon(self._feed.run)
@@ -137,9 +142,8 @@
             case Submit(command=command):
                 self._require_formed()
                 return Submitted(result=await self._runner.submit(command))
-            case Confirm():
-                index = await self._runner.confirm()
-                return Confirmed(revision=self._runner.machine.revision, index=index)
+            case Confirm(within=within):
+                return await self._confirm_here(within)
             case FetchChanges(since=since):
                 changes, snapshot = changes_since(self._runner.machine, since)
                 revision = self._runner.machine.revision
@@ -163,11 +167,16 @@
         reply = await self.at_leader(Submit(command=command))
         return reply.result
 
-    async def confirm(self) -> int:
-        """Bring this replica's state up to every change accepted before the call."""
-        confirmed = await self.at_leader(Confirm())
+    async def confirm(self, within: float = 0.0) -> int:
+        """Bring this replica's state up to every change accepted before the call.
+
+        With `within`, changes of the last seconds before the call may be missing.
+        """
+        asked_at = trio.current_time()
+        confirmed = await self.at_leader(Confirm(within=within))
         with trio.move_on_after(FORWARD_TIMEOUT_S):
             await self._runner.wait_applied(confirmed.index)
+            self._runner.note_covered(asked_at - confirmed.age)
             return self._runner.machine.revision
         raise UnavailableError("this replica is too far behind")
 
@@ -192,6 +201,16 @@
                 pass
             await trio.sleep(0.05)
 
+    async def _confirm_here(self, within: float) -> Confirmed:
+        """Answer from the leader's newest confirmation if it is new enough, else by a new one."""
+        runner = self._runner
+        age = trio.current_time() - runner.confirmed_at
+        if runner.is_leader and age <= within:
+            revision = runner.machine.revision
+            return Confirmed(revision=revision, index=runner.confirmed_index, age=age)
+        index = await runner.confirm()
+        return Confirmed(revision=runner.machine.revision, index=index)
+
     def _on_heartbeat(self, heartbeat: Heartbeat, with_changes: bool = True) -> HeartbeatReply:
         coordinator = self._leading()
         return coordinator.answer(heartbeat, trio.current_time(), with_changes)
@@ -267,6 +286,20 @@
                     _LOG.debug("leadership is not confirmed")
             await trio.sleep(CONFIRM_INTERVAL_S)
 
+    async def _cover_forever(self) -> None:
+        """Keep a follower's state covered; the leader's own confirmations cover the leader's.
+
+        Gateways take over what a replica knows, and must know how old it may be.
+        """
+        while True:
+            if not self._runner.is_leader:
+                with trio.move_on_after(COVER_WITHIN_S):
+                    try:
+                        await self.confirm(within=CONFIRM_GOOD_FOR_S)
+                    except FinchwayError as error:
+                        _LOG.debug("this replica's state is not covered: %s", error)
+            await trio.sleep(COVER_INTERVAL_S)
+
     async def _plan_forever(self) -> None:
         while True:
             await trio.sleep(PLAN_INTERVAL_S)
--- a/src/finchway/control/_steering.py
+++ b/src/finchway/control/_steering.py
@@ -9,7 +9,6 @@
 import trio
 
 from finchway.catalog import Item
-from finchway.control._feed import LEADER_HEARD_WITHIN_S
 from finchway.control._server import ControlServer
 from finchway.exceptions import (
     ConflictError,
@@ -32,6 +31,9 @@
 )
 
 ITEMS_NAMED = 5
+# Seconds since a message of the leader after which the figures say that it is not heard: fifteen of
+# its heartbeats with the usual election time.
+LEADER_HEARD_WITHIN_S = 1.5
 
 
 class SteeringService:
@@ -117,6 +119,7 @@
         return self._metrics.render(
             ReplicaState(
                 is_leader=runner.is_leader,
+                covered_age_s=round(now - runner.covered_at, 3),
                 hears_leader=runner.core.heard_leader_within(LEADER_HEARD_WITHIN_S),
                 voters=len(runner.core.members.voters),
                 applied=runner.applied,
--- a/src/finchway/feed/_messages.py
+++ b/src/finchway/feed/_messages.py
@@ -96,14 +96,15 @@
     """What is newer than the question says; `image` holds only that part of the steering state.
 
     `upstreams` are those that are new or say something new of themselves, `roster` is there if
-    it is another than the question's, and `demand` if it was asked for. `confirmed` tells whether
-    the replica heard of the leader a moment ago; `held` is how long the question waited for news.
+    it is another than the question's, and `demand` if it was asked for. `held` is how long the
+    question waited for news. What was accepted `age` seconds before the answer was sent, and
+    earlier, is in the replica's state for sure; infinite if no leader has confirmed it yet.
     """
 
     life: str
     order: int
     image: SteeringImage
-    confirmed: bool
+    age: float
     held: float = 0.0
     upstreams: list[HeardUpstream] = []
     roster: Roster | None = None
--- a/src/finchway/feed/_world.py
+++ b/src/finchway/feed/_world.py
@@ -13,6 +13,8 @@
 FORGET_SILENT_AFTER_S = 30.0
 REPLICA_FRESH_S = 2.0
 UNCONFIRMED_FOR_S = 3.0
+# Seconds of age up to which a replica's state counts as confirmed at a gateway's start.
+CONFIRMED_WITHIN_S = 1.5
 COUNT_HELD_S = 10.0
 
 
@@ -41,6 +43,7 @@
         self._heard_at = float("-inf")
         self._first_heard_at = float("inf")
         self._confirmed = False
+        self._covered_at = float("-inf")
         self._evacuation_changed_at: dict[str, float] = {}
         self._silent: frozenset[str] = frozenset()
         self._silent_since: dict[str, float] = {}
@@ -80,6 +83,14 @@
         """When a replica was heard last."""
         return self._heard_at
 
+    @property
+    def covered_at(self) -> float:
+        """The newest moment up to which everything accepted is known here, for sure.
+
+        It is counted from the question, so whatever an answer waited for on its way makes it older.
+        """
+        return self._covered_at
+
     @property
     def changes(self) -> int:
         """Grows whenever an upstream, a mark, an item or an evacuation has changed here."""
@@ -127,11 +138,13 @@
         """When this gateway learned of the newest word on a zone's evacuation."""
         return self._evacuation_changed_at.get(zone, float("-inf"))
 
-    def learn(self, feed: Feed, now: float) -> bool:
-        """Take in a feed; tells whether the committed state moved on."""
+    def learn(self, feed: Feed, now: float, asked_at: float | None = None) -> bool:
+        """Take in the answer to a question of `asked_at`; tells whether the state moved on."""
         self._heard_at = now
         self._first_heard_at = min(self._first_heard_at, now)
-        self._confirmed = self._confirmed or feed.confirmed
+        self._confirmed = self._confirmed or feed.age <= CONFIRMED_WITHIN_S
+        sent_at = now if asked_at is None else asked_at + feed.held
+        self._covered_at = max(self._covered_at, sent_at - feed.age)
         self._learn_word(feed, now)
         before = self._steering.evacuated
         moved = self._steering.merge(feed.image)
@@ -157,7 +170,7 @@
             word.demand, word.demand_at = feed.demand, now
         if feed.roster is not None and feed.roster.version >= word.roster.version:
             word.roster = feed.roster
-            self._learn_replicas(feed.roster, feed.confirmed)
+            self._learn_replicas(feed.roster, feed.age <= CONFIRMED_WITHIN_S)
         stale = [life for life, w in self._words.items() if w.heard_at < now - REPLICA_FRESH_S]
         for life in stale:
             del self._words[life]
--- a/src/finchway/gateway/_bounds.py
+++ b/src/finchway/gateway/_bounds.py
@@ -12,7 +12,8 @@
     request over all gateways; `cold_overage` and `cold_slack` the requests that a cold upstream
     gets in a second; `shift_per_window` the part of a region's requests that may move to another
     region between two windows of `shift_window`; `grace` is the time from the request to stop
-    until the process is killed.
+    until the process is killed; `apply_within` is the time after which an accepted change must be
+    in force everywhere.
     """
 
     heartbeat: float = 1.5
@@ -25,5 +26,6 @@
     cold_slack: float = 5.0
     shift_per_window: float = 0.15
     shift_window: float = 2.0
+    apply_within: float = 2.5
     directory_ttl: float = 1.0
     voters: int = 5
--- a/src/finchway/gateway/_forward.py
+++ b/src/finchway/gateway/_forward.py
@@ -72,6 +72,7 @@
         decisions: DecisionLog,
         metrics: GatewayMetrics,
         lag: LoopLag,
+        apply_within: float,
     ) -> None:
         self._world = world
         self._table = table
@@ -80,6 +81,7 @@
         self._decisions = decisions
         self._metrics = metrics
         self._lag = lag
+        self._apply_within = apply_within
         self._started_at = trio.current_time()
         self._in_flight = 0
 
@@ -95,7 +97,7 @@
             return
         matched = self._world.steering.catalog.match(request.host, request.path)
         if matched is None:
-            await self._refuse(connection, request, Reply(404), "no route")
+            await self._deny(connection, request)
             return
         task = self._task(request, *matched)
         if task is None:
@@ -107,6 +109,18 @@
         finally:
             self._in_flight -= 1
 
+    async def _deny(self, connection: CallerConnection, request: CallerRequest) -> None:
+        """Say that there is no route, if that is known; else send the caller elsewhere.
+
+        A gateway that control reaches late or not at all may lack a route that was accepted long
+        ago, and a 404 is final for its caller.
+        """
+        age = trio.current_time() - self._world.covered_at
+        if age <= self._apply_within:
+            await self._refuse(connection, request, Reply(404), "no route")
+            return
+        await self._refuse(connection, request, _come_back(503), "no route known, but there may be")
+
     async def _refuse(
         self, connection: CallerConnection, request: CallerRequest, reply: Reply, reason: str
     ) -> None:
@@ -120,6 +134,7 @@
                 ms=_ms(now - request.arrived_at),
                 revision=self._world.steering.revision,
                 heard_ms=_ms(now - self._world.heard_at),
+                known_ms=_ms(now - self._world.covered_at),
                 up_ms=_ms(now - self._started_at),
                 lag_ms=_ms(self._lag.worst_s),
             )
@@ -386,6 +401,7 @@
                 budget_ms=_ms(task.deadline - task.request.arrived_at),
                 revision=self._world.steering.revision,
                 heard_ms=_ms(now - self._world.heard_at),
+                known_ms=_ms(now - self._world.covered_at),
             )
         )
 
--- a/src/finchway/gateway/_role.py
+++ b/src/finchway/gateway/_role.py
@@ -54,7 +54,14 @@
         self._table = UpstreamTable(settings.name, zones, self._world, bounds, decisions)
         router = Router(settings.zone, zones, self._world, self._table, bounds)
         self._forwarder = Forwarder(
-            self._world, self._table, router, names, decisions, self._metrics, self._lag
+            self._world,
+            self._table,
+            router,
+            names,
+            decisions,
+            self._metrics,
+            self._lag,
+            bounds.apply_within,
         )
         beat = GatewayBeat(
             name=settings.name,
@@ -96,6 +103,7 @@
         state = GatewayState(
             revision=self._world.steering.revision,
             feed_age_s=round(now - self._world.heard_at, 3),
+            known_age_s=round(now - self._world.covered_at, 3),
             loop_lag_s=round(self._lag.worst_s, 3),
             in_flight=self._forwarder.in_flight,
             connections=self._server.connections,
--- a/src/finchway/gateway/_session.py
+++ b/src/finchway/gateway/_session.py
@@ -160,12 +160,13 @@
         To throw late answers away would leave a gateway on a full link without any: each question
         anew meets the same link.
         """
+        asked_at = trio.current_time()
         answer = await self._ask(address, replica.life, replica.order, LATE_WITHIN_S)
         if answer is not None:
             self._note_heard(address)
             self._answered_at = trio.current_time()
             replica.note(answer)
-            self._learn(answer)
+            self._learn(answer, asked_at)
         turn.end(is_sound=answer is not None)
 
     async def relay(self, question: Subscribe) -> Feed:
@@ -193,13 +194,14 @@
                 await trio.sleep(RETRY_S)
                 continue
             address = fellows[self._turn % len(fellows)]
+            asked_at = trio.current_time()
             answer = await self._ask(address, life, order, RELAYED_WITHIN_S)
             if answer is None:
                 self._turn += 1
                 await trio.sleep(RETRY_S)
                 continue
             life, order = answer.life, answer.order
-            self._learn(answer)
+            self._learn(answer, asked_at)
             await trio.sleep(PAUSE_S)
 
     def _note_lost(self, address: str) -> None:
@@ -274,9 +276,9 @@
         self._demand_asked_at = now
         return True
 
-    def _learn(self, feed: Feed) -> None:
+    def _learn(self, feed: Feed, asked_at: float) -> None:
         before = self._world.steering.revision
-        if not self._world.learn(feed, trio.current_time()):
+        if not self._world.learn(feed, trio.current_time(), asked_at):
             return
         revision = self._world.steering.revision
         for held in feed.image.items:
--- a/src/finchway/observe/_decisions.py
+++ b/src/finchway/observe/_decisions.py
@@ -26,9 +26,10 @@
 class RequestEnded(Decision, frozen=True, kw_only=True, tag="request"):
     """The end of a caller's request: what the caller was told, and why.
 
-    `revision` is the configuration that routed it, `heard_ms` the age of the newest feed. Refusals
-    before any attempt also tell `up_ms`, the age of the process, and `lag_ms`, how late its event
-    loop ran in the last second.
+    `revision` is the configuration that routed it, `heard_ms` the age of the newest feed, and
+    `known_ms` the age of the moment up to which all that was accepted is known here. Refusals
+    before any attempt also tell `up_ms`, the age of the process, and `lag_ms`, how late its
+    event loop ran in the last second.
     """
 
     id: str
@@ -42,6 +43,7 @@
     budget_ms: float = 0.0
     revision: int = 0
     heard_ms: float = -1.0
+    known_ms: float = -1.0
     up_ms: float = -1.0
     lag_ms: float = -1.0
 
--- a/src/finchway/observe/_gateway_metrics.py
+++ b/src/finchway/observe/_gateway_metrics.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from math import isfinite
+
 from aioprometheus import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 from msgspec import Struct
@@ -15,6 +17,7 @@
 
     revision: int
     feed_age_s: float
+    known_age_s: float
     loop_lag_s: float
     in_flight: int
     connections: int
@@ -88,6 +91,7 @@
         figures = {
             "revision": state.revision,
             "feed_age_seconds": state.feed_age_s,
+            "known_age_seconds": state.known_age_s if isfinite(state.known_age_s) else -1.0,
             "loop_lag_seconds": state.loop_lag_s,
             "requests_in_flight": state.in_flight,
             "connections": state.connections,
--- a/src/finchway/observe/_replica_metrics.py
+++ b/src/finchway/observe/_replica_metrics.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from math import isfinite
+
 from aioprometheus import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 from msgspec import Struct
@@ -14,6 +16,7 @@
 
     is_leader: bool
     hears_leader: bool
+    covered_age_s: float
     voters: int
     applied: int
     revision: int
@@ -59,6 +62,7 @@
         figures = {
             "is_leader": float(state.is_leader),
             "hears_leader": float(state.hears_leader),
+            "covered_age_seconds": state.covered_age_s if isfinite(state.covered_age_s) else -1.0,
             "voters": state.voters,
             "applied_index": state.applied,
             "revision": state.revision,
--- a/src/finchway/transport/_messages.py
+++ b/src/finchway/transport/_messages.py
@@ -86,14 +86,20 @@
 
 
 class Confirm(Body):
-    """Ask the leader for the newest committed revision, confirmed by a quorum."""
+    """Ask the leader for the newest committed revision, confirmed by a quorum.
+
+    A confirmation that the leader has already and that is at most `within` seconds old will do.
+    """
+
+    within: float = 0.0
 
 
 class Confirmed(Body):
-    """A revision that is not older than any change accepted before the question."""
+    """A revision and an index that cover any change accepted `age` seconds before this answer."""
 
     revision: int
     index: int
+    age: float = 0.0
 
 
 class Join(Body):
--- a/tests/adapter/documents.py
+++ b/tests/adapter/documents.py
@@ -37,6 +37,7 @@
             "bounds": {
                 "drain": "2000ms",
                 "grace": "6s",
+                "config_apply": "2000ms",
                 "retry_budget_ratio": 0.2,
                 "retry_budget_slack": 64,
                 "budget_window": "10s",
--- a/tests/adapter/test_documents.py
+++ b/tests/adapter/test_documents.py
@@ -41,6 +41,7 @@
     assert settings.peer_seeds == ["10.1.0.37:7540", "10.2.0.36:7540", "10.3.0.17:7540"]
     assert product.bounds.repeat_slack == 64
     assert product.bounds.voters == 5
+    assert product.bounds.apply_within == 2.0
 
 
 def test_settings_of_a_core_become_a_founder_only_at_the_first_start(tmp_path):
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -177,6 +177,7 @@
             self.decisions,
             GatewayMetrics("g1"),
             LoopLag(),
+            bounds.apply_within,
         )
         self.steering = Steering()
         self.told = 0
@@ -203,7 +204,7 @@
             image=self.steering.image(),
             roster=Roster(version=self.told, serving=[GatewayPeer(name, "") for name in gateways]),
             upstreams=[HeardUpstream(registration, 0.0) for registration in upstreams],
-            confirmed=True,
+            age=0.0,
             **fields,
         )
         self.world.learn(feed, trio.current_time())
--- a/tests/gateway/test_router.py
+++ b/tests/gateway/test_router.py
@@ -61,7 +61,7 @@
                 life="l",
                 order=1,
                 image=steering.image(),
-                confirmed=True,
+                age=0.0,
                 upstreams=[HeardUpstream(registration, 0.0) for registration in upstreams],
                 roster=Roster(version=1, serving=[GatewayPeer(name, "") for name in gateways]),
                 demand=[RegionDemand(region, "s", rate) for region, rate in (demand or {}).items()],
@@ -147,7 +147,7 @@
 async def test_a_full_region_does_not_spill_over_to_where_nothing_is_warm():
     subject = Subject([upstream("n", "north-a", slots=1), upstream("s", "south-a")])
     demand = [RegionDemand("north", "s", 0.1), RegionDemand("south", "s", 0.1)]
-    feed = Feed(life="l", order=1, image=SteeringImage(), confirmed=True, demand=demand)
+    feed = Feed(life="l", order=1, image=SteeringImage(), age=0.0, demand=demand)
     subject.world.learn(feed, trio.current_time())
     assert await passed_on_after(subject, 60.0) == 0.0
     held = subject.table.get("n")
--- a/tests/gateway/test_session.py
+++ b/tests/gateway/test_session.py
@@ -1,6 +1,7 @@
 """The gateway's questions to replicas, against scripted links."""
 
 import json
+from math import inf
 
 import pytest
 import trio
@@ -38,7 +39,7 @@
             order=0,
             image=SteeringImage(),
             roster=Roster(version=7, serving=self.serving) if question.roster != 7 else None,
-            confirmed=True,
+            age=0.0,
         )
 
 
@@ -47,7 +48,7 @@
     world = World()
     roster = Roster(version=1, serving=peers(*fellows))
     world.learn(
-        Feed(life="k", order=0, image=SteeringImage(), confirmed=True, roster=roster), float("-inf")
+        Feed(life="k", order=0, image=SteeringImage(), age=0.0, roster=roster), float("-inf")
     )
     return world
 
@@ -179,6 +180,7 @@
             GatewayState(
                 revision=0,
                 feed_age_s=0.0,
+                known_age_s=inf,
                 loop_lag_s=0.0,
                 in_flight=0,
                 connections=0,
@@ -190,6 +192,7 @@
         ).decode()
         assert 'finchway_gateway_feeds_total{instance="g",outcome="given-up"}' in figures
         assert "finchway_gateway_feed_transit_seconds_bucket" in figures
+        assert 'name="known_age_seconds"} -1.0' in figures
 
     trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
 
--- a/tests/gateway/test_stale_configuration.py
+++ b/tests/gateway/test_stale_configuration.py
@@ -27,6 +27,7 @@
 import random
 from contextlib import asynccontextmanager
 
+import pytest
 import trio
 import trio.testing
 
@@ -34,14 +35,14 @@
 from finchway.control import ControlServer, ReplicaRunner, found_cluster
 from finchway.control._feed import FeedDesk
 from finchway.exceptions import TransportError
-from finchway.feed import GatewayBeat, Subscribe, World
+from finchway.feed import Feed, GatewayBeat, Subscribe, World
 from finchway.gateway import GatewaySession
 from finchway.membership import LeaseTiming
 from finchway.observe import DecisionLog, GatewayMetrics, LogicalClock, LogWriter, LoopLag, Timeline
 from finchway.policy import LoanTiming
 from finchway.replication import Append, Entry, EntryKind, Members, Storage, Timing
 from finchway.replication._messages import AppendReply
-from finchway.state import ChangeItems, Steering, encode_command
+from finchway.state import ChangeItems, Steering, SteeringImage, encode_command
 from finchway.transport import Confirm, Confirmed, RaftBody
 from tests.gateway.harness import Upstream, gateway, serve_well
 
@@ -79,9 +80,6 @@
 
     members = Members(())
 
-    def heard_leader_within(self, seconds):
-        return True
-
 
 class SoundMachine:
     def __init__(self):
@@ -177,8 +175,9 @@
 class LeaderLink:
     """Plays the leader to one replica: answers its questions and takes its replies."""
 
-    def __init__(self, committed: int) -> None:
+    def __init__(self, committed: int, age: float = 0.0) -> None:
         self.committed = committed
+        self.age = age
         self.replies: list[AppendReply] = []
 
     def post(self, address, body):
@@ -188,7 +187,7 @@
 
     async def request(self, address, body, timeout):
         if isinstance(body, Confirm):
-            return Confirmed(revision=0, index=self.committed)
+            return Confirmed(revision=0, index=self.committed, age=self.age)
         raise TransportError(f"no answer from {address}")
 
 
@@ -261,3 +260,36 @@
             await check()
 
     trio.run(limited)
+
+
+@pytest.mark.parametrize(("age", "vouches"), [(0.0, True), (5.0, False)])
+def test_a_replica_vouches_for_what_it_has_as_of_the_leaders_newest_confirmation(
+    tmp_path, age, vouches
+):
+    entry = Entry(2, 2, EntryKind.COMMAND, encode_command(route_change(1, "old")))
+
+    async def check():
+        async with following_replica(tmp_path, LeaderLink(committed=2, age=age)) as control:
+            first = append_of(
+                control, previous_index=1, previous_term=1, entries=(entry,), commit=2
+            )
+            control.runner.receive(first, "leader:1")
+            await control.runner.wait_steering(0)
+            await trio.sleep(0.5)
+            world = World()
+            asked_at = trio.current_time()
+            answer = await control.handle(Subscribe(beat=BEAT, revision=0), "g")
+            world.learn(answer, trio.current_time(), asked_at)
+            assert world.is_ready is vouches
+            assert age <= asked_at - world.covered_at <= age + 0.5
+
+    trio.run(check)
+
+
+def test_what_an_answer_waited_for_on_its_way_makes_it_older():
+    world = World()
+    answer = Feed(life="l", order=0, image=SteeringImage(), age=0.2, held=0.6)
+    world.learn(answer, now=13.0, asked_at=10.0)
+    assert world.covered_at == pytest.approx(10.0 + 0.6 - 0.2)
+    world.learn(answer, now=13.1, asked_at=9.0)
+    assert world.covered_at == pytest.approx(10.4)
--- a/tests/unit/test_feed_desk.py
+++ b/tests/unit/test_feed_desk.py
@@ -15,9 +15,6 @@
 
     members = Members(())
 
-    def heard_leader_within(self, seconds):
-        return False
-
 
 class QuietMachine:
     """A state machine to which nothing happens."""
@@ -32,6 +29,7 @@
     def __init__(self):
         self.core = QuietCore()
         self.machine = QuietMachine()
+        self.covered_at = float("-inf")
 
     async def wait_steering(self, revision):
         await trio.sleep_forever()
--- a/tests/unit/test_registry.py
+++ b/tests/unit/test_registry.py
@@ -1,5 +1,7 @@
 """Heartbeats of upstreams, beats of gateways, and what a gateway believes."""
 
+from math import inf
+
 from finchway.feed import (
     Feed,
     GatewayBeat,
@@ -48,7 +50,7 @@
         "life": "l",
         "order": 0,
         "image": Steering().image(),
-        "confirmed": True,
+        "age": 0.0,
     } | fields
     return Feed(**values)
 
@@ -242,7 +244,7 @@
     world.learn(
         feed(roster=roster(replicas=[ReplicaAddress("a", "a:1"), ReplicaAddress("b", "b:1")])), 1.0
     )
-    world.learn(feed(roster=roster(2, replicas=[ReplicaAddress("c", "c:1")]), confirmed=False), 2.0)
+    world.learn(feed(roster=roster(2, replicas=[ReplicaAddress("c", "c:1")]), age=inf), 2.0)
     assert sorted(world.replicas) == ["a", "b", "c"]
     world.learn(feed(roster=roster(3, replicas=[ReplicaAddress("c", "c:1")])), 3.0)
     assert sorted(world.replicas) == ["c"]
@@ -252,11 +254,11 @@
     steering = Steering()
     steering.change_items(change(service(), route()))
     world = World()
-    world.learn(feed(image=steering.image(), confirmed=False), 10.0)
+    world.learn(feed(image=steering.image(), age=inf), 10.0)
     assert not world.is_ready
-    world.learn(feed(confirmed=False), 13.5)
+    world.learn(feed(age=inf), 13.5)
     assert world.is_ready
     other = World()
-    other.learn(feed(image=steering.image(), confirmed=False), 10.0)
+    other.learn(feed(image=steering.image(), age=inf), 10.0)
     other.learn(feed(), 10.1)
     assert other.is_ready
