Let an entry deny only while it has its lease

Cause: an entry that control has left without word said 404, 401 and 403 from resources of any age. What: without the leader's confirmation of its revision within the lease (3 s) such a refusal is a 503 with Retry-After, kind not-current; what is known is served as before. Ruled out: to be not ready without a lease, since look-ups must go on without control. Entries still give up a heartbeat's answer after 0.6 s; that is left.

--- a/src/finchway/daemon.py
+++ b/src/finchway/daemon.py
@@ -352,6 +352,7 @@
             )
             state = EntryState(
                 lambda: self.session.is_confirmed,
+                lambda: self.session.has_lease,
                 lambda: self.session.is_leaving or self._view.is_drained,
                 self._set_metrics,
             )
--- a/src/finchway/entry/_app.py
+++ b/src/finchway/entry/_app.py
@@ -55,9 +55,13 @@
 
 
 class EntryState(Struct):
-    """What the rest of the process tells the application about itself."""
+    """What the rest of the process tells the application about itself.
+
+    `is_current` tells whether the leader has confirmed the entry's revision a moment ago.
+    """
 
     is_ready: Callable[[], bool]
+    is_current: Callable[[], bool]
     is_leaving: Callable[[], bool]
     before_metrics: Callable[[], None]
 
@@ -194,20 +198,22 @@
         max_age = f"max-age={max(1, spec.steer_ttl_ms // 1000)}".encode()
         await send_json(respond, answer, 200, [(b"cache-control", max_age)])
 
+    def _denial(self, kind: str, status: int, detail: str) -> CallError:
+        """Return the refusal of what is not known or not allowed here.
+
+        Without the leader's word it may have been accepted meanwhile, and a denial is final for its
+        caller: then another entry, or this one a moment later, knows better.
+        """
+        if self._state.is_current():
+            return CallError(kind, status, Outcome.NOT_RUN, detail)
+        return CallError("not-current", 503, Outcome.NOT_RUN, f"as far as known, {detail}", 1.0)
+
     async def _no_service(self, service: str, respond) -> None:
         if self._state.is_ready():
-            problem = Problem(
-                "not-found", "no such service", 404, f"no service {service!r}", outcome="not-run"
-            )
+            error = self._denial("not-found", 404, f"no service {service!r}")
         else:
-            problem = Problem(
-                "not-ready",
-                "this entry has no confirmed configuration yet",
-                503,
-                outcome="not-run",
-                retry_after_s=1.0,
-            )
-        await send_problem(respond, problem)
+            error = _not_ready()
+        await send_problem(respond, _as_problem(error))
 
     async def _serve(self, request: Request, service: str, receive, respond) -> None:
         started = trio.current_time()
@@ -237,21 +243,20 @@
 
     def _call(self, request: Request, service: str, now: float) -> Call:
         if not self._state.is_ready():
-            detail = "this entry has no confirmed configuration yet"
-            raise CallError("not-ready", 503, Outcome.NOT_RUN, detail, 1.0)
+            raise _not_ready()
         if self._concurrent > MAX_CONCURRENT:
             raise CallError("busy", 503, Outcome.NOT_RUN, "too many requests at once", 1.0)
         spec = self._view.service(service)
         if spec is None:
-            raise CallError("not-found", 404, Outcome.NOT_RUN, f"no service {service!r}")
+            raise self._denial("not-found", 404, f"no service {service!r}")
         organisation = self._organisation(request)
         if organisation is None:
             detail = "send an organisation's credential as a bearer token"
-            raise CallError("denied", 401, Outcome.NOT_RUN, detail)
+            raise self._denial("denied", 401, detail)
         contract = self._view.contract(organisation, service)
         if contract is None:
             detail = f"{organisation} has no contract for {service}"
-            raise CallError("denied", 403, Outcome.NOT_RUN, detail)
+            raise self._denial("denied", 403, detail)
         key = request.headers.get("idempotency-key", "")
         if spec.once_only and not 0 < len(key) <= MAX_KEY_LENGTH:
             detail = f"{service} needs an Idempotency-Key of 1 to {MAX_KEY_LENGTH} characters"
@@ -355,14 +360,7 @@
         """Send an error, or break off visibly if a part of an answer is out already."""
         if self._started:
             raise ConnectionAbortedError(error.detail)
-        problem = Problem(
-            error.kind,
-            error.kind.replace("-", " "),
-            error.status,
-            error.detail,
-            outcome=error.outcome.value,
-            retry_after_s=error.retry_after_s,
-        )
+        problem = _as_problem(error)
         headers = [(b"finchway-outcome", error.outcome.value.encode())]
         headers.append((b"finchway-revision", str(self._revision).encode()))
         await send_problem(self._respond, problem, headers)
@@ -371,6 +369,22 @@
         await self._respond({"type": "http.response.body", "body": body, "more_body": more})
 
 
+def _not_ready() -> CallError:
+    detail = "this entry has no confirmed configuration yet"
+    return CallError("not-ready", 503, Outcome.NOT_RUN, detail, 1.0)
+
+
+def _as_problem(error: CallError) -> Problem:
+    return Problem(
+        error.kind,
+        error.kind.replace("-", " "),
+        error.status,
+        error.detail,
+        outcome=error.outcome.value,
+        retry_after_s=error.retry_after_s,
+    )
+
+
 async def _cancel_on_disconnect(body: CallerBody, scope: trio.CancelScope) -> None:
     await body.wait_disconnect()
     scope.cancel()
