Bound what an answer of the feed holds; a gateway is ready once a replica has told of all its upstreams

Cause: a first answer held all upstreams, so five of them filled a narrow link for longer than an answer is waited for, and a change behind them waited as well; a near replica that was behind was heard alone meanwhile. What: 200 upstreams an answer, the rest asked for at once; a gateway is not ready with the first few only. Ruled out: one replica at a time, since a dead one would hold up the start; larger answers: 200 are 33 KB. A replica whose disk hangs is tested too: its state grows old.

--- a/src/finchway/control/_feed.py
+++ b/src/finchway/control/_feed.py
@@ -27,6 +27,9 @@
 SHARE_EVERY_S = 0.1
 SHARE_SILENT_EVERY_S = 2.0
 SILENT_BEATS = 2.5
+# Upstreams in one answer: 33 KB, a tenth of a second of a gateway's link of 2.65 Mbit/s. All of a
+# large deployment's at once would hold up the news behind them, or never arrive in time.
+UPSTREAMS_AN_ANSWER = 200
 FORGET_UPSTREAM_AFTER_S = 120.0
 GATEWAY_SILENT_AFTER_S = 2.0
 
@@ -77,7 +80,7 @@
         self._gateways.record(question.beat, arrived_at)
         known = question.life == self._life
         steering = self._runner.machine.steering
-        if known and steering.revision <= question.revision:
+        if known and not question.rest and steering.revision <= question.revision:
             hold = HOLD_S if question.beat.ready else HOLD_UNREADY_S
             await self._wait_for_news(question.revision, hold)
         return self._feed(question, known, arrived_at)
@@ -101,15 +104,18 @@
         runner = self._runner
         steering = runner.machine.steering
         order = question.order if known else -1
+        newer = self._registry.since(order)
+        part = newer[:UPSTREAMS_AN_ANSWER]
+        more = len(part) < len(newer)
         has_roster = known and question.roster == self._roster.version
         return Feed(
             life=self._life,
-            order=self._registry.order,
+            order=part[-1].order if more else self._registry.order,
             image=steering.image(question.revision if known else -1),
             upstreams=[
-                HeardUpstream(heard.registration, round(now - heard.heard_at, 3))
-                for heard in self._registry.since(order)
+                HeardUpstream(heard.registration, round(now - heard.heard_at, 3)) for heard in part
             ],
+            more=more,
             roster=None if has_roster else self._roster,
             demand=self._gateways.demand(now) if question.demand else None,
             held=round(now - arrived_at, 3),
--- a/src/finchway/feed/_messages.py
+++ b/src/finchway/feed/_messages.py
@@ -81,7 +81,8 @@
     """Ask a replica for what is newer; it answers at once, or when something comes up.
 
     `life` names the replica process that `order` and `roster` belong to; another process starts
-    anew. `demand` asks for the regions' demand as well.
+    anew. `demand` asks for the regions' demand as well, and `rest` for what the last answer left
+    out, at once.
     """
 
     beat: GatewayBeat
@@ -90,6 +91,7 @@
     order: int = 0
     roster: int = 0
     demand: bool = True
+    rest: bool = False
 
 
 class Feed(Struct, frozen=True, kw_only=True, tag=True):
@@ -99,6 +101,7 @@
     it is another than the question's, and `demand` if it was asked for. `held` is how long the
     question waited for news. What was accepted `age` seconds before the answer was sent, and
     earlier, is in the replica's state for sure; infinite if no leader has confirmed it yet.
+    `more` tells that there are further upstreams, which the next answer goes on with after `order`.
     """
 
     life: str
@@ -107,6 +110,7 @@
     age: float
     held: float = 0.0
     upstreams: list[HeardUpstream] = []
+    more: bool = False
     roster: Roster | None = None
     demand: list[RegionDemand] | None = None
 
--- a/src/finchway/feed/_world.py
+++ b/src/finchway/feed/_world.py
@@ -43,6 +43,7 @@
         self._heard_at = float("-inf")
         self._first_heard_at = float("inf")
         self._confirmed = False
+        self._is_whole = False
         self._covered_at = float("-inf")
         self._evacuation_changed_at: dict[str, float] = {}
         self._silent: frozenset[str] = frozenset()
@@ -71,10 +72,11 @@
     def is_ready(self) -> bool:
         """Whether a configuration is known that a quorum stood behind a moment ago.
 
-        A replica that was cut off may know an old one only; it has to do after a few seconds in
-        which no other was heard.
+        One replica must have told of all its upstreams too, since the first few would be overrun.
+        A replica that was cut off may know an old configuration only; it has to do after a few
+        seconds in which no other was heard.
         """
-        if self._steering.catalog.is_empty:
+        if self._steering.catalog.is_empty or not self._is_whole:
             return False
         return self._confirmed or self._heard_at - self._first_heard_at >= UNCONFIRMED_FOR_S
 
@@ -143,6 +145,7 @@
         self._heard_at = now
         self._first_heard_at = min(self._first_heard_at, now)
         self._confirmed = self._confirmed or feed.age <= CONFIRMED_WITHIN_S
+        self._is_whole = self._is_whole or not feed.more
         sent_at = now if asked_at is None else asked_at + feed.held
         self._covered_at = max(self._covered_at, sent_at - feed.age)
         self._learn_word(feed, now)
--- a/src/finchway/gateway/_session.py
+++ b/src/finchway/gateway/_session.py
@@ -63,17 +63,19 @@
 class _HeardReplica:
     """The replica process that answered last at an address, and what has been had of it."""
 
-    __slots__ = ("life", "order")
+    __slots__ = ("life", "order", "rest")
 
     def __init__(self) -> None:
         self.life = ""
         self.order = 0
+        self.rest = False
 
     def note(self, answer: Feed) -> None:
         """Take in an answer; answers of one process may overtake one another."""
         if answer.life != self.life:
             self.life, self.order = answer.life, answer.order
-        self.order = max(self.order, answer.order)
+        if answer.order >= self.order:
+            self.order, self.rest = answer.order, answer.more
 
 
 class GatewaySession:
@@ -161,7 +163,7 @@
         anew meets the same link.
         """
         asked_at = trio.current_time()
-        answer = await self._ask(address, replica.life, replica.order, LATE_WITHIN_S)
+        answer = await self._ask(address, replica, LATE_WITHIN_S)
         if answer is not None:
             self._note_heard(address)
             self._answered_at = trio.current_time()
@@ -183,8 +185,7 @@
 
     async def _ask_by_fellows(self) -> None:
         """Ask by way of fellows, one after the other, while no replica answers."""
-        life = ""
-        order = 0
+        replica = _HeardReplica()
         while True:
             silent_for = trio.current_time() - self._answered_at
             fellows = [
@@ -195,12 +196,12 @@
                 continue
             address = fellows[self._turn % len(fellows)]
             asked_at = trio.current_time()
-            answer = await self._ask(address, life, order, RELAYED_WITHIN_S)
+            answer = await self._ask(address, replica, RELAYED_WITHIN_S)
             if answer is None:
                 self._turn += 1
                 await trio.sleep(RETRY_S)
                 continue
-            life, order = answer.life, answer.order
+            replica.note(answer)
             self._learn(answer, asked_at)
             await trio.sleep(PAUSE_S)
 
@@ -214,14 +215,15 @@
             self._answered.add(address)
             self._decisions.write(ProcessChanged(change="regained", detail=f"replica {address}"))
 
-    async def _ask(self, address: str, life: str, order: int, within: float) -> Feed | None:
+    async def _ask(self, address: str, replica: _HeardReplica, within: float) -> Feed | None:
         question = Subscribe(
             beat=self._current_beat(),
             revision=self._world.steering.revision,
-            life=life,
-            order=order,
-            roster=self._world.roster_version(life),
+            life=replica.life,
+            order=replica.order,
+            roster=self._world.roster_version(replica.life),
             demand=self._wants_demand(),
+            rest=replica.rest,
         )
         asked_at = trio.current_time()
         try:
--- a/tests/gateway/test_stale_configuration.py
+++ b/tests/gateway/test_stale_configuration.py
@@ -25,6 +25,7 @@
 
 import itertools
 import random
+import threading
 from contextlib import asynccontextmanager
 
 import pytest
@@ -192,15 +193,15 @@
 
 
 @asynccontextmanager
-async def following_replica(folder, link):
-    """Run one replica of three that follows a scripted leader; yields it and its core."""
+async def following_replica(folder, link, storage_type=Storage):
+    """Run one replica of three that follows a scripted leader; yields its control role."""
     founders = {name: f"{name}:1" for name in ("leader", "other", "self")}
     identity = found_cluster(folder, "self", founders)
     timeline = Timeline("self", LogicalClock(), lambda: 0)
     runner = ReplicaRunner(
         identity,
         "self:1",
-        Storage(folder / "log"),
+        storage_type(folder / "log"),
         link,
         timeline,
         Timing(heartbeat=0.06, election=5.0),
@@ -286,6 +287,59 @@
     trio.run(check)
 
 
+class HangingStorage(Storage):
+    """A disk that hangs on every write once it is told to."""
+
+    hangs = threading.Event()
+    released = threading.Event()
+
+    def save(self, ready):
+        if self.hangs.is_set():
+            self.released.wait(10)
+        super().save(ready)
+
+
+def test_a_replica_whose_disk_hangs_grows_old(tmp_path):
+    """Nothing moves on while a write hangs, the core's own clock neither.
+
+    So the time since the leader was heard stood still at a moment ago, and the replica went on to
+    call its state confirmed for as long as the disk hung.
+    """
+    entries = [
+        Entry(2, index, EntryKind.COMMAND, encode_command(route_change(index, "old")))
+        for index in (2, 3)
+    ]
+    link = LeaderLink(committed=2)
+
+    async def check():
+        async with following_replica(tmp_path, link, HangingStorage) as control:
+            for entry in entries:
+                message = append_of(
+                    control,
+                    previous_index=entry.index - 1,
+                    previous_term=1 if entry.index == 2 else 2,
+                    entries=(entry,),
+                    commit=entry.index,
+                )
+                control.runner.receive(message, "leader:1")
+                if entry.index == 2:
+                    await control.runner.wait_steering(0)
+                    await trio.sleep(0.5)
+                    assert (await control.handle(Subscribe(beat=BEAT, revision=0), "g")).age < 0.5
+                    HangingStorage.hangs.set()
+            link.committed = 3
+            await trio.sleep(2.0)
+            answer = await control.handle(Subscribe(beat=BEAT, revision=0), "g")
+            assert answer.image.revision == 1
+            assert answer.age >= 1.5
+            HangingStorage.released.set()
+
+    try:
+        trio.run(check)
+    finally:
+        HangingStorage.released.set()
+
+
 def test_what_an_answer_waited_for_on_its_way_makes_it_older():
     world = World()
     answer = Feed(life="l", order=0, image=SteeringImage(), age=0.2, held=0.6)
