Soak: added routes are asked for and must not be denied; some delays are those of a full link

Cause: callers asked for two fixed routes only, and the longest delay of a link was 0.15 s, so a soak could not see a route denied long after its acceptance, nor answers that take over a second. What: a fifth of the requests go to routes added during the run; a 404 from any gateway, in any state, over 2.5 s after the acceptance breaks a promise; delays of odd length make each piece wait 0.7 s. The check is tested on paper.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -37,7 +37,8 @@
     answers = " ".join(f"{status}:{count}" for status, count in report.statuses.items())
     print(
         f"seed {report.seed}: {answers}; {report.runs} runs at back ends, "
-        f"{report.changes} changes, {report.left} back ends left",
+        f"{report.changes} changes, {report.added_asked} answers on added routes, "
+        f"{report.left} back ends left",
         flush=True,
     )
     if not report.violations:
--- a/bench/soak/_callers.py
+++ b/bench/soak/_callers.py
@@ -18,6 +18,9 @@
 LONG_BODY_SHARE = 0.05
 LONG_BODY_BYTES = 200_000
 KEYS = 40
+# Part of the requests that go to a route which an operator has added during the run, mostly the
+# newest: what was accepted long ago is in force anyhow.
+ADDED_SHARE = 0.2
 _READ_BYTES = 64 * 1024
 
 
@@ -80,13 +83,14 @@
 
     async def _ask(self, connection: _Connection, gateway: str) -> Answer | None:
         """Send one request and note its answer; None if the connection cannot be used again."""
-        repeatable = self._rng.random() >= ONCE_SHARE
+        route = self._added_route() if self._rng.random() < ADDED_SHARE else ""
+        repeatable = bool(route) or self._rng.random() >= ONCE_SHARE
         size = 0 if repeatable else self._rng.randint(0, 500)
         if not repeatable and self._rng.random() < LONG_BODY_SHARE:
             size = LONG_BODY_BYTES
         request_id = f"r-{next(self._numbers)}"
         payload = (request_id.encode() + b".") * (size // (len(request_id) + 1))
-        sent = Sent(request_id, gateway, repeatable, trio.current_time(), payload)
+        sent = Sent(request_id, gateway, repeatable, trio.current_time(), payload, route)
         self._ledger.sent[request_id] = sent
         patience = SILENT_AFTER_S
         leaves = self._rng.random() < LEAVE_SHARE
@@ -104,6 +108,10 @@
             self._ledger.answers[request_id] = answer
         return answer if answer.complete else None
 
+    def _added_route(self) -> str:
+        added = list(self._ledger.routes_since)[-3:]
+        return self._rng.choice(added) if added else ""
+
 
 class _Connection:
     """One connection of a caller."""
@@ -132,9 +140,9 @@
         await trio.aclose_forcefully(self._stream)
 
     async def _send(self, sent: Sent, key: int) -> None:
-        place = "safe" if sent.repeatable else "once"
+        place = sent.route or ("safe" if sent.repeatable else "once")
         headers = [
-            ("Host", "a.example"),
+            ("Host", "b.example" if sent.route else "a.example"),
             ("Finchway-Request-Id", sent.id),
             ("Finchway-Affinity-Key", str(key)),
             ("Finchway-Deadline-Ms", str(int(DEADLINE_S * 1000))),
--- a/bench/soak/_checks.py
+++ b/bench/soak/_checks.py
@@ -14,6 +14,8 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 LEAVING_BOUND_S = 5.0
 IN_TOUCH_S = 3.0
+# What an accepted change may take until no gateway says that its route is not there.
+IN_FORCE_WITHIN_S = 2.5
 STOP_WITHIN_S = 7.0
 PLANNED = frozenset({FaultKind.STOP.value, FaultKind.STOP_AND_RELOAD.value})
 DISK_ENDS = frozenset({FaultKind.FULL_DISK.value})
@@ -42,6 +44,7 @@
         *_leaving(ledger, shape),
         *_planned_stops(ledger, runs),
         *_configuration(ledger),
+        *_denials(ledger),
         *_processes(ledger),
     ]
 
@@ -136,6 +139,21 @@
             yield Violation("changes are as they were sent", f"{item.name} {item.version}")
 
 
+def _denials(ledger: Ledger) -> Iterator[Violation]:
+    """Find routes that were denied long after they were accepted, by any gateway in any state.
+
+    One that is paused or cut off may know nothing of them, but then it must not say so.
+    """
+    for answer in ledger.answers.values():
+        sent = ledger.sent[answer.id]
+        if answer.status != 404 or not sent.route:
+            continue
+        late = sent.at - ledger.routes_since[sent.route]
+        if late > IN_FORCE_WITHIN_S:
+            evidence = f"route {sent.route} by {sent.gateway} {late:.2f} s after its acceptance"
+            yield Violation("accepted routes are not denied", evidence)
+
+
 def _ended_well(ended: Ended) -> bool:
     """Tell whether a planned stop ended as it should.
 
--- a/bench/soak/_control.py
+++ b/bench/soak/_control.py
@@ -15,6 +15,7 @@
 CALL_WITHIN_S = 1.0
 CHANGE_EVERY_S = 0.7
 RACE_SHARE = 0.3
+NEW_SHARE = 0.4
 EVACUATE_SHARE = 0.15
 EVACUATED_S = 7.0
 _TIMEOUTS = dict.fromkeys(("connect", "read", "write", "pool"), CALL_WITHIN_S)
@@ -69,16 +70,14 @@
 
 
 def changing_route(number: int, version: int, timeout: float) -> dict[str, Any]:
-    """Return a route that no caller uses, in one of its versions."""
+    """Return a route that is added during the run, in one of its versions."""
     spec = {"host": "b.example", "path_prefix": f"/{number}/", "type": "safe", "timeout": timeout}
     spec |= {"target_latency": 0.3, "backends": [["bays", 1]]}
     return {"kind": "route", "name": f"changing-{number}", "version": version, "spec": spec}
 
 
 class Operator:
-    """Changes items in quick succession, at times two at once, and evacuates a zone."""
-
-    ITEMS = 4
+    """Adds and changes routes in quick succession, at times two at once, and evacuates a zone."""
 
     def __init__(
         self, control: ControlClient, ledger: Ledger, zones: list[str], rng: random.Random
@@ -88,6 +87,7 @@
         self._zones = zones
         self._rng = rng
         self._version = 1
+        self._routes = 1
 
     async def run(self) -> None:
         """Change things until cancelled."""
@@ -96,7 +96,8 @@
             while True:
                 await trio.sleep(self._rng.uniform(0.2, 2.0) * CHANGE_EVERY_S)
                 self._version += self._rng.randint(1, 3)
-                number = self._rng.randrange(self.ITEMS)
+                self._routes += self._rng.random() < NEW_SHARE
+                number = self._rng.randrange(self._routes)
                 rivals = 2 if self._rng.random() < RACE_SHARE else 1
                 for rival in range(rivals):
                     nursery.start_soon(self._change, number, self._version, 1.0 + rival)
@@ -117,6 +118,7 @@
         # A version that a newer one has overtaken is answered alike; it was in force before.
         if status == 200:
             self._ledger.acknowledged.append(held)
+            self._ledger.routes_since.setdefault(str(number), trio.current_time())
 
     async def _evacuate_now_and_then(self) -> None:
         while True:
--- a/bench/soak/_ledger.py
+++ b/bench/soak/_ledger.py
@@ -8,13 +8,17 @@
 
 
 class Sent(Struct, frozen=True):
-    """A request that a caller sent to a gateway; `repeatable` tells whether it may run twice."""
+    """A request that a caller sent to a gateway; `repeatable` tells whether it may run twice.
+
+    `route` names the route that an operator added during the run, where it was for one of these.
+    """
 
     id: str
     gateway: str
     repeatable: bool
     at: float
     payload: bytes = b""
+    route: str = ""
 
 
 class Answer(Struct, frozen=True):
@@ -86,6 +90,7 @@
         self.left: list[Left] = []
         self.evacuated: list[Left] = []
         self.acknowledged: list[Held] = []
+        self.routes_since: dict[str, float] = {}
         self.offered: list[Held] = []
         self.read_back: list[Held] = []
         self.faults: list[FaultWindow] = []
--- a/bench/soak/_proxy.py
+++ b/bench/soak/_proxy.py
@@ -9,6 +9,7 @@
 
 PIECE_BYTES = 64 * 1024
 DELAY_S = 0.15
+CROWDED_S = 0.7
 _RESET_LINGER = b"\x01\x00\x00\x00\x00\x00\x00\x00"
 
 
@@ -17,11 +18,16 @@
 
     PASS = "pass"
     DELAY = "delay"
+    CROWDED = "crowded"
     SILENCE = "silence"
     CUT_REQUESTS = "cut-requests"
     CUT_ANSWERS = "cut-answers"
 
 
+# What each piece waits: as on a far link, and as on one that is full.
+_DELAYS = {Mode.DELAY: DELAY_S, Mode.CROWDED: CROWDED_S}
+
+
 class Proxy:
     """Passes connections on to one target; its mode may change at any time.
 
@@ -86,8 +92,8 @@
     ) -> None:
         try:
             while data := await source.receive_some(PIECE_BYTES):
-                if self._mode is Mode.DELAY:
-                    await trio.sleep(DELAY_S)
+                if self._mode in _DELAYS:
+                    await trio.sleep(_DELAYS[self._mode])
                 while self._mode in (cut, Mode.SILENCE):
                     await self._changed.wait()
                 await sink.send_all(data)
--- a/bench/soak/_run.py
+++ b/bench/soak/_run.py
@@ -33,14 +33,28 @@
 }
 
 
+def _mode(fault: Fault) -> Mode:
+    """Return what a link fault does; every second delay is that of a full link.
+
+    Which one follows from the fault's length, so that the plans of earlier seeds stay as they are.
+    """
+    mode = _MODES[fault.kind]
+    crowded = mode is Mode.DELAY and round(fault.for_s * 100) % 2
+    return Mode.CROWDED if crowded else mode
+
+
 class Report(Struct, frozen=True, kw_only=True):
-    """What a run showed; `statuses` counts the answers of callers, None where none came."""
+    """What a run showed; `statuses` counts the answers of callers, None where none came.
+
+    `added_asked` counts the answered requests for routes that were added during the run.
+    """
 
     seed: int
     plan: list[Fault]
     statuses: dict[str, int]
     runs: int
     changes: int
+    added_asked: int
     left: int
     violations: list[Violation]
     folder: str
@@ -186,7 +200,7 @@
                 await trio.sleep(fault.for_s)
                 machines.hear(name)
             case _:
-                machines.proxies[name].set_mode(_MODES[fault.kind])
+                machines.proxies[name].set_mode(_mode(fault))
                 await trio.sleep(fault.for_s)
                 machines.proxies[name].set_mode(Mode.PASS)
 
@@ -225,6 +239,7 @@
             statuses=dict(sorted(statuses.items())),
             runs=len(ledger.runs),
             changes=len(ledger.acknowledged),
+            added_asked=sum(bool(ledger.sent[i].route) for i in ledger.answers),
             left=len(ledger.left),
             violations=check(ledger, self._shape),
             folder=str(self._folder),
--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -21,6 +21,7 @@
     report = trio.run(soak, seed, shape)
     assert report.violations == [], f"plan: {report.plan}; logs: {report.folder}"
     assert report.statuses["200"] > 100
+    assert report.added_asked > 10
     shutil.rmtree(report.folder)
 
 
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -5,6 +5,9 @@
 from bench.soak import Answer, FaultKind, FaultWindow, Ledger, Run, Sent, Shape, check, make_plan
 from bench.soak._checks import expected_body
 from bench.soak._ledger import NO_ANSWER, Ended, Held, Left
+from bench.soak._plan import Fault
+from bench.soak._proxy import Mode
+from bench.soak._run import _mode
 
 SHAPE = Shape(replicas=3, gateways=2)
 
@@ -121,3 +124,24 @@
     lost = [f.at for f in plan if f.kind in (FaultKind.LOST_DISK, FaultKind.FULL_DISK)]
     assert all(later - earlier >= 10.0 for earlier, later in zip(lost, lost[1:], strict=False))
     assert len({fault.kind for fault in plan}) > 10
+
+
+@pytest.mark.parametrize(
+    ("status", "after", "promises"),
+    [
+        (404, 2.6, ["accepted routes are not denied"]),
+        (404, 2.4, []),
+        (503, 9.0, []),
+    ],
+)
+def test_a_denied_route_is_found_once_it_must_be_in_force(status, after, promises):
+    subject = ledger(status=status, ran=0)
+    subject.sent["r"] = Sent("r", "g1", True, 10.0, route="7")
+    subject.routes_since["7"] = 10.0 - after
+    assert broken(subject) == promises
+
+
+def test_delays_of_odd_length_are_those_of_a_full_link():
+    assert _mode(Fault(1.0, FaultKind.DELAY, "c1", 2.31)) is Mode.CROWDED
+    assert _mode(Fault(1.0, FaultKind.DELAY, "c1", 2.3)) is Mode.DELAY
+    assert _mode(Fault(1.0, FaultKind.SILENCE, "c1", 2.31)) is Mode.SILENCE
