--- a/bench/feed.py
+++ b/bench/feed.py
@@ -36,7 +36,7 @@
 def make_feed(gateways: int, news: bool) -> Feed:
     """Return an answer in calm, or one with everything that is sent on a change or now and then."""
     plain = Feed(
-        life="0123456789ab", order=1_000, image=SteeringImage(revision=1_000), confirmed=True
+        life="0123456789ab", order=1_000, image=SteeringImage(revision=1_000), age=0.312, held=0.601
     )
     if not news:
         return plain
