--- a/src/finchway/control/_feed.py
+++ b/src/finchway/control/_feed.py
@@ -20,16 +20,22 @@
 from finchway.registry import Heard, Registration, Registry
 from finchway.transport import Link
 
+# Seconds that a question waits for news, so that calm costs a gateway under two answers a second
+# from each replica.
 HOLD_S = 0.6
 # A gateway that serves nobody yet waits for a word that a leader is known, which is no news of the
 # steering state: it is answered soon, so that it can ask again.
 HOLD_UNREADY_S = 0.1
+# Seconds between two messages to fellow replicas with the heartbeats heard here, and between two
+# that tell again who is silent.
 SHARE_EVERY_S = 0.1
 SHARE_SILENT_EVERY_S = 2.0
+# Heartbeats that an upstream may miss before it counts as silent; two can be lost in a row.
 SILENT_BEATS = 2.5
 # Upstreams in one answer: 33 KB, a tenth of a second of a gateway's link of 2.65 Mbit/s. All of a
 # large deployment's at once would hold up the news behind them, or never arrive in time.
 UPSTREAMS_AN_ANSWER = 200
+# Seconds of silence after which an upstream is forgotten; after those of a gateway it is not named.
 FORGET_UPSTREAM_AFTER_S = 120.0
 GATEWAY_SILENT_AFTER_S = 2.0
 
--- a/src/finchway/feed/_world.py
+++ b/src/finchway/feed/_world.py
@@ -10,11 +10,17 @@
 from finchway.registry import Registry
 from finchway.state import Steering
 
+# Seconds of silence after which an upstream is forgotten.
 FORGET_SILENT_AFTER_S = 30.0
+# Seconds for which the words of a replica that is not heard any more still count.
 REPLICA_FRESH_S = 2.0
+# Seconds that a gateway waits at its start for a replica whose state is confirmed, before it takes
+# what others know: several elections long, since no replica is confirmed without a leader.
 UNCONFIRMED_FOR_S = 3.0
 # Seconds of age up to which a replica's state counts as confirmed at a gateway's start.
 CONFIRMED_WITHIN_S = 1.5
+# Seconds for which the largest number of serving gateways is kept: as long as a window of the
+# budget for repeats, which is divided by it.
 COUNT_HELD_S = 10.0
 
 
@@ -93,6 +99,10 @@
         """
         return self._covered_at
 
+    def knows_all_until(self, moment: float) -> bool:
+        """Tell whether everything that was accepted before a moment is known here."""
+        return self._covered_at >= moment
+
     @property
     def changes(self) -> int:
         """Grows whenever an upstream, a mark, an item or an evacuation has changed here."""
--- a/src/finchway/gateway/__init__.py
+++ b/src/finchway/gateway/__init__.py
@@ -1,6 +1,7 @@
 """The gateway role: callers' requests by host and path, carried to upstreams that register."""
 
 from finchway.gateway._bounds import Bounds
+from finchway.gateway._feed_log import FeedLog
 from finchway.gateway._forward import Forwarder
 from finchway.gateway._http import CallerConnection, CallerRequest, HttpServer, Reply
 from finchway.gateway._names import HeaderNames
@@ -16,6 +17,7 @@
     "CallerRequest",
     "Choice",
     "ChoiceReason",
+    "FeedLog",
     "Forwarder",
     "GatewayRole",
     "GatewaySession",
--- a/src/finchway/gateway/_forward.py
+++ b/src/finchway/gateway/_forward.py
@@ -115,8 +115,7 @@
         A gateway that control reaches late or not at all may lack a route that was accepted long
         ago, and a 404 is final for its caller.
         """
-        age = trio.current_time() - self._world.covered_at
-        if age <= self._apply_within:
+        if self._world.knows_all_until(trio.current_time() - self._apply_within):
             await self._refuse(connection, request, Reply(404), "no route")
             return
         await self._refuse(connection, request, _come_back(503), "no route known, but there may be")
--- a/src/finchway/gateway/_role.py
+++ b/src/finchway/gateway/_role.py
@@ -10,6 +10,7 @@
 
 from finchway.feed import Feed, GatewayBeat, Subscribe, World
 from finchway.gateway._bounds import Bounds
+from finchway.gateway._feed_log import FeedLog
 from finchway.gateway._forward import Forwarder
 from finchway.gateway._http import HttpServer
 from finchway.gateway._names import HeaderNames
@@ -77,9 +78,7 @@
             self._world,
             seeds,
             router.rates,
-            decisions,
-            self._metrics,
-            self._lag,
+            FeedLog(decisions, self._metrics, self._lag),
         )
         self._server = HttpServer(
             settings.address,
--- a/src/finchway/gateway/_session.py
+++ b/src/finchway/gateway/_session.py
@@ -13,69 +13,28 @@
 
 from finchway.exceptions import FinchwayError, UnavailableError
 from finchway.feed import Feed, GatewayBeat, ServiceRate, Subscribe, World
-from finchway.observe import (
-    BeliefChanged,
-    DecisionLog,
-    FeedEnded,
-    FeedOutcome,
-    GatewayMetrics,
-    LoopLag,
-    ProcessChanged,
-)
+from finchway.gateway._feed_log import FeedLog
+from finchway.gateway._question import HeardReplica, Turn
 from finchway.transport import Link
 
 _LOG = logging.getLogger(__name__)
 # Seconds after which a question is asked anew, and the replica counts as lost meanwhile.
 ANSWER_WITHIN_S = 1.0
-# Seconds for which an answer is still taken after that: on a full link of a gateway everything
-# waits for 1 to 2 s, and an answer that has come all the way is as good as the next one.
+# Seconds from the question for which an answer is still taken: on a full link of a gateway it is
+# 1 to 2 s on the way, and one that has come all the way is as good as the next.
 LATE_WITHIN_S = 4.0
+# Seconds between an answer and the next question, so that a burst of commits makes one answer.
 PAUSE_S = 0.02
+# Seconds before a replica that could not be asked is asked again.
 RETRY_S = 0.1
+# Replicas that are asked at once: as many as a deployment sets aside at most.
 MOST_REPLICAS = 9
+# Seconds without an answer of any replica after which fellows are asked to pass questions on, and
+# what such a question may take: two ways, and what a replica holds it for.
 RELAY_AFTER_S = 1.0
 RELAYED_WITHIN_S = 1.5
+# Seconds between two questions for the regions' demand, which is the larger part of an answer.
 DEMAND_EVERY_S = 0.5
-# Seconds on the way, both ways together, from which an answer gets a line of its own: six round
-# trips between the regions that are furthest apart.
-SLOW_TRANSIT_S = 0.4
-
-
-class _Turn:
-    """One question to a replica, until it is answered or must be asked anew."""
-
-    __slots__ = ("_over", "is_sound")
-
-    def __init__(self) -> None:
-        self._over = trio.Event()
-        self.is_sound = False
-
-    def end(self, is_sound: bool) -> None:
-        """End the turn; it is not sound if the replica could not be asked."""
-        self.is_sound = is_sound
-        self._over.set()
-
-    async def wait(self) -> None:
-        """Return once the turn has ended."""
-        await self._over.wait()
-
-
-class _HeardReplica:
-    """The replica process that answered last at an address, and what has been had of it."""
-
-    __slots__ = ("life", "order", "rest")
-
-    def __init__(self) -> None:
-        self.life = ""
-        self.order = 0
-        self.rest = False
-
-    def note(self, answer: Feed) -> None:
-        """Take in an answer; answers of one process may overtake one another."""
-        if answer.life != self.life:
-            self.life, self.order = answer.life, answer.order
-        if answer.order >= self.order:
-            self.order, self.rest = answer.order, answer.more
 
 
 class GatewaySession:
@@ -88,13 +47,9 @@
         world: World,
         seeds: Callable[[], list[str]],
         rates: Callable[[], list[ServiceRate]],
-        decisions: DecisionLog,
-        metrics: GatewayMetrics,
-        lag: LoopLag,
+        log: FeedLog,
     ) -> None:
-        self._decisions = decisions
-        self._metrics = metrics
-        self._lag = lag
+        self._log = log
         self._beat = beat
         self._link = link
         self._world = world
@@ -104,9 +59,9 @@
         self._leaving = False
         self._asking: set[str] = set()
         self._answered: set[str] = set()
-        self._turns: dict[str, _Turn] = {}
+        self._turns: dict[str, Turn] = {}
         self._answered_at = trio.current_time()
-        self._turn = 0
+        self._fellow = 0
         self._demand_asked_at = float("-inf")
 
     @property
@@ -139,11 +94,11 @@
 
     async def _ask_forever(self, address: str) -> None:
         """Keep asking one replica; a question that is not answered soon is joined by the next."""
-        replica = _HeardReplica()
+        replica = HeardReplica()
         try:
             async with trio.open_nursery() as nursery:
                 while address in self._addresses():
-                    turn = self._turns[address] = _Turn()
+                    turn = self._turns[address] = Turn()
                     nursery.start_soon(self._ask_and_learn, address, replica, turn)
                     with trio.move_on_after(ANSWER_WITHIN_S):
                         await turn.wait()
@@ -156,7 +111,7 @@
             self._asking.discard(address)
             self._answered.discard(address)
 
-    async def _ask_and_learn(self, address: str, replica: _HeardReplica, turn: _Turn) -> None:
+    async def _ask_and_learn(self, address: str, replica: HeardReplica, turn: Turn) -> None:
         """Ask once, and take in the answer whenever it comes.
 
         To throw late answers away would leave a gateway on a full link without any: each question
@@ -166,7 +121,6 @@
         answer = await self._ask(address, replica, LATE_WITHIN_S)
         if answer is not None:
             self._note_heard(address)
-            self._answered_at = trio.current_time()
             replica.note(answer)
             self._learn(answer, asked_at)
         turn.end(is_sound=answer is not None)
@@ -185,7 +139,7 @@
 
     async def _ask_by_fellows(self) -> None:
         """Ask by way of fellows, one after the other, while no replica answers."""
-        replica = _HeardReplica()
+        replica = HeardReplica()
         while True:
             silent_for = trio.current_time() - self._answered_at
             fellows = [
@@ -194,11 +148,11 @@
             if silent_for < RELAY_AFTER_S or not fellows:
                 await trio.sleep(RETRY_S)
                 continue
-            address = fellows[self._turn % len(fellows)]
+            address = fellows[self._fellow % len(fellows)]
             asked_at = trio.current_time()
             answer = await self._ask(address, replica, RELAYED_WITHIN_S)
             if answer is None:
-                self._turn += 1
+                self._fellow += 1
                 await trio.sleep(RETRY_S)
                 continue
             replica.note(answer)
@@ -208,14 +162,15 @@
     def _note_lost(self, address: str) -> None:
         if address in self._answered:
             self._answered.discard(address)
-            self._decisions.write(ProcessChanged(change="lost", detail=f"replica {address}"))
+            self._log.note_lost(address)
 
     def _note_heard(self, address: str) -> None:
+        self._answered_at = trio.current_time()
         if address not in self._answered:
             self._answered.add(address)
-            self._decisions.write(ProcessChanged(change="regained", detail=f"replica {address}"))
+            self._log.note_regained(address)
 
-    async def _ask(self, address: str, replica: _HeardReplica, within: float) -> Feed | None:
+    async def _ask(self, address: str, replica: HeardReplica, within: float) -> Feed | None:
         question = Subscribe(
             beat=self._current_beat(),
             revision=self._world.steering.revision,
@@ -234,42 +189,13 @@
             _LOG.debug("no feed from %s: %s", address, error)
             if question.demand:
                 self._demand_asked_at = float("-inf")
-            self._note_feed(address, question, asked_at, None)
+            self._log.note_given_up(address, question, asked_at)
             return None
         if not isinstance(answer, Feed):
             return None
-        self._note_feed(address, question, asked_at, answer)
+        self._log.note_answer(address, question, asked_at, answer, ANSWER_WITHIN_S)
         return answer
 
-    def _note_feed(
-        self, address: str, question: Subscribe, asked_at: float, answer: Feed | None
-    ) -> None:
-        """Count a question; log it if it was given up, slow, or the first of a replica process."""
-        seconds = trio.current_time() - asked_at
-        transit = None if answer is None else seconds - answer.held
-        self._metrics.count_feed(transit)
-        if transit is None:
-            outcome = FeedOutcome.GIVEN_UP
-        elif answer.life != question.life:
-            outcome = FeedOutcome.FIRST
-        elif seconds >= ANSWER_WITHIN_S:
-            outcome = FeedOutcome.LATE
-        elif transit >= SLOW_TRANSIT_S:
-            outcome = FeedOutcome.SLOW
-        else:
-            return
-        self._decisions.write(
-            FeedEnded(
-                replica=address,
-                outcome=outcome,
-                ms=round(seconds * 1000, 1),
-                held_ms=-1.0 if answer is None else round(answer.held * 1000, 1),
-                upstreams=0 if answer is None else len(answer.upstreams),
-                revision=question.revision,
-                lag_ms=round(self._lag.worst_s * 1000, 1),
-            )
-        )
-
     def _wants_demand(self) -> bool:
         """Ask one replica after the other for the regions' demand, now and then."""
         now = trio.current_time()
@@ -280,30 +206,8 @@
 
     def _learn(self, feed: Feed, asked_at: float) -> None:
         before = self._world.steering.revision
-        if not self._world.learn(feed, trio.current_time(), asked_at):
-            return
-        revision = self._world.steering.revision
-        for held in feed.image.items:
-            self._note_belief(held.item.key, f"version {held.item.version}", held.revision)
-        for mark in feed.image.marks:
-            self._note_belief(f"upstream/{mark.instance}", mark.kind.value, mark.revision)
-        for evacuation in feed.image.evacuations:
-            now = "evacuated" if evacuation.active else "in use"
-            self._note_belief(f"zone/{evacuation.zone}", now, evacuation.revision)
-        self._decisions.write(
-            BeliefChanged(
-                subject="configuration",
-                now=f"revision {revision}",
-                before=f"revision {before}",
-                source=f"replica {feed.life}",
-                revision=revision,
-            )
-        )
-
-    def _note_belief(self, subject: str, now: str, revision: int) -> None:
-        self._decisions.write(
-            BeliefChanged(subject=subject, now=now, source="control", revision=revision)
-        )
+        if self._world.learn(feed, trio.current_time(), asked_at):
+            self._log.note_learned(feed, before, self._world.steering.revision)
 
     def _current_beat(self) -> GatewayBeat:
         self._sequence += 1
--- a/tests/gateway/test_first_answers.py
+++ b/tests/gateway/test_first_answers.py
@@ -15,7 +15,7 @@
 from finchway.control._feed import FeedDesk
 from finchway.exceptions import TransportError
 from finchway.feed import GatewayBeat, World
-from finchway.gateway import GatewaySession
+from finchway.gateway import FeedLog, GatewaySession
 from finchway.observe import DecisionLog, GatewayMetrics, LogWriter, LoopLag
 from finchway.registry import Registration, UpstreamState
 from tests.gateway.test_stale_configuration import IN_FORCE_WITHIN_S, SoundRunner, route_change
@@ -77,9 +77,7 @@
             self.world,
             lambda: REPLICAS,
             list,
-            DecisionLog("g", LogWriter()),
-            GatewayMetrics("g"),
-            LoopLag(),
+            FeedLog(DecisionLog("g", LogWriter()), GatewayMetrics("g"), LoopLag()),
         )
 
     def change(self, command) -> None:
--- a/tests/gateway/test_session.py
+++ b/tests/gateway/test_session.py
@@ -9,7 +9,7 @@
 
 from finchway.exceptions import TransportError, UnavailableError
 from finchway.feed import Feed, GatewayBeat, GatewayPeer, Roster, Subscribe, World
-from finchway.gateway import GatewaySession
+from finchway.gateway import FeedLog, GatewaySession
 from finchway.observe import DecisionLog, GatewayMetrics, GatewayState, LogWriter, LoopLag
 from finchway.state import SteeringImage
 
@@ -54,10 +54,8 @@
 
 
 def new_session(beat, link, world):
-    log = DecisionLog("g", LogWriter())
-    return GatewaySession(
-        beat, link, world, lambda: SEEDS, list, log, GatewayMetrics("g"), LoopLag()
-    )
+    log = FeedLog(DecisionLog("g", LogWriter()), GatewayMetrics("g"), LoopLag())
+    return GatewaySession(beat, link, world, lambda: SEEDS, list, log)
 
 
 def play(link, leave_at=None, world=None):
@@ -164,9 +162,7 @@
             World(),
             lambda: SEEDS,
             list,
-            DecisionLog("g", writer),
-            metrics,
-            LoopLag(),
+            FeedLog(DecisionLog("g", writer), metrics, LoopLag()),
         )
         with trio.move_on_after(LASTS_S):
             await session.run()
--- a/tests/gateway/test_stale_configuration.py
+++ b/tests/gateway/test_stale_configuration.py
@@ -37,7 +37,7 @@
 from finchway.control._feed import FeedDesk
 from finchway.exceptions import TransportError
 from finchway.feed import Feed, GatewayBeat, Subscribe, World
-from finchway.gateway import GatewaySession
+from finchway.gateway import FeedLog, GatewaySession
 from finchway.membership import LeaseTiming
 from finchway.observe import DecisionLog, GatewayMetrics, LogicalClock, LogWriter, LoopLag, Timeline
 from finchway.policy import LoanTiming
@@ -138,9 +138,7 @@
             world,
             lambda: REPLICAS,
             list,
-            DecisionLog("g", LogWriter()),
-            GatewayMetrics("g"),
-            LoopLag(),
+            FeedLog(DecisionLog("g", LogWriter()), GatewayMetrics("g"), LoopLag()),
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(session.run)
