Explain a 503 on an unknown route by the feed lines before it

Cause: finchway explain left the feed lines out, which tell why a gateway is behind. Ruled out: nothing to decide. Only the command line's module changes. Figures: the new test fails without the change (no feed line in the story) and passes with it.

--- a/src/finchway/cli/_explain.py
+++ b/src/finchway/cli/_explain.py
@@ -12,6 +12,8 @@
 BEFORE_S = 10.0
 AFTER_S = 2.0
 BELIEFS_SHOWN = 20
+# Events that show what a process knew, and how new that was, when it decided.
+CONTEXT = ("belief", "feed", "process")
 
 
 def explain(request_id: str, paths: list[Path]) -> list[str]:
@@ -34,7 +36,7 @@
     beliefs = [
         line
         for line in lines
-        if line.get("event") in ("belief", "process")
+        if line.get("event") in CONTEXT
         and line["instance"] in instances
         and first - BEFORE_S <= line["t"] <= last + AFTER_S
     ]
--- a/tests/gateway/test_explain.py
+++ b/tests/gateway/test_explain.py
@@ -4,6 +4,8 @@
 
 from finchway.catalog import RouteType
 from finchway.cli import run
+from finchway.gateway import Bounds
+from finchway.observe import FeedEnded, FeedOutcome
 from finchway.state import SetEvacuation
 from tests.gateway.harness import Upstream, gateway, serve_well
 from tests.gateway.test_forwarding import break_off, refuse, silent
@@ -86,6 +88,31 @@
     assert "reason=it may have run and must not run twice" in text
 
 
+def test_a_route_that_may_be_there_is_explained_by_the_age_of_what_was_known(tmp_path, capsys):
+    async def check():
+        bounds = Bounds(apply_within=0.1)
+        async with gateway(Upstream("i-1", serve_well), bounds=bounds) as subject:
+            late = FeedEnded(
+                replica="10.0.0.1:7200",
+                outcome=FeedOutcome.LATE,
+                ms=1450.0,
+                held_ms=600.0,
+                lag_ms=1.0,
+            )
+            subject.decisions.write(late)
+            await trio.sleep(0.2)
+            caller = await subject.connect()
+            answer = await caller.ask(path=b"/nowhere/1", body=SECRET)
+            write_log(subject, tmp_path / "log")
+            assert answer[0] == 503
+
+    trio.run(check)
+    text = story(capsys, tmp_path / "log")
+    assert "status=503 reason=no route known, but there may be" in text
+    assert "known_ms=2" in text
+    assert "replica=10.0.0.1:7200 outcome=late ms=1450.0 held_ms=600.0" in text
+
+
 def test_an_unknown_id_and_a_missing_file_are_said(tmp_path, capsys):
     (tmp_path / "log").write_text("")
     assert run(["explain", "nobody", str(tmp_path / "log")]) == 5
