Watch signals to the very end of a process

Cause: while a process ended, SIGTERM and SIGHUP had their default action again, so that a second request to stop ended it with the signal, and its last lines were lost. What: handlers are set once and replaced by ignoring when the process is on its way out; nothing restores the default action. The receiver of trio went; it always restores what was before. Ruled out: blocking the signals (a worker thread would take them); ignoring them beforehand (a stop between that and the receiver would be lost).

--- a/src/finchway/daemon.py
+++ b/src/finchway/daemon.py
@@ -5,7 +5,6 @@
 import logging
 import os
 import random
-import signal
 import sys
 import time
 import uuid
@@ -17,6 +16,7 @@
 from hypercorn.trio import serve
 
 from finchway._settings import CONTROL, ENTRY, GATEWAY, Settings, define_flags, read_settings
+from finchway._signals import SignalWatch
 from finchway.control import (
     ControlServer,
     ReplicaRunner,
@@ -104,27 +104,31 @@
 
     async def run(self) -> None:
         """Run until a signal asks for a planned stop, and carry that out."""
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._writer.run)
-            await nursery.start(self._link.run)
-            nursery.start_soon(self._watch_signals)
-            if CONTROL in self._settings.roles:
-                await self._start_control(nursery)
-            if ENTRY in self._settings.roles:
-                await self._start_entry(nursery)
-            if GATEWAY in self._settings.roles:
-                await self._start_gateway(nursery)
-            self._timeline.record(
-                EventKind.STARTED, self._settings.instance, ",".join(self._settings.roles)
-            )
-            self._decisions.write(
-                ProcessChanged(change="start", detail=",".join(self._settings.roles))
-            )
-            await self._stop.wait()
-            self._decisions.write(ProcessChanged(change="stopping"))
-            await self._leave()
-            self._decisions.write(ProcessChanged(change="stop"))
-            nursery.cancel_scope.cancel()
+        with SignalWatch(self._stop.set, self._reload):
+            async with trio.open_nursery() as nursery:
+                await self._start(nursery)
+                await self._stop.wait()
+                self._decisions.write(ProcessChanged(change="stopping"))
+                await self._leave()
+                self._decisions.write(ProcessChanged(change="stop"))
+                nursery.cancel_scope.cancel()
+
+    async def _start(self, nursery: trio.Nursery) -> None:
+        nursery.start_soon(self._writer.run)
+        await nursery.start(self._link.run)
+        if CONTROL in self._settings.roles:
+            await self._start_control(nursery)
+        if ENTRY in self._settings.roles:
+            await self._start_entry(nursery)
+        if GATEWAY in self._settings.roles:
+            await self._start_gateway(nursery)
+        roles = ",".join(self._settings.roles)
+        self._timeline.record(EventKind.STARTED, self._settings.instance, roles)
+        self._decisions.write(ProcessChanged(change="start", detail=roles))
+
+    def _reload(self) -> None:
+        self._surface.reload()
+        self._decisions.write(ProcessChanged(change="reload"))
 
     async def _leave(self) -> None:
         self._timeline.record(EventKind.STOPPING, self._settings.instance)
@@ -142,16 +146,6 @@
         self._timeline.record(EventKind.STOPPED, self._settings.instance)
         await trio.sleep(0.05)
 
-    async def _watch_signals(self) -> None:
-        watched = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-        with trio.open_signal_receiver(*watched) as signals:
-            async for number in signals:
-                if number == signal.SIGHUP:
-                    self._surface.reload()
-                    self._decisions.write(ProcessChanged(change="reload"))
-                else:
-                    self._stop.set()
-
     async def _handle(self, body: AnyBody, sender: str) -> AnyBody | None:
         if isinstance(body, FetchEvents):
             events = self._timeline.since(body.since, body.limit)
