--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -8,12 +8,16 @@
 from bench.soak import Shape, soak
 
 SMALL = Shape(replicas=3, gateways=2, upstreams=4, callers=6, seconds=14.0, faults=8)
+MEDIUM = Shape(replicas=3, gateways=3, upstreams=4, callers=10, seconds=20.0, faults=16)
 LARGE = Shape(replicas=5, gateways=6, upstreams=15, callers=40, seconds=40.0, faults=70)
 
 # Each with what it found; `python -m bench.soak` with the same options plays it by hand.
 REGRESSIONS = [
     # A repeat that was refused hid that the first attempt may have run: 503 instead of 502.
     pytest.param(101, LARGE, id="101-refused-repeat-hides-first-attempt"),
+    # A second SIGTERM, or SIGHUP, ended a replica that was on its way out by the signal.
+    pytest.param(637, MEDIUM, id="637-second-stop-ends-by-the-signal"),
+    pytest.param(658, MEDIUM, id="658-reload-ends-a-stop-by-the-signal"),
 ]
 
 
