--- a/tests/gateway/test_first_answers.py
+++ b/tests/gateway/test_first_answers.py
@@ -4,7 +4,7 @@
 than it may be. Sequence: each replica answers the gateway's first question with all upstreams at
 once; the answers share the link, and what is newer waits behind them. Cause: an answer was as large
 as the deployment. What settled it: 95 KB an answer with 573 upstreams (worked out from the types),
-0.9 s to 1.4 s on the way from each far replica in played days, where a link bears 331 KB/s.
+0.9 s to 1.4 s on the way from each far replica where a link bears 331 KB/s.
 """
 
 import msgspec
--- a/tests/gateway/test_stale_configuration.py
+++ b/tests/gateway/test_stale_configuration.py
@@ -13,7 +13,7 @@
 its state confirmed on the strength of any message of the leader, also one that it had to reject
 because its log was behind.
 
-What settled it, from a played day with a change at 14.0 s (seven gateways of one zone):
+What settled it, from a run with a change at 14.0 s (lines of seven gateways of one zone):
 
     14.39  gateway-3  belief   subject=configuration now=revision 3
     14.69  gateway-2  request  status=404 reason=no route ms=0.1 revision=2 heard_ms=4448.4
