--- a/tests/adapter/test_processes.py
+++ b/tests/adapter/test_processes.py
@@ -18,6 +18,7 @@
 import pytest
 import trio
 
+from bench.signals import ignores
 from tests.adapter import documents
 from tests.gateway.harness import header_of, read_message
 
@@ -389,19 +390,12 @@
     assert "self.serves" in ended.stderr
 
 
-def ignores(process: subprocess.Popen, number: int) -> bool:
-    """Tell whether a process ignores a signal at the moment."""
-    status = Path(f"/proc/{process.pid}/status").read_text()
-    mask = next(line for line in status.splitlines() if line.startswith("SigIgn:"))
-    return bool(int(mask.split()[1], 16) >> (number - 1) & 1)
-
-
 def test_word_of_new_settings_does_not_end_a_process_that_is_still_importing(tmp_path):
     deployment = Deployment(tmp_path)
     try:
         deployment.start(EDGES[0])
         process = deployment.running[EDGES[0]]
-        while not ignores(process, signal.SIGHUP):
+        while not ignores(process.pid, signal.SIGHUP):
             assert process.poll() is None, "it ended before it took care of the signal"
             assert b"started" not in (tmp_path / f"log-{EDGES[0]}").read_bytes()
         process.send_signal(signal.SIGHUP)
