End an upstream when its address is taken; pass over heartbeats that come after that

Cause: the registry kept incarnations side by side whatever their address. What: a replica knows which incarnation has an address. An unknown one that is heard later takes it; a known one that was replaced is passed over for as long as its successor is heard. Gateways follow by the list of silent upstreams, in which all fresh replicas must agree. Ruled out: deciding by the sequence (each start has its own); a committed word on each replacement (heartbeats are not committed, and a wrong order at one replica would stick).

--- a/src/finchway/control/_feed.py
+++ b/src/finchway/control/_feed.py
@@ -17,7 +17,7 @@
     ShareHeard,
     Subscribe,
 )
-from finchway.registry import Heard, Registration, Registry
+from finchway.registry import AddressHolders, Heard, Registration, Registry
 from finchway.transport import Link
 
 # Seconds that a question waits for news, so that calm costs a gateway under two answers a second
@@ -48,7 +48,7 @@
         self._link = link
         self._silent_after = SILENT_BEATS * heartbeat
         self._life = uuid.uuid4().hex[:12]
-        self._registry = Registry(FORGET_UPSTREAM_AFTER_S)
+        self._registry = Registry(FORGET_UPSTREAM_AFTER_S, AddressHolders(self._silent_after))
         self._gateways = GatewayBook(GATEWAY_SILENT_AFTER_S)
         self._fresh: list[str] = []
         self._roster = Roster(version=1)
--- a/src/finchway/registry/__init__.py
+++ b/src/finchway/registry/__init__.py
@@ -1,6 +1,15 @@
 """Upstreams that register themselves by heartbeat, and the marks of those that leave."""
 
+from finchway.registry._addresses import AddressHolders
 from finchway.registry._registry import Heard, Registry
 from finchway.registry._upstream import Mark, MarkKind, Registration, UpstreamState
 
-__all__ = ["Heard", "Mark", "MarkKind", "Registration", "Registry", "UpstreamState"]
+__all__ = [
+    "AddressHolders",
+    "Heard",
+    "Mark",
+    "MarkKind",
+    "Registration",
+    "Registry",
+    "UpstreamState",
+]
--- a/src/finchway/registry/_registry.py
+++ b/src/finchway/registry/_registry.py
@@ -9,6 +9,7 @@
 
 from msgspec import Struct
 
+from finchway.registry._addresses import AddressHolders
 from finchway.registry._upstream import Registration
 
 COLD_TOLERANCE_S = 0.3
@@ -27,10 +28,14 @@
 
 
 class Registry:
-    """Registrations by instance, in the order in which they last said something new."""
+    """Registrations by instance, in the order in which they last said something new.
 
-    def __init__(self, forget_after: float) -> None:
+    With `holders`, an incarnation that was replaced at its address is silent from then on.
+    """
+
+    def __init__(self, forget_after: float, holders: AddressHolders | None = None) -> None:
         self._forget_after = forget_after
+        self._holders = holders
         self._heard: dict[str, Heard] = {}
         self._order = 0
 
@@ -43,11 +48,16 @@
         return len(self._heard)
 
     def record(self, registration: Registration, heard_at: float) -> bool:
-        """Take in a heartbeat; False for one with an older sequence, which is passed over."""
+        """Take in a heartbeat; False for one that came late, which is passed over.
+
+        It has come late if a newer one of its sender was heard, or if its sender was replaced.
+        """
         instance = registration.instance
         held = self._heard.get(instance)
         if held is not None and held.registration.sequence >= registration.sequence:
             return False
+        if self._holders and not self._holders.take(registration, heard_at, held is not None):
+            return False
         cold_until = heard_at + registration.cold_for
         if held is not None and _repeats(held, registration, heard_at, cold_until):
             self._heard[instance] = Heard(registration, heard_at, held.order, held.cold_until)
@@ -59,7 +69,9 @@
 
     def remove(self, instance: str) -> None:
         """Forget an upstream."""
-        self._heard.pop(instance, None)
+        heard = self._heard.pop(instance, None)
+        if heard is not None and self._holders is not None:
+            self._holders.release(heard.registration)
 
     def get(self, instance: str) -> Heard | None:
         """Return what was heard last of an upstream."""
@@ -80,12 +92,16 @@
         return newer
 
     def silent(self, now: float, silent_after: float) -> list[Heard] | None:
-        """Return the upstreams that have not been heard for a while.
+        """Return the upstreams that have not been heard for a while, or that were replaced.
 
         None if no upstream has: then it may be this process that hears nothing.
         """
         oldest = now - silent_after
-        silent = [heard for heard in self._heard.values() if heard.heard_at < oldest]
+        silent = [
+            heard
+            for heard in self._heard.values()
+            if heard.heard_at < oldest or self._was_replaced(heard)
+        ]
         return silent if len(silent) < len(self._heard) else None
 
     def forget_silent(self, now: float) -> list[str]:
@@ -93,9 +109,12 @@
         oldest = now - self._forget_after
         silent = [name for name, heard in self._heard.items() if heard.heard_at < oldest]
         for name in silent:
-            del self._heard[name]
+            self.remove(name)
         return silent
 
+    def _was_replaced(self, heard: Heard) -> bool:
+        return self._holders is not None and not self._holders.has(heard.registration)
+
 
 def _repeats(held: Heard, registration: Registration, heard_at: float, cold_until: float) -> bool:
     """Tell whether a heartbeat says nothing that the held one has not said."""
