--- a/bench/soak/_proxy.py
+++ b/bench/soak/_proxy.py
@@ -24,14 +24,40 @@
     CUT_ANSWERS = "cut-answers"
 
 
+class Direction(Enum):
+    """Which bytes of a connection are meant."""
+
+    REQUESTS = Mode.CUT_REQUESTS
+    ANSWERS = Mode.CUT_ANSWERS
+
+
+BOTH = frozenset(Direction)
+
 # What each piece waits: as on a far link, and as on one that is full.
 _DELAYS = {Mode.DELAY: DELAY_S, Mode.CROWDED: CROWDED_S}
 
 
+class _Pair:
+    """A caller's connection and the one to the target; `silent` directions never end a wait."""
+
+    __slots__ = ("far", "near", "silent")
+
+    def __init__(self, near: trio.SocketStream, far: trio.SocketStream) -> None:
+        self.near = near
+        self.far = far
+        self.silent: frozenset[Direction] = frozenset()
+
+    @property
+    def streams(self) -> tuple[trio.SocketStream, trio.SocketStream]:
+        """Both connections."""
+        return self.near, self.far
+
+
 class Proxy:
     """Passes connections on to one target; its mode may change at any time.
 
-    What a cut holds up is passed on once the cut is over, as TCP would send it again.
+    What a cut holds up is passed on once the cut is over, as TCP would send it again. What a
+    connection that has gone silent takes in is lost, its end too, while new connections work.
     """
 
     def __init__(self, listen: str, target: str) -> None:
@@ -39,7 +65,12 @@
         self._target = target
         self._mode = Mode.PASS
         self._changed = trio.Event()
-        self._open: set[trio.SocketStream] = set()
+        self._open: set[_Pair] = set()
+
+    @property
+    def listen(self) -> str:
+        """The address that callers of the target use."""
+        return self._listen
 
     @property
     def mode(self) -> Mode:
@@ -54,9 +85,15 @@
 
     def reset(self) -> None:
         """Break off every connection with a reset."""
-        for stream in self._open:
-            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_LINGER)
-            stream.socket.close()
+        for pair in self._open:
+            for stream in pair.streams:
+                stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_LINGER)
+                stream.socket.close()
+
+    def go_silent(self, directions: frozenset[Direction] = BOTH) -> None:
+        """Lose all that the open connections carry from now on, without a reset."""
+        for pair in self._open:
+            pair.silent = directions
 
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Serve until cancelled."""
@@ -72,31 +109,30 @@
             near.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_LINGER)
             near.socket.close()
             return
-        pair = {near, far}
-        self._open |= pair
+        pair = _Pair(near, far)
+        self._open.add(pair)
         try:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._copy, near, far, Mode.CUT_REQUESTS, nursery.cancel_scope)
-                nursery.start_soon(self._copy, far, near, Mode.CUT_ANSWERS, nursery.cancel_scope)
+                nursery.start_soon(self._copy, pair, Direction.REQUESTS, nursery.cancel_scope)
+                nursery.start_soon(self._copy, pair, Direction.ANSWERS, nursery.cancel_scope)
         finally:
-            self._open -= pair
-            for stream in pair:
+            self._open.discard(pair)
+            for stream in pair.streams:
                 await trio.aclose_forcefully(stream)
 
-    async def _copy(
-        self,
-        source: trio.SocketStream,
-        sink: trio.SocketStream,
-        cut: Mode,
-        scope: trio.CancelScope,
-    ) -> None:
+    async def _copy(self, pair: _Pair, direction: Direction, scope: trio.CancelScope) -> None:
+        ways = {Direction.REQUESTS: (pair.near, pair.far), Direction.ANSWERS: (pair.far, pair.near)}
+        source, sink = ways[direction]
         try:
             while data := await source.receive_some(PIECE_BYTES):
                 if self._mode in _DELAYS:
                     await trio.sleep(_DELAYS[self._mode])
-                while self._mode in (cut, Mode.SILENCE):
+                while self._mode in (direction.value, Mode.SILENCE):
                     await self._changed.wait()
-                await sink.send_all(data)
-            await sink.send_eof()
+                if direction not in pair.silent:
+                    await sink.send_all(data)
+            if direction not in pair.silent:
+                await sink.send_eof()
         except (trio.BrokenResourceError, trio.ClosedResourceError):
-            scope.cancel()
+            if not pair.silent:
+                scope.cancel()
--- a/bench/soak/_run.py
+++ b/bench/soak/_run.py
@@ -18,7 +18,7 @@
 from bench.soak._ledger import FaultWindow, Ledger
 from bench.soak._machines import Machines
 from bench.soak._plan import DISK_LOSSES, Fault, FaultKind, Shape, make_plan
-from bench.soak._proxy import Mode
+from bench.soak._proxy import BOTH, Direction, Mode
 from bench.soak._upstreams import Fleet
 
 START_WITHIN_S = 60.0
@@ -43,6 +43,22 @@
     return Mode.CROWDED if crowded else mode
 
 
+def _silenced(fault: Fault) -> frozenset[Direction] | None:
+    """Return what open connections stop carrying for good; None where they are reset.
+
+    Every second reset makes them silent instead, half of these in one direction. Which ones
+    follows from the fault's length, so that the plans of earlier seeds stay as they are.
+    """
+    match round(fault.for_s * 100) % 8:
+        case 1 | 5:
+            return BOTH
+        case 3:
+            return frozenset({Direction.REQUESTS})
+        case 7:
+            return frozenset({Direction.ANSWERS})
+    return None
+
+
 class Report(Struct, frozen=True, kw_only=True):
     """What a run showed; `statuses` counts the answers of callers, None where none came.
 
@@ -189,7 +205,7 @@
                 await trio.sleep(fault.for_s)
                 machines.signal(name, signal.SIGCONT)
             case FaultKind.RESET:
-                machines.proxies[name].reset()
+                self._break_connections(name, _silenced(fault))
             case FaultKind.CLOCK:
                 await self._spoil(name, "clock", self._rng.choice(CLOCK_JUMPS_S), fault.for_s)
             case FaultKind.SLOW_DISK:
@@ -216,6 +232,13 @@
         if not self._machines.is_running(name):
             self._machines.start(name)
 
+    def _break_connections(self, name: str, silenced: frozenset[Direction] | None) -> None:
+        proxy = self._machines.proxies[name]
+        if silenced is None:
+            proxy.reset()
+        else:
+            proxy.go_silent(silenced)
+
     async def _spoil(self, name: str, fault: str, value: float, for_s: float) -> None:
         self._machines.spoil(name, fault, value)
         await trio.sleep(for_s)
--- a/tests/unit/test_link.py
+++ b/tests/unit/test_link.py
@@ -7,6 +7,7 @@
 import zmq
 
 from bench.deploy import free_ports
+from bench.soak._proxy import BOTH, Direction, Proxy
 from finchway.exceptions import ConflictError, NotLeaderError, TransportError
 from finchway.observe import LogicalClock
 from finchway.replication import Member
@@ -116,3 +117,47 @@
         context.term()
 
     run_pair(check)
+
+
+# The least that users leave for connections that broke, in seconds.
+RENEWED_WITHIN_S = 3.0
+
+
+@pytest.mark.parametrize(
+    "silent",
+    [BOTH, frozenset({Direction.REQUESTS}), frozenset({Direction.ANSWERS})],
+    ids=["both", "requests", "answers"],
+)
+def test_a_connection_that_goes_silent_without_a_reset_is_replaced(silent):
+    """Both ends greet each other every half second, so either direction is missed.
+
+    Here it takes 1.81 s for each of the three ways (18 runs); after that a new connection is used.
+    """
+
+    async def main() -> float:
+        one, two, between = (f"127.0.0.1:{port}" for port in free_ports(3))
+        proxy = Proxy(between, two)
+        with trio.fail_after(20):
+            async with trio.open_nursery() as nursery:
+                link = Link("one", one, handler, LogicalClock())
+                for part in (link, Link("two", two, handler, LogicalClock()), proxy):
+                    await nursery.start(part.run)
+                await link.request(between, Confirm(), 5.0)
+                await trio.sleep(0.3)
+                proxy.go_silent(silent)
+                taken = await until_answered(link, between)
+                nursery.cancel_scope.cancel()
+        return taken
+
+    assert trio.run(main) <= RENEWED_WITHIN_S
+
+
+async def until_answered(link: Link, address: str) -> float:
+    """Return how many seconds it takes until a request is answered."""
+    started = trio.current_time()
+    while True:
+        try:
+            await link.request(address, Confirm(), 0.2)
+        except TransportError:
+            continue
+        return trio.current_time() - started
