Probe connections to upstreams at rest; let one that went silent speak against those kept beside it

Cause: nothing was sent on a connection at rest, so its silence was found only by the next request, which waited until its time was up; then only that connection was closed. What: empty probes after 1 s of rest, closed after 3 s at most; a kept connection that brings no answer in a request's time, or whose bytes nothing acknowledges, has the idle ones of that upstream closed too. Ruled out: a shorter limit on unacknowledged bytes (3 s): on a full link packets wait up to 2 s, and sound connections would be broken off; health requests (6 ms of an upstream's slot each). The cost, one empty packet a second for each connection at rest, is worked out, not measured. A request that meets the first silent connection still waits: it may have run.

--- a/src/finchway/gateway/_connection.py
+++ b/src/finchway/gateway/_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import select
 import socket
 from enum import Enum
@@ -14,6 +15,11 @@
 
 CONNECT_TIMEOUT_S = 0.4
 USER_TIMEOUT_MS = 3_000
+# Probes of a connection at rest: seconds of rest before the first and between two, and how many may
+# stay unanswered. One that went silent is closed after 3 s at most, for one empty packet a second.
+PROBE_AFTER_S = 1
+PROBE_EVERY_S = 1
+PROBES_LOST = 2
 DEFAULT_IDLE_S = 4.0
 IDLE_FRACTION = 0.75
 BUFFERED_ANSWER_BYTES = 256 * 1024
@@ -23,10 +29,11 @@
 
 
 class Failure(Enum):
-    """How an attempt failed: before anything was sent, or after."""
+    """How an attempt failed: before anything was sent, or after; `SILENT` for want of any sign."""
 
     NOT_CONNECTED = "not-connected"
     BROKEN = "broken"
+    SILENT = "silent"
 
 
 class AttemptError(Exception):
@@ -67,6 +74,7 @@
         self._keep = True
         self._sent_whole = False
         self._unsent = b""
+        self._is_kept = False
 
     @classmethod
     async def open(cls, address: str, instance: str) -> UpstreamConnection:
@@ -75,6 +83,10 @@
         sock = trio.socket.socket()
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_AFTER_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_EVERY_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES_LOST)
         try:
             with trio.fail_after(CONNECT_TIMEOUT_S):
                 await sock.connect((host, int(port)))
@@ -91,6 +103,11 @@
         """The upstream that the connection was opened for."""
         return self._instance
 
+    @property
+    def is_kept(self) -> bool:
+        """Whether an earlier request was answered on it."""
+        return self._is_kept
+
     def is_usable(self, now: float) -> bool:
         """Tell whether an idle connection is still young, open, and without unasked bytes."""
         if now >= self._idle_until:
@@ -166,6 +183,7 @@
             return False
         self._http.start_next_cycle()
         self._sent_whole = False
+        self._is_kept = True
         self._idle_until = now + self._idle_for * IDLE_FRACTION
         return True
 
@@ -242,7 +260,7 @@
                     return event
                 self._http.receive_data(await self._stream.receive_some(READ_BYTES))
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-            raise AttemptError(Failure.BROKEN, f"read: {error!r}") from error
+            raise AttemptError(_failure_of(error), f"read: {error!r}") from error
         except h11.RemoteProtocolError as error:
             raise AttemptError(Failure.BROKEN, f"not an answer: {error}") from error
 
@@ -252,3 +270,11 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             # The answer may be there already; whoever reads next finds out.
             self._keep = False
+
+
+def _failure_of(error: Exception) -> Failure:
+    """Tell a connection on which nothing was acknowledged for long from one that was broken off."""
+    cause = error.__cause__
+    if isinstance(cause, OSError) and cause.errno == errno.ETIMEDOUT:
+        return Failure.SILENT
+    return Failure.BROKEN
--- a/src/finchway/gateway/_forward.py
+++ b/src/finchway/gateway/_forward.py
@@ -259,12 +259,13 @@
             else:
                 record.rest(now, SHED_REST_S)
                 outcome = Outcome(Verdict.UNKNOWN, error.detail, record=record)
+                if error.failure is Failure.SILENT:
+                    record.close_idle()
             return outcome
         finally:
             self._table.note_ended(record, task.request_id)
             if outcome.detail == CANCELLED and trio.current_time() >= task.deadline:
-                record.leave_unanswered(trio.current_time())
-                self._router.note_unanswered(task, record)
+                self._note_unanswered(task, record, upstream)
             self._note_attempt(task, choice, outcome, started)
             if upstream is not None:
                 if whole:
@@ -272,6 +273,19 @@
                 elif not streams:
                     upstream.close()
 
+    def _note_unanswered(
+        self, task: Task, record: UpstreamRecord, upstream: UpstreamConnection | None
+    ) -> None:
+        """Take in an attempt whose time ran out.
+
+        A kept connection may have gone silent without a reset, and those kept beside it with it:
+        each would hold another request until its time is up.
+        """
+        record.leave_unanswered(trio.current_time())
+        self._router.note_unanswered(task, record)
+        if upstream is not None and upstream.is_kept:
+            record.close_idle()
+
     def _note_attempt(self, task: Task, choice: Choice, outcome: Outcome, started: float) -> None:
         registration = choice.record.registration
         self._metrics.count_attempt(task.service, outcome.verdict.value)
--- a/tests/gateway/test_silent_connections.py
+++ b/tests/gateway/test_silent_connections.py
@@ -7,12 +7,14 @@
 the order of statuses (504, 504, 200 with two kept connections), and the options of the socket.
 """
 
+import errno
 import socket
 
+import pytest
 import trio
 
 from bench.soak._proxy import Proxy
-from finchway.gateway._connection import UpstreamConnection
+from finchway.gateway._connection import AttemptError, Failure, UpstreamConnection
 from tests.gateway.harness import Upstream, answer, gateway
 
 # Seconds within which a connection at rest is found to be dead: the least that users leave for
@@ -70,3 +72,26 @@
             connection.close()
 
     trio.run(check)
+
+
+@pytest.mark.parametrize(
+    ("number", "failure"),
+    [(errno.ETIMEDOUT, Failure.SILENT), (errno.ECONNRESET, Failure.BROKEN)],
+    ids=["silent", "reset"],
+)
+def test_a_connection_without_any_sign_is_told_from_one_that_was_reset(number, failure):
+    class Stream:
+        async def receive_some(self, _):
+            raise trio.BrokenResourceError("broken") from OSError(number, "read")
+
+        async def send_all(self, _):
+            await trio.sleep(0)
+
+    async def check():
+        connection = UpstreamConnection(Stream(), "i-1")
+        await connection.send("GET", "/", [(b"host", b"a.example")], b"")
+        with pytest.raises(AttemptError) as caught:
+            await connection.receive(b"id", "1")
+        assert caught.value.failure is failure
+
+    trio.run(check)
