Give a gateway's lines on requests, and the outcome of an attempt, modules of their own

Cause: the module that carries requests had 460 lines, a quarter of them log lines. What: RequestLog stands beside FeedLog; the carrier asks it, and keeps to carrying. No decision changes.

--- a/src/finchway/gateway/__init__.py
+++ b/src/finchway/gateway/__init__.py
@@ -5,6 +5,7 @@
 from finchway.gateway._forward import Forwarder
 from finchway.gateway._http import CallerConnection, CallerRequest, HttpServer, Reply
 from finchway.gateway._names import HeaderNames
+from finchway.gateway._request_log import RequestLog
 from finchway.gateway._role import GatewayRole, GatewaySettings
 from finchway.gateway._router import Router
 from finchway.gateway._session import GatewaySession
@@ -25,6 +26,7 @@
     "HeaderNames",
     "HttpServer",
     "Reply",
+    "RequestLog",
     "Router",
     "Task",
     "UpstreamTable",
--- a/src/finchway/gateway/_forward.py
+++ b/src/finchway/gateway/_forward.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import random
-from enum import Enum
 
 import trio
-from msgspec import Struct
 
 from finchway.catalog import Route, RouteType
 from finchway.feed import World
@@ -19,18 +17,12 @@
     Reply,
 )
 from finchway.gateway._names import HOP_HEADERS, HeaderNames
+from finchway.gateway._outcome import Outcome, Verdict
 from finchway.gateway._record import SHED_REST_S, UpstreamRecord
+from finchway.gateway._request_log import RequestLog
 from finchway.gateway._router import Router
 from finchway.gateway._table import UpstreamTable
 from finchway.gateway._task import Choice, Task
-from finchway.observe import (
-    AttemptEnded,
-    DecisionLog,
-    GatewayMetrics,
-    LoopLag,
-    RepeatDenied,
-    RequestEnded,
-)
 
 # Seconds after which refused callers are told to come back, drawn between the two: 0.25 s for all
 # brought them back into the same surge (docs/DESIGN.md, "Gateways").
@@ -41,25 +33,6 @@
 _LEAST_LEFT_S = 0.02
 
 
-class Verdict(Enum):
-    """How a request ended, as far as this gateway can tell."""
-
-    ANSWERED = "answered"
-    NOT_RUN = "not-run"
-    UNKNOWN = "unknown"
-    LEFT = "left"
-
-
-class Outcome(Struct):
-    """How an attempt ended: with an answer, or certainly not run, or unknown."""
-
-    verdict: Verdict
-    detail: str = ""
-    answer: Answer | None = None
-    connection: UpstreamConnection | None = None
-    record: UpstreamRecord | None = None
-
-
 class Forwarder:
     """Carries the requests of one gateway."""
 
@@ -69,20 +42,15 @@
         table: UpstreamTable,
         router: Router,
         names: HeaderNames,
-        decisions: DecisionLog,
-        metrics: GatewayMetrics,
-        lag: LoopLag,
+        log: RequestLog,
         apply_within: float,
     ) -> None:
         self._world = world
         self._table = table
         self._router = router
         self._names = names
-        self._decisions = decisions
-        self._metrics = metrics
-        self._lag = lag
+        self._log = log
         self._apply_within = apply_within
-        self._started_at = trio.current_time()
         self._in_flight = 0
 
     @property
@@ -123,21 +91,8 @@
     async def _refuse(
         self, connection: CallerConnection, request: CallerRequest, reply: Reply, reason: str
     ) -> None:
-        now = trio.current_time()
-        self._decisions.write(
-            RequestEnded(
-                id=request.header(self._names.request_id) or "",
-                route=f"{request.host}{request.path}",
-                status=reply.status,
-                reason=reason,
-                ms=_ms(now - request.arrived_at),
-                revision=self._world.steering.revision,
-                heard_ms=_ms(now - self._world.heard_at),
-                known_ms=_ms(now - self._world.covered_at),
-                up_ms=_ms(now - self._started_at),
-                lag_ms=_ms(self._lag.worst_s),
-            )
-        )
+        request_id = request.header(self._names.request_id) or ""
+        self._log.note_refused(request, request_id, reply.status, reason)
         await connection.reply(reply)
 
     def _task(self, request: CallerRequest, name: str, route: Route) -> Task | None:
@@ -172,7 +127,7 @@
         outcome = Outcome(Verdict.LEFT)
         if connection.has_left:
             # Nobody waits: a gateway that was frozen would bring what piled up to the upstreams.
-            self._note_end(task, 0, "the caller had left")
+            self._log.note_ended(task, 0, "the caller had left")
             raise CallerLeftError
         self._router.count_request(task, trio.current_time())
         async with trio.open_nursery() as nursery:
@@ -182,7 +137,7 @@
                 outcome = await self._attempts(connection, task)
             nursery.cancel_scope.cancel()
         if left.is_set() and outcome.answer is None:
-            self._note_end(task, 0, "the caller left")
+            self._log.note_ended(task, 0, "the caller left")
             raise CallerLeftError
         await self._answer(connection, task, outcome)
 
@@ -216,7 +171,7 @@
             ):
                 denied = "the budget for repeats is used up"
             if denied or choice is None:
-                self._note_denied(task, denied or task.refusal, outcome)
+                self._log.note_denied(task, denied or task.refusal, outcome)
                 return outcome
             task.tried.add(choice.record.registration.instance)
             earlier = outcome
@@ -237,14 +192,6 @@
             return "no time left"
         return ""
 
-    def _note_denied(self, task: Task, reason: str, outcome: Outcome) -> None:
-        self._metrics.count_denied(task.service, reason)
-        self._decisions.write(
-            RepeatDenied(
-                id=task.request_id, service=task.service, reason=reason, after=outcome.detail
-            )
-        )
-
     async def _attempt(self, connection: CallerConnection, task: Task, choice: Choice) -> Outcome:
         record = choice.record
         now = started = trio.current_time()
@@ -277,7 +224,7 @@
             self._table.note_ended(record, task.request_id)
             if outcome.detail == CANCELLED and trio.current_time() >= task.deadline:
                 self._note_unanswered(task, record, upstream)
-            self._note_attempt(task, choice, outcome, started)
+            self._log.note_attempt(task, choice, outcome, started)
             if upstream is not None:
                 if whole:
                     self._table.put_back(record, upstream)
@@ -297,30 +244,6 @@
         if upstream is not None and upstream.is_kept:
             record.close_idle()
 
-    def _note_attempt(self, task: Task, choice: Choice, outcome: Outcome, started: float) -> None:
-        registration = choice.record.registration
-        self._metrics.count_attempt(task.service, outcome.verdict.value)
-        self._decisions.write(
-            AttemptEnded(
-                id=task.request_id,
-                number=task.attempts,
-                key=task.key,
-                upstream=registration.instance,
-                zone=registration.zone,
-                region=choice.region,
-                reason=choice.reason.value,
-                busy=round(choice.busy, 1),
-                slots=registration.slots,
-                report_ms=_ms(choice.report_age),
-                heard_ms=_ms(choice.heard_age),
-                kept=round(choice.kept_part, 3),
-                choices=task.choices,
-                result=outcome.verdict.value,
-                detail=outcome.detail,
-                ms=_ms(trio.current_time() - started),
-            )
-        )
-
     async def _exchange(
         self,
         connection: CallerConnection,
@@ -397,7 +320,7 @@
 
     async def _answer(self, connection: CallerConnection, task: Task, outcome: Outcome) -> None:
         if outcome.answer is not None:
-            self._note_end(task, outcome.answer.status, "answered")
+            self._log.note_ended(task, outcome.answer.status, "answered")
             await self._pass_on(connection, outcome)
             return
         out_of_time = trio.current_time() >= task.deadline
@@ -405,31 +328,9 @@
             reply = _come_back(503)
         else:
             reply = Reply(504 if out_of_time else 502)
-        self._note_end(task, reply.status, outcome.detail)
+        self._log.note_ended(task, reply.status, outcome.detail)
         await connection.reply(reply)
 
-    def _note_end(self, task: Task, status: int, reason: str) -> None:
-        now = trio.current_time()
-        self._metrics.count_request(
-            task.service, task.route.priority, status, now - task.request.arrived_at
-        )
-        self._decisions.write(
-            RequestEnded(
-                id=task.request_id,
-                route=task.route_name,
-                service=task.service,
-                priority=task.route.priority,
-                status=status,
-                reason=reason,
-                attempts=task.attempts,
-                ms=_ms(now - task.request.arrived_at),
-                budget_ms=_ms(task.deadline - task.request.arrived_at),
-                revision=self._world.steering.revision,
-                heard_ms=_ms(now - self._world.heard_at),
-                known_ms=_ms(now - self._world.covered_at),
-            )
-        )
-
     async def _pass_on(self, connection: CallerConnection, outcome: Outcome) -> None:
         answer = outcome.answer
         headers = [(n, v) for n, v in answer.headers if n not in HOP_HEADERS]
@@ -452,11 +353,6 @@
             upstream.close()
 
 
-def _ms(seconds: float) -> float:
-    """Return milliseconds; -1 for something that never was."""
-    return round(seconds * 1000, 1) if seconds != float("inf") else -1.0
-
-
 def _come_back(status: int) -> Reply:
     """Return a refusal that says when to come back.
 
--- /dev/null
+++ b/src/finchway/gateway/_request_log.py
@@ -0,0 +1,114 @@
+"""What a gateway logs and counts of callers' requests and of the attempts for them."""
+
+from __future__ import annotations
+
+import trio
+
+from finchway.feed import World
+from finchway.gateway._http import CallerRequest
+from finchway.gateway._outcome import Outcome
+from finchway.gateway._task import Choice, Task
+from finchway.observe import (
+    AttemptEnded,
+    DecisionLog,
+    GatewayMetrics,
+    LoopLag,
+    RepeatDenied,
+    RequestEnded,
+)
+
+
+class RequestLog:
+    """The lines and figures on requests; each line has what was believed when it was written."""
+
+    def __init__(
+        self, world: World, decisions: DecisionLog, metrics: GatewayMetrics, lag: LoopLag
+    ) -> None:
+        self._world = world
+        self._decisions = decisions
+        self._metrics = metrics
+        self._lag = lag
+        self._started_at = trio.current_time()
+
+    def note_refused(
+        self, request: CallerRequest, request_id: str, status: int, reason: str
+    ) -> None:
+        """Log a request that was answered before it was known what to do with it."""
+        now = trio.current_time()
+        self._decisions.write(
+            RequestEnded(
+                id=request_id,
+                route=f"{request.host}{request.path}",
+                status=status,
+                reason=reason,
+                ms=_ms(now - request.arrived_at),
+                revision=self._world.steering.revision,
+                heard_ms=_ms(now - self._world.heard_at),
+                known_ms=_ms(now - self._world.covered_at),
+                up_ms=_ms(now - self._started_at),
+                lag_ms=_ms(self._lag.worst_s),
+            )
+        )
+
+    def note_ended(self, task: Task, status: int, reason: str) -> None:
+        """Log and count the end of a request; status 0 if its caller got no answer."""
+        now = trio.current_time()
+        request = task.request
+        self._metrics.count_request(
+            task.service, task.route.priority, status, now - request.arrived_at
+        )
+        self._decisions.write(
+            RequestEnded(
+                id=task.request_id,
+                route=task.route_name,
+                service=task.service,
+                priority=task.route.priority,
+                status=status,
+                reason=reason,
+                attempts=task.attempts,
+                ms=_ms(now - request.arrived_at),
+                budget_ms=_ms(task.deadline - request.arrived_at),
+                revision=self._world.steering.revision,
+                heard_ms=_ms(now - self._world.heard_at),
+                known_ms=_ms(now - self._world.covered_at),
+            )
+        )
+
+    def note_attempt(self, task: Task, choice: Choice, outcome: Outcome, started: float) -> None:
+        """Log and count an attempt, with what decided for its upstream."""
+        registration = choice.record.registration
+        self._metrics.count_attempt(task.service, outcome.verdict.value)
+        self._decisions.write(
+            AttemptEnded(
+                id=task.request_id,
+                number=task.attempts,
+                key=task.key,
+                upstream=registration.instance,
+                zone=registration.zone,
+                region=choice.region,
+                reason=choice.reason.value,
+                busy=round(choice.busy, 1),
+                slots=registration.slots,
+                report_ms=_ms(choice.report_age),
+                heard_ms=_ms(choice.heard_age),
+                kept=round(choice.kept_part, 3),
+                choices=task.choices,
+                result=outcome.verdict.value,
+                detail=outcome.detail,
+                ms=_ms(trio.current_time() - started),
+            )
+        )
+
+    def note_denied(self, task: Task, reason: str, outcome: Outcome) -> None:
+        """Log and count that no further attempt is made."""
+        self._metrics.count_denied(task.service, reason)
+        self._decisions.write(
+            RepeatDenied(
+                id=task.request_id, service=task.service, reason=reason, after=outcome.detail
+            )
+        )
+
+
+def _ms(seconds: float) -> float:
+    """Return milliseconds; -1 for something that never was."""
+    return round(seconds * 1000, 1) if seconds != float("inf") else -1.0
--- a/src/finchway/gateway/_role.py
+++ b/src/finchway/gateway/_role.py
@@ -14,6 +14,7 @@
 from finchway.gateway._forward import Forwarder
 from finchway.gateway._http import HttpServer
 from finchway.gateway._names import HeaderNames
+from finchway.gateway._request_log import RequestLog
 from finchway.gateway._router import Router
 from finchway.gateway._session import GatewaySession
 from finchway.gateway._table import UpstreamTable
@@ -59,9 +60,7 @@
             self._table,
             router,
             names,
-            decisions,
-            self._metrics,
-            self._lag,
+            RequestLog(self._world, decisions, self._metrics, self._lag),
             bounds.apply_within,
         )
         beat = GatewayBeat(
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -9,7 +9,15 @@
 
 from finchway.catalog import Backend, Item, ItemKind, Limits, Route, RouteType, ServiceSpec
 from finchway.feed import Feed, GatewayPeer, HeardUpstream, Roster, World
-from finchway.gateway import Bounds, Forwarder, HeaderNames, HttpServer, Router, UpstreamTable
+from finchway.gateway import (
+    Bounds,
+    Forwarder,
+    HeaderNames,
+    HttpServer,
+    RequestLog,
+    Router,
+    UpstreamTable,
+)
 from finchway.observe import DecisionLog, GatewayMetrics, LogWriter, LoopLag
 from finchway.registry import Registration, UpstreamState
 from finchway.state import ChangeItems, Steering
@@ -174,9 +182,7 @@
             self.table,
             router,
             NAMES,
-            self.decisions,
-            GatewayMetrics("g1"),
-            LoopLag(),
+            RequestLog(self.world, self.decisions, GatewayMetrics("g1"), LoopLag()),
             bounds.apply_within,
         )
         self.steering = Steering()
