Help a zone whose gateways have full links by the gateways of its region

Cause: callers were told the gateways of their own zone, whatever these could bear; on a full link the news of control waits with everything else, so configuration grew old there, with known routes too. What: a gateway's beat says that its link is pressed, if even the quickest answer of control of the last second was 0.3 s and more on the way; while half of a zone's gateways say so, and 8 s after, its callers are named the region's.

--- a/src/finchway/control/_steering.py
+++ b/src/finchway/control/_steering.py
@@ -98,8 +98,10 @@
         allowed = frozenset(
             name for route in catalog.routes_of_host(host) for name in route.allowed_regions
         )
-        live = self._control.feed.gateways.live(trio.current_time())
-        named = choose_gateways([heard.beat for heard in live], region, zone, allowed)
+        now = trio.current_time()
+        book = self._control.feed.gateways
+        beats = [heard.beat for heard in book.live(now)]
+        named = choose_gateways(beats, region, zone, allowed, book.is_pressed(zone, now))
         if not named:
             raise UnavailableError("no gateway is known to be ready")
         return named
--- a/src/finchway/feed/_book.py
+++ b/src/finchway/feed/_book.py
@@ -6,6 +6,13 @@
 
 from finchway.feed._messages import GatewayBeat, GatewayPeer, RegionDemand
 
+# Seconds for which a zone counts as pressed after its gateways have said so. Its callers go to the
+# whole region meanwhile, so its gateways say so no more; callers keep answers for up to 3 s, and
+# come back to a zone that is still too small for them only once in this time.
+HELPED_FOR_S = 8.0
+# Part of a zone's gateways that are pressed when the zone is.
+PRESSED_PART = 0.5
+
 
 class HeardGateway(Struct, frozen=True):
     """A gateway's newest word and its age in seconds."""
@@ -20,6 +27,7 @@
     def __init__(self, silent_after: float) -> None:
         self._silent_after = silent_after
         self._heard: dict[str, tuple[GatewayBeat, float]] = {}
+        self._pressed_at: dict[str, float] = {}
 
     def record(self, beat: GatewayBeat, heard_at: float) -> None:
         """Take in a beat; an older one of the same life is passed over."""
@@ -29,6 +37,8 @@
             if heard_at < held[1] or (same_life and held[0].sequence > beat.sequence):
                 return
         self._heard[beat.name] = (beat, heard_at)
+        if beat.pressed:
+            self._note_pressed(beat.zone, heard_at)
 
     def live(self, now: float) -> list[HeardGateway]:
         """Return the gateways that were heard lately, by name."""
@@ -60,6 +70,16 @@
             for (region, service), rate in sorted(sums.items())
         ]
 
+    def is_pressed(self, zone: str, now: float) -> bool:
+        """Tell whether a zone's callers ask for more than the links of its gateways carry."""
+        return now - self._pressed_at.get(zone, float("-inf")) <= HELPED_FOR_S
+
+    def _note_pressed(self, zone: str, now: float) -> None:
+        beats = [beat for beat, _ in self._heard.values() if beat.zone == zone]
+        pressed = sum(beat.pressed for beat in beats)
+        if pressed >= PRESSED_PART * len(beats):
+            self._pressed_at[zone] = now
+
     def _forget(self, now: float) -> None:
         oldest = now - self._silent_after
         for name in [n for n, (_, heard_at) in self._heard.items() if heard_at < oldest]:
--- a/src/finchway/feed/_messages.py
+++ b/src/finchway/feed/_messages.py
@@ -20,6 +20,7 @@
 
     `address` is for callers and `peer` for finchway's processes. `leaving` means that it must not
     be named to callers any more; `revision` is the steering revision that it has in force.
+    `pressed` tells that its link is full: even the quickest answer of control is long on the way.
     """
 
     name: str
@@ -33,6 +34,7 @@
     revision: int = 0
     sequence: int = 0
     rates: list[ServiceRate] = []
+    pressed: bool = False
 
 
 class RegionDemand(Struct, frozen=True, array_like=True):
--- a/src/finchway/gateway/_session.py
+++ b/src/finchway/gateway/_session.py
@@ -15,6 +15,7 @@
 from finchway.feed import Feed, GatewayBeat, ServiceRate, Subscribe, World
 from finchway.gateway._feed_log import FeedLog
 from finchway.gateway._question import HeardReplica, Turn
+from finchway.gateway._transit import TransitMeter
 from finchway.transport import Link
 
 _LOG = logging.getLogger(__name__)
@@ -55,6 +56,7 @@
         self._world = world
         self._seeds = seeds
         self._rates = rates
+        self._transits = TransitMeter()
         self._sequence = 0
         self._leaving = False
         self._asking: set[str] = set()
@@ -193,6 +195,8 @@
             return None
         if not isinstance(answer, Feed):
             return None
+        now = trio.current_time()
+        self._transits.note(now - asked_at - answer.held, now)
         self._log.note_answer(address, question, asked_at, answer, ANSWER_WITHIN_S)
         return answer
 
@@ -224,4 +228,5 @@
             revision=self._world.steering.revision,
             sequence=self._sequence,
             rates=self._rates(),
+            pressed=self._transits.is_pressed(trio.current_time()),
         )
--- a/tests/unit/test_registry.py
+++ b/tests/unit/test_registry.py
@@ -15,6 +15,7 @@
     World,
     choose_gateways,
 )
+from finchway.feed._book import HELPED_FOR_S
 from finchway.registry import Registration, Registry, UpstreamState
 from finchway.state import Steering
 from tests.unit.test_catalog import change, route, service
@@ -156,6 +157,27 @@
     assert len(choose_gateways([*whole, *even], "north", "z", frozenset())) == 6
 
 
+def test_a_zone_whose_links_are_pressed_is_helped_by_its_region_for_a_while():
+    book = GatewayBook(100.0)
+    others = [beat(f"w{n}", zone="y") for n in range(4)]
+    for number in range(4):
+        book.record(beat(f"l{number}", zone="z", pressed=number == 3, sequence=1), 1.0)
+    for other in others:
+        book.record(other, 1.0)
+
+    def named(zone, now):
+        beats = [heard.beat for heard in book.live(now)]
+        return len(choose_gateways(beats, "north", zone, frozenset(), book.is_pressed(zone, now)))
+
+    assert named("z", 1.0) == 4
+    book.record(beat("l1", zone="z", pressed=True, sequence=2), 2.0)
+    assert (named("z", 2.0), named("y", 2.0)) == (8, 4)
+    for number in range(4):
+        book.record(beat(f"l{number}", zone="z", sequence=3), 3.0)
+    assert named("z", 9.0) == 8
+    assert named("z", 2.0 + HELPED_FOR_S + 0.1) == 4
+
+
 def test_the_world_takes_ages_into_account_and_never_goes_back():
     steering = Steering()
     steering.change_items(change(service(), route()))
