Answer a deadline that is not a finite number with 400

Cause: read in the code: "nan" passed for a number and ended the caller's connection by an internal error. Figures: of four malformed deadlines one got 400 before (nan: the connection broke off; inf and -inf were taken as numbers); now all four. The three cases fail on the code before.

--- a/src/finchway/gateway/_forward.py
+++ b/src/finchway/gateway/_forward.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 import trio
@@ -104,6 +105,8 @@
             patience = float(allowed) / 1000 if allowed else route.timeout
         except ValueError:
             return None
+        if not math.isfinite(patience):
+            return None
         deadline = request.arrived_at + min(patience, route.timeout)
         service = self._router.split(name, route)
         key = request.header(self._names.affinity_key) if route.affinity else None
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -452,3 +452,11 @@
         assert header_of(head, b"connection") == b"close"
         with pytest.raises(OSError):
             await subject.connect()
+
+
+@pytest.mark.parametrize("deadline", [b"nan", b"inf", b"-inf", b"soon"])
+@on_trio
+async def test_a_malformed_deadline_is_400(deadline):
+    async with gateway(Upstream("i-1", serve_well)) as subject:
+        status, _, _ = await (await subject.connect()).ask(deadline_ms=deadline)
+        assert status == 400
