Log pressed zones and late heartbeats at replicas; leave first answers out of a link's judgement

Cause: why callers of a zone are named other gateways, and which heartbeats were passed over, could not be read off. First answers are large and press a narrow link themselves, so each start of all replicas would have had all zones count as pressed for 8 s (read in the code, not seen). What: belief lines when a zone begins or ceases to be pressed, as a caller asks, and for each late heartbeat; only answers of a replica process that is known, and not its first answers' rest, tell of the link.

--- a/src/finchway/control/_feed.py
+++ b/src/finchway/control/_feed.py
@@ -69,10 +69,12 @@
         """How many upstreams this replica holds to be silent."""
         return len(self._roster.silent)
 
-    def hear(self, registration: Registration) -> None:
-        """Take in a heartbeat of an upstream."""
-        if self._registry.record(registration, trio.current_time()):
+    def hear(self, registration: Registration) -> bool:
+        """Take in a heartbeat of an upstream; False for one that came late."""
+        is_news = self._registry.record(registration, trio.current_time())
+        if is_news:
             self._fresh.append(registration.instance)
+        return is_news
 
     def hear_shared(self, shared: ShareHeard) -> None:
         """Take in what a fellow replica heard."""
--- a/src/finchway/control/_steering.py
+++ b/src/finchway/control/_steering.py
@@ -18,7 +18,7 @@
     UnavailableError,
 )
 from finchway.feed import choose_gateways
-from finchway.observe import DecisionLog, OrderEnded, ReplicaMetrics, ReplicaState
+from finchway.observe import BeliefChanged, DecisionLog, OrderEnded, ReplicaMetrics, ReplicaState
 from finchway.registry import MarkKind, Registration, UpstreamState
 from finchway.state import (
     AnyCommand,
@@ -48,6 +48,7 @@
         self._control = control
         self._decisions = decisions
         self._metrics = metrics
+        self._pressed: set[str] = set()
 
     @property
     def control(self) -> ControlServer:
@@ -79,7 +80,8 @@
     async def hear(self, registration: Registration) -> None:
         """Take in an upstream's heartbeat; one that says that it leaves is committed first."""
         self._metrics.count_heartbeat()
-        self._control.feed.hear(registration)
+        if not self._control.feed.hear(registration):
+            self._note_late(registration)
         if registration.state is UpstreamState.DRAINING:
             await self._mark(registration.instance, MarkKind.DRAINING)
 
@@ -101,11 +103,32 @@
         now = trio.current_time()
         book = self._control.feed.gateways
         beats = [heard.beat for heard in book.live(now)]
-        named = choose_gateways(beats, region, zone, allowed, book.is_pressed(zone, now))
+        is_pressed = book.is_pressed(zone, now)
+        self._note_pressed(zone, is_pressed)
+        named = choose_gateways(beats, region, zone, allowed, is_pressed)
         if not named:
             raise UnavailableError("no gateway is known to be ready")
         return named
 
+    def _note_late(self, registration: Registration) -> None:
+        self._decisions.write(
+            BeliefChanged(
+                subject=f"upstream/{registration.instance}",
+                now=f"heartbeat {registration.sequence} came late and is passed over",
+                source=f"{registration.service} {registration.address}",
+            )
+        )
+
+    def _note_pressed(self, zone: str, is_pressed: bool) -> None:
+        """Log when callers of a zone begin, or cease, to be named its whole region's gateways."""
+        if is_pressed == (zone in self._pressed):
+            return
+        self._pressed ^= {zone}
+        now, before = ("pressed", "not pressed") if is_pressed else ("not pressed", "pressed")
+        self._decisions.write(
+            BeliefChanged(subject=f"zone/{zone}", now=now, before=before, source="gateways")
+        )
+
     async def _mark(self, instance: str, kind: MarkKind) -> None:
         held = self._control.runner.machine.steering.marks.get(instance)
         if held is not None and (held.kind is kind or held.kind is MarkKind.GONE):
--- a/src/finchway/gateway/_session.py
+++ b/src/finchway/gateway/_session.py
@@ -195,8 +195,10 @@
             return None
         if not isinstance(answer, Feed):
             return None
-        now = trio.current_time()
-        self._transits.note(now - asked_at - answer.held, now)
+        if answer.life == question.life and not question.rest:
+            # A first answer and its rest are large: they press the link themselves, for a moment.
+            now = trio.current_time()
+            self._transits.note(now - asked_at - answer.held, now)
         self._log.note_answer(address, question, asked_at, answer, ANSWER_WITHIN_S)
         return answer
 
