Keep requests that end upstreams from them: reported to the replicas, committed, known everywhere

Cause: what a request did to upstreams was forgotten with it, so each try began with all its attempts. Now a gateway looks whether an upstream still listens when its connection breaks under a request; those that ended are reported, and the replicated log holds which requests ended how many since they were last answered. Ruled out: memory of one gateway (each may see one end; lost at a restart); memory of replicas (lost when all restart); 4xx as the answer (it is concluded, not known); counting connections that broke (lost answers and resets do that too); waiting with the second attempt (most others are served by it).

--- a/src/finchway/control/_server.py
+++ b/src/finchway/control/_server.py
@@ -16,7 +16,7 @@
 from finchway.control._repair import ReplicaPlan, with_expected, without_name
 from finchway.control._replica import ReplicaRunner
 from finchway.exceptions import ConflictError, FinchwayError, NotLeaderError, UnavailableError
-from finchway.feed import ShareHeard, Subscribe
+from finchway.feed import ReportedRequests, ShareHeard, Subscribe
 from finchway.membership import (
     Coordinator,
     Heartbeat,
@@ -28,7 +28,7 @@
 from finchway.observe import EventKind, Timeline
 from finchway.policy import LoanTiming
 from finchway.resources import DrainStatus, InstanceState, MoveStatus, Resource
-from finchway.state import AnyCommand, AnyResult
+from finchway.state import AnyCommand, AnyResult, ReportRequests
 from finchway.transport import (
     AnyBody,
     ChangeReplicas,
@@ -131,6 +131,10 @@
             case ShareHeard():
                 self._feed.hear_shared(body)
                 return None
+            case ReportedRequests(reports=reports):
+                now_ms = int(time.time() * 1000)
+                await self.submit(ReportRequests(now_ms=now_ms, reports=reports))
+                return Ok()
             case Heartbeat():
                 return self._on_heartbeat(body)
             case HeartbeatBatch(heartbeats=heartbeats):
--- a/src/finchway/control/_steering.py
+++ b/src/finchway/control/_steering.py
@@ -153,6 +153,8 @@
                 upstreams_silent=feed.silent_count,
                 gateways=len(feed.gateways.live(now)),
                 log_lines_dropped=self._decisions.writer.dropped,
+                suspects=len(runner.machine.steering.suspects),
+                suspects_dropped=runner.machine.steering.suspects.dropped,
             )
         )
 
--- a/src/finchway/feed/_messages.py
+++ b/src/finchway/feed/_messages.py
@@ -5,7 +5,7 @@
 from msgspec import Struct
 
 from finchway.registry import Registration
-from finchway.state import SteeringImage
+from finchway.state import RequestReport, SteeringImage
 
 
 class ServiceRate(Struct, frozen=True, array_like=True):
@@ -117,6 +117,12 @@
     demand: list[RegionDemand] | None = None
 
 
+class ReportedRequests(Struct, frozen=True, kw_only=True, tag=True):
+    """Have reports on requests under which upstreams ended committed."""
+
+    reports: list[RequestReport]
+
+
 class ShareHeard(Struct, frozen=True, kw_only=True, tag=True):
     """Pass on to fellow replicas the heartbeats of upstreams that were heard here."""
 
--- a/src/finchway/gateway/__init__.py
+++ b/src/finchway/gateway/__init__.py
@@ -5,10 +5,12 @@
 from finchway.gateway._forward import Forwarder
 from finchway.gateway._http import CallerConnection, CallerRequest, HttpServer, Reply
 from finchway.gateway._names import HeaderNames
+from finchway.gateway._reports import ReportSender
 from finchway.gateway._request_log import RequestLog
 from finchway.gateway._role import GatewayRole, GatewaySettings
 from finchway.gateway._router import Router
 from finchway.gateway._session import GatewaySession
+from finchway.gateway._suspects import Clearance, SuspectDesk
 from finchway.gateway._table import UpstreamTable
 from finchway.gateway._task import Choice, ChoiceReason, Task
 
@@ -18,6 +20,7 @@
     "CallerRequest",
     "Choice",
     "ChoiceReason",
+    "Clearance",
     "FeedLog",
     "Forwarder",
     "GatewayRole",
@@ -26,8 +29,10 @@
     "HeaderNames",
     "HttpServer",
     "Reply",
+    "ReportSender",
     "RequestLog",
     "Router",
+    "SuspectDesk",
     "Task",
     "UpstreamTable",
 ]
--- a/src/finchway/gateway/_connection.py
+++ b/src/finchway/gateway/_connection.py
@@ -29,9 +29,13 @@
 
 
 class Failure(Enum):
-    """How an attempt failed: before anything was sent, or after; `SILENT` for want of any sign."""
+    """How an attempt failed: before anything was sent, or after; `SILENT` for want of any sign.
+
+    `REFUSED` is a connection that was not made since nothing listens at the address.
+    """
 
     NOT_CONNECTED = "not-connected"
+    REFUSED = "refused"
     BROKEN = "broken"
     SILENT = "silent"
 
@@ -90,6 +94,9 @@
         try:
             with trio.fail_after(CONNECT_TIMEOUT_S):
                 await sock.connect((host, int(port)))
+        except ConnectionRefusedError as error:
+            sock.close()
+            raise AttemptError(Failure.REFUSED, f"connect: {error!r}") from error
         except (OSError, trio.TooSlowError) as error:
             sock.close()
             raise AttemptError(Failure.NOT_CONNECTED, f"connect: {error!r}") from error
--- a/src/finchway/gateway/_feed_log.py
+++ b/src/finchway/gateway/_feed_log.py
@@ -68,6 +68,11 @@
         for evacuation in feed.image.evacuations:
             now = "evacuated" if evacuation.active else "in use"
             self._note_belief(f"zone/{evacuation.zone}", now, evacuation.revision)
+        for suspect in feed.image.suspects:
+            source = f"control; ended: {', '.join(suspect.ended) or 'none'}"
+            self._note_belief(
+                f"request/{suspect.request}", suspect.state.value, suspect.revision, source
+            )
         self._decisions.write(
             BeliefChanged(
                 subject="configuration",
@@ -78,9 +83,9 @@
             )
         )
 
-    def _note_belief(self, subject: str, now: str, revision: int) -> None:
+    def _note_belief(self, subject: str, now: str, revision: int, source: str = "control") -> None:
         self._decisions.write(
-            BeliefChanged(subject=subject, now=now, source="control", revision=revision)
+            BeliefChanged(subject=subject, now=now, source=source, revision=revision)
         )
 
     def _write(
--- a/src/finchway/gateway/_forward.py
+++ b/src/finchway/gateway/_forward.py
@@ -22,6 +22,7 @@
 from finchway.gateway._record import SHED_REST_S, UpstreamRecord
 from finchway.gateway._request_log import RequestLog
 from finchway.gateway._router import Router
+from finchway.gateway._suspects import Clearance, SuspectDesk
 from finchway.gateway._table import UpstreamTable
 from finchway.gateway._task import Choice, Task
 
@@ -44,8 +45,10 @@
         router: Router,
         names: HeaderNames,
         log: RequestLog,
+        suspects: SuspectDesk,
         apply_within: float,
     ) -> None:
+        self._suspects = suspects
         self._world = world
         self._table = table
         self._router = router
@@ -132,18 +135,35 @@
             # Nobody waits: a gateway that was frozen would bring what piled up to the upstreams.
             self._log.note_ended(task, 0, "the caller had left")
             raise CallerLeftError
+        clearance = self._suspects.clearance(task, trio.current_time())
+        if clearance is Clearance.REFUSED:
+            await self._refuse_quarantined(connection, task)
+            return
+        task.once = clearance is Clearance.ONCE
         self._router.count_request(task, trio.current_time())
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch, connection, task, left, nursery.cancel_scope)
-            with trio.move_on_at(task.deadline):
+            with trio.move_on_at(task.deadline), self._suspects.carrying(task), task.scope:
                 outcome = Outcome(Verdict.NOT_RUN, "deadline")
                 outcome = await self._attempts(connection, task)
             nursery.cancel_scope.cancel()
+        if task.is_quarantined and outcome.answer is None:
+            verdict = Verdict.UNKNOWN if task.attempts else Verdict.NOT_RUN
+            outcome = Outcome(verdict, "quarantined while under way")
         if left.is_set() and outcome.answer is None:
             self._log.note_ended(task, 0, "the caller left")
             raise CallerLeftError
         await self._answer(connection, task, outcome)
 
+    async def _refuse_quarantined(self, connection: CallerConnection, task: Task) -> None:
+        """Refuse a request at once that no upstream will be given soon, and say when to come back.
+
+        It is refused as not run, not denied: that it ends upstreams is concluded, not known.
+        """
+        after = self._suspects.quarantined_for(task)
+        self._log.note_quarantined(task)
+        await connection.reply(Reply(503, headers=((b"Retry-After", f"{after:.0f}".encode()),)))
+
     async def _watch(
         self,
         connection: CallerConnection,
@@ -193,6 +213,8 @@
             return "it may have run and must not run twice"
         if task.deadline - now < _LEAST_LEFT_S:
             return "no time left"
+        if task.once or not self._suspects.may_repeat(task, now):
+            return "upstreams have ended under it"
         return ""
 
     async def _attempt(self, connection: CallerConnection, task: Task, choice: Choice) -> Outcome:
@@ -213,7 +235,7 @@
         except AttemptError as error:
             now = trio.current_time()
             self._router.note_broken(record)
-            if error.failure is Failure.NOT_CONNECTED:
+            if error.failure in (Failure.NOT_CONNECTED, Failure.REFUSED):
                 record.fail(now)
                 record.close_idle()
                 outcome = Outcome(Verdict.NOT_RUN, error.detail, record=record)
@@ -222,6 +244,8 @@
                 outcome = Outcome(Verdict.UNKNOWN, error.detail, record=record)
                 if error.failure is Failure.SILENT:
                     record.close_idle()
+                else:
+                    self._suspects.note_broken(task, record)
             return outcome
         finally:
             self._table.note_ended(record, task.request_id)
@@ -302,6 +326,9 @@
         if not refused:
             record.succeed()
             self._router.note_answer(task, choice, answer.status, now - sent_at, now)
+            if answer.status < 500:
+                # One that an upstream gave up at the deadline may never have begun.
+                self._suspects.note_answered(task)
             return Outcome(Verdict.ANSWERED, "", answer, upstream, record)
         if answer.status == 421:
             record.fail(now)
--- a/src/finchway/gateway/_http.py
+++ b/src/finchway/gateway/_http.py
@@ -43,7 +43,10 @@
 
 
 class CallerRequest(Struct):
-    """A request as it was read; `more` tells that only the start of its body is in `body`."""
+    """A request as it was read; `more` tells that only the start of its body is in `body`.
+
+    `caller` is the address that its connection comes from, without the port.
+    """
 
     method: str
     target: str
@@ -52,6 +55,7 @@
     body: bytes
     arrived_at: float
     more: bool = False
+    caller: str = ""
 
     @property
     def path(self) -> str:
@@ -71,6 +75,7 @@
 
     def __init__(self, stream: trio.SocketStream, limits: Callable[[], Limits]) -> None:
         self._stream = stream
+        self._caller = _address_of(stream)
         self._limits = limits
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=max(limits().header_bytes, 1024)
@@ -130,6 +135,7 @@
             list(head.headers),
             b"",
             arrived_at,
+            caller=self._caller,
         )
         request.host = (request.header(b"host") or "").partition(":")[0]
         declared = request.header(b"content-length")
@@ -275,6 +281,14 @@
             raise CallerLeftError from error
 
 
+def _address_of(stream: trio.SocketStream) -> str:
+    """Return the address at the other end of a connection; empty if it has ended already."""
+    try:
+        return str(stream.socket.getpeername()[0])
+    except OSError:
+        return ""
+
+
 Serve = Callable[[CallerConnection, CallerRequest], Awaitable[None]]
 
 
--- a/src/finchway/gateway/_request_log.py
+++ b/src/finchway/gateway/_request_log.py
@@ -6,15 +6,18 @@
 
 from finchway.feed import World
 from finchway.gateway._http import CallerRequest
-from finchway.gateway._outcome import Outcome
+from finchway.gateway._outcome import Outcome, Verdict
+from finchway.gateway._record import UpstreamRecord
 from finchway.gateway._task import Choice, Task
 from finchway.observe import (
     AttemptEnded,
+    BeliefChanged,
     DecisionLog,
     GatewayMetrics,
     LoopLag,
     RepeatDenied,
     RequestEnded,
+    UpstreamEnded,
 )
 
 
@@ -68,6 +71,7 @@
                 attempts=task.attempts,
                 ms=_ms(now - request.arrived_at),
                 budget_ms=_ms(task.deadline - request.arrived_at),
+                digest="" if 0 < status < 400 else task.digest,
                 revision=self._world.steering.revision,
                 heard_ms=_ms(now - self._world.heard_at),
                 known_ms=_ms(now - self._world.covered_at),
@@ -95,10 +99,43 @@
                 choices=task.choices,
                 result=outcome.verdict.value,
                 detail=outcome.detail,
+                digest=task.fingerprint if outcome.verdict is Verdict.UNKNOWN else "",
                 ms=_ms(trio.current_time() - started),
             )
         )
 
+    def note_quarantined(self, task: Task) -> None:
+        """Log and count a request that is refused since upstreams end under it."""
+        self._metrics.count_quarantined(task.service)
+        self.note_ended(task, 503, "quarantined: upstreams end under it")
+
+    def note_ended_under(self, task: Task, record: UpstreamRecord, ended: int) -> None:
+        """Log and count that an upstream has ended while it had a request."""
+        request = task.request
+        self._metrics.count_upstream_ended(task.service)
+        self._decisions.write(
+            UpstreamEnded(
+                id=task.request_id,
+                digest=task.fingerprint,
+                caller=request.caller,
+                target=f"{request.method} {request.host}{request.path}",
+                upstream=record.registration.life,
+                address=record.registration.address,
+                ended=ended,
+                under_way=record.in_flight,
+            )
+        )
+
+    def note_unexamined(self, task: Task, record: UpstreamRecord) -> None:
+        """Log that too many connections broke at once to look at this one's upstream."""
+        self._decisions.write(
+            BeliefChanged(
+                subject=f"upstream/{record.registration.instance}",
+                now="a connection broke, and it is not looked at whether it ended",
+                source=f"request/{task.fingerprint}",
+            )
+        )
+
     def note_denied(self, task: Task, reason: str, outcome: Outcome) -> None:
         """Log and count that no further attempt is made."""
         self._metrics.count_denied(task.service, reason)
--- a/src/finchway/gateway/_role.py
+++ b/src/finchway/gateway/_role.py
@@ -14,9 +14,11 @@
 from finchway.gateway._forward import Forwarder
 from finchway.gateway._http import HttpServer
 from finchway.gateway._names import HeaderNames
+from finchway.gateway._reports import ReportSender
 from finchway.gateway._request_log import RequestLog
 from finchway.gateway._router import Router
 from finchway.gateway._session import GatewaySession
+from finchway.gateway._suspects import SuspectDesk
 from finchway.gateway._table import UpstreamTable
 from finchway.observe import DecisionLog, GatewayMetrics, GatewayState, LoopLag
 from finchway.transport import Link
@@ -55,12 +57,16 @@
         self._world = World()
         self._table = UpstreamTable(settings.name, zones, self._world, bounds, decisions)
         router = Router(settings.zone, zones, self._world, self._table, bounds)
+        log = RequestLog(self._world, decisions, self._metrics, self._lag)
+        self._reports = ReportSender(link, lambda: self._session.answering)
+        self._suspects = SuspectDesk(self._world, self._table, log, self._reports.put)
         self._forwarder = Forwarder(
             self._world,
             self._table,
             router,
             names,
-            RequestLog(self._world, decisions, self._metrics, self._lag),
+            log,
+            self._suspects,
             bounds.apply_within,
         )
         beat = GatewayBeat(
@@ -78,6 +84,7 @@
             seeds,
             router.rates,
             FeedLog(decisions, self._metrics, self._lag),
+            self._suspects.learn,
         )
         self._server = HttpServer(
             settings.address,
@@ -109,6 +116,9 @@
             upstreams=self._table.states(),
             gateways=len(self._world.serving),
             log_lines_dropped=self._decisions.writer.dropped,
+            suspects=len(self._world.steering.suspects),
+            reports_waiting=self._reports.waiting,
+            reports_dropped=self._reports.dropped,
         )
         return self._metrics.render(state)
 
@@ -121,6 +131,8 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._lag.run)
             nursery.start_soon(self._session.run)
+            nursery.start_soon(self._suspects.run)
+            nursery.start_soon(self._reports.run)
             await nursery.start(self._server.run)
             task_status.started()
 
--- a/src/finchway/gateway/_session.py
+++ b/src/finchway/gateway/_session.py
@@ -16,6 +16,7 @@
 from finchway.gateway._feed_log import FeedLog
 from finchway.gateway._question import HeardReplica, Turn
 from finchway.gateway._transit import TransitMeter
+from finchway.state import Suspect
 from finchway.transport import Link
 
 _LOG = logging.getLogger(__name__)
@@ -49,8 +50,10 @@
         seeds: Callable[[], list[str]],
         rates: Callable[[], list[ServiceRate]],
         log: FeedLog,
+        learn_suspects: Callable[[list[Suspect]], None] = lambda suspects: None,
     ) -> None:
         self._log = log
+        self._learn_suspects = learn_suspects
         self._beat = beat
         self._link = link
         self._world = world
@@ -71,6 +74,12 @@
         """Whether the gateway has said that it must not be named any more."""
         return self._leaving
 
+    @property
+    def answering(self) -> list[str]:
+        """The replicas that answer; all that are known if none does."""
+        known = self._addresses()
+        return sorted(self._answered & set(known)) or known
+
     async def run(self) -> None:
         """Ask each known replica until cancelled; replicas come and go."""
         async with trio.open_nursery() as nursery:
@@ -214,6 +223,7 @@
         before = self._world.steering.revision
         if self._world.learn(feed, trio.current_time(), asked_at):
             self._log.note_learned(feed, before, self._world.steering.revision)
+            self._learn_suspects(feed.image.suspects)
 
     def _current_beat(self) -> GatewayBeat:
         self._sequence += 1
--- /dev/null
+++ b/src/finchway/gateway/_suspects.py
@@ -0,0 +1,206 @@
+"""Which requests may be sent to upstreams, by what became of the upstreams that ran them before.
+
+A request may end each upstream that begins to run it, and its caller sends it again and again, at
+any gateway. So what one attempt shows outlives its request: it is kept here at once, and reported
+to the replicas, whose table holds what all gateways have seen.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from enum import Enum
+
+import trio
+from msgspec import Struct
+
+from finchway.feed import World
+from finchway.gateway._connection import AttemptError, Failure
+from finchway.gateway._record import UpstreamRecord
+from finchway.gateway._request_log import RequestLog
+from finchway.gateway._table import UpstreamTable
+from finchway.gateway._task import Task
+from finchway.state import (
+    QUARANTINE_AFTER,
+    QUARANTINED_FOR_MS,
+    RequestReport,
+    Suspect,
+    SuspectState,
+)
+
+# Seconds for which an upstream that ended here speaks against a request, whatever replicas say.
+REMEMBERED_FOR_S = 60.0
+# Requests that are remembered here: the replicas' table holds those of all gateways.
+MOST_REMEMBERED = 256
+# Upstreams that wait to be looked at after a connection broke; when all upstreams end at once, some
+# of the requests that were under way at each are enough to tell.
+MOST_EXAMINED = 64
+# Seconds that callers of a quarantined request are told to stay away at least: its time may be over
+# by this instance's clock, and not yet by that of the replicas.
+COME_BACK_LEAST_S = 10.0
+
+
+class Clearance(Enum):
+    """How often a request may be sent: as its route says, once at most, or not at all."""
+
+    FREE = "free"
+    ONCE = "once"
+    REFUSED = "refused"
+
+
+class _Seen(Struct):
+    """The lives of upstreams that ended here under a request, and when the last one did."""
+
+    lives: set[str]
+    last_at: float
+
+
+class SuspectDesk:
+    """Judges the requests of one gateway, and finds out whether upstreams ended under them."""
+
+    def __init__(
+        self,
+        world: World,
+        table: UpstreamTable,
+        log: RequestLog,
+        report: Callable[[RequestReport], None],
+    ) -> None:
+        self._world = world
+        self._table = table
+        self._log = log
+        self._report = report
+        self._seen: dict[str, _Seen] = {}
+        self._carried: set[Task] = set()
+        self._examine, self._to_examine = trio.open_memory_channel[tuple[Task, UpstreamRecord]](
+            MOST_EXAMINED
+        )
+
+    def clearance(self, task: Task, now: float) -> Clearance:
+        """Tell how often a request may be sent, counting what it has done to upstreams before."""
+        if self._knows_nothing():
+            return Clearance.FREE
+        held = self._world.steering.suspects.get(task.fingerprint)
+        lives = self._lives_here(task, now)
+        if held is None or not held.is_current:
+            return _judge(len(lives))
+        match held.state:
+            case SuspectState.QUARANTINED:
+                return Clearance.REFUSED
+            case SuspectState.ON_TRIAL:
+                is_new = not lives.issubset(held.ended)
+                return Clearance.REFUSED if is_new else Clearance.ONCE
+        return _judge(len(lives.union(held.ended)))
+
+    def may_repeat(self, task: Task, now: float) -> bool:
+        """Tell whether a request may be sent to a further upstream.
+
+        The first upstream that ends under it may have had another reason: most requests that are
+        under way at one that ends are served by the next.
+        """
+        if self._knows_nothing():
+            return True
+        held = self._world.steering.suspects.get(task.fingerprint)
+        is_suspect = held is not None and held.is_current
+        return not is_suspect and len(self._lives_here(task, now)) <= 1
+
+    def quarantined_for(self, task: Task) -> float:
+        """Return the seconds after which a request that is refused may be tried again."""
+        held = self._world.steering.suspects.get(task.fingerprint)
+        first = QUARANTINED_FOR_MS[0] / 1000
+        if held is None or held.state is not SuspectState.QUARANTINED:
+            return first
+        return max(COME_BACK_LEAST_S, held.until_ms / 1000 - time.time())
+
+    @contextmanager
+    def carrying(self, task: Task) -> Iterator[None]:
+        """Break a request off if it is quarantined while it is under way."""
+        self._carried.add(task)
+        try:
+            yield
+        finally:
+            self._carried.discard(task)
+
+    def note_broken(self, task: Task, record: UpstreamRecord) -> None:
+        """Take in that a connection broke under a request, and find out whether its upstream ended.
+
+        It may only have lost an answer; then a new connection comes up.
+        """
+        try:
+            self._examine.send_nowait((task, record))
+        except trio.WouldBlock:
+            self._log.note_unexamined(task, record)
+
+    def note_answered(self, task: Task) -> None:
+        """Take in that an upstream has run a request and lives."""
+        if self._knows_nothing():
+            return
+        seen = self._seen.pop(task.fingerprint, None)
+        held = self._world.steering.suspects.get(task.fingerprint)
+        if seen is not None or (held is not None and held.is_current):
+            self._report(RequestReport(task.fingerprint, answered=True))
+
+    def learn(self, suspects: list[Suspect]) -> None:
+        """Take in what replicas tell; quarantined requests that are under way are broken off."""
+        quarantined = set()
+        for suspect in suspects:
+            if suspect.state is SuspectState.QUARANTINED:
+                quarantined.add(suspect.request)
+            elif suspect.state is SuspectState.CLEARED:
+                self._seen.pop(suspect.request, None)
+        if quarantined:
+            self._break_off(quarantined)
+
+    async def run(self) -> None:
+        """Look at the upstreams of broken connections, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            async for task, record in self._to_examine:
+                nursery.start_soon(self._look_at, task, record)
+
+    async def _look_at(self, task: Task, record: UpstreamRecord) -> None:
+        """Note that an upstream ended, if nothing listens at its address any more."""
+        now = trio.current_time()
+        try:
+            connection = await self._table.connect_anew(record)
+        except AttemptError as error:
+            if error.failure is Failure.REFUSED:
+                self._note_ended(task, record, now)
+            return
+        self._table.keep(record, connection)
+
+    def _note_ended(self, task: Task, record: UpstreamRecord, now: float) -> None:
+        life = record.registration.life
+        seen = self._seen.pop(task.fingerprint, None) or _Seen(set(), now)
+        self._seen[task.fingerprint] = seen
+        seen.lives.add(life)
+        seen.last_at = now
+        if len(self._seen) > MOST_REMEMBERED:
+            del self._seen[next(iter(self._seen))]
+        self._log.note_ended_under(task, record, len(seen.lives))
+        self._report(RequestReport(task.fingerprint, (life,)))
+        if len(seen.lives) >= QUARANTINE_AFTER:
+            self._break_off({task.fingerprint})
+
+    def _break_off(self, quarantined: set[str]) -> None:
+        for task in [task for task in self._carried if task.fingerprint in quarantined]:
+            task.is_quarantined = True
+            task.scope.cancel()
+
+    def _lives_here(self, task: Task, now: float) -> set[str]:
+        seen = self._seen.get(task.fingerprint)
+        if seen is None:
+            return set()
+        if now - seen.last_at > REMEMBERED_FOR_S:
+            del self._seen[task.fingerprint]
+            return set()
+        return seen.lives
+
+    def _knows_nothing(self) -> bool:
+        """Tell whether no request is suspect, so that none needs a digest."""
+        return not self._seen and not self._world.steering.suspects
+
+
+def _judge(ended: int) -> Clearance:
+    if ended >= QUARANTINE_AFTER:
+        return Clearance.REFUSED
+    return Clearance.ONCE if ended else Clearance.FREE
--- a/src/finchway/gateway/_table.py
+++ b/src/finchway/gateway/_table.py
@@ -169,16 +169,26 @@
             if connection.is_usable(now):
                 return connection
             connection.close()
+        return await self.connect_anew(record)
+
+    async def connect_anew(self, record: UpstreamRecord) -> UpstreamConnection:
+        """Return a new connection; raises `AttemptError`."""
         self._opened += 1
         return await UpstreamConnection.open(
             record.registration.address, record.registration.instance
         )
 
     def put_back(self, record: UpstreamRecord, connection: UpstreamConnection) -> None:
-        """Keep a connection for further requests, or close it."""
+        """Keep a connection for further requests after an answer, or close it."""
+        if connection.release(trio.current_time()):
+            self.keep(record, connection)
+        else:
+            connection.close()
+
+    def keep(self, record: UpstreamRecord, connection: UpstreamConnection) -> None:
+        """Keep a connection on which nothing is under way, or close it."""
         known = self._records.get(record.registration.instance) is record
-        now = trio.current_time()
-        if known and len(record.idle) < IDLE_KEPT and connection.release(now):
+        if known and len(record.idle) < IDLE_KEPT:
             record.idle.append(connection)
         else:
             connection.close()
--- a/src/finchway/gateway/_task.py
+++ b/src/finchway/gateway/_task.py
@@ -8,15 +8,18 @@
 from msgspec import Struct, field
 
 from finchway.catalog import Route
+from finchway.gateway._fingerprint import fingerprint
 from finchway.gateway._http import CallerRequest
 from finchway.gateway._record import UpstreamRecord
 
 
-class Task(Struct):
+class Task(Struct, eq=False):
     """A request on its way; `refusal` says why no upstream was chosen.
 
     `has_key` tells whether the caller named the thing that the request concerns; `key` is the
-    request's id otherwise. `is_read` is set once the caller has nothing more to send.
+    request's id otherwise. `is_read` is set once the caller has nothing more to send. `once` allows
+    a single attempt. Cancelling `scope` ends the attempts; `is_quarantined` tells that this was
+    done since upstreams end under the request.
     """
 
     request: CallerRequest
@@ -32,6 +35,17 @@
     tried: set[str] = set()
     has_key: bool = True
     is_read: trio.Event = field(default_factory=trio.Event)
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    once: bool = False
+    is_quarantined: bool = False
+    digest: str = ""
+
+    @property
+    def fingerprint(self) -> str:
+        """The same for each time that its caller sends it; worked out when it is first needed."""
+        if not self.digest:
+            self.digest = fingerprint(self.request)
+        return self.digest
 
 
 class ChoiceReason(Enum):
--- a/src/finchway/observe/__init__.py
+++ b/src/finchway/observe/__init__.py
@@ -13,6 +13,7 @@
     RegionShare,
     RepeatDenied,
     RequestEnded,
+    UpstreamEnded,
 )
 from finchway.observe._events import Event, EventKind, LogicalClock, Timeline, merge
 from finchway.observe._gateway_metrics import GatewayMetrics, GatewayState
@@ -46,6 +47,7 @@
     "ReplicaState",
     "RequestEnded",
     "Timeline",
+    "UpstreamEnded",
     "configure_logs",
     "merge",
 ]
--- a/src/finchway/observe/_decisions.py
+++ b/src/finchway/observe/_decisions.py
@@ -29,7 +29,8 @@
     `revision` is the configuration that routed it, `heard_ms` the age of the newest feed, and
     `known_ms` the age of the moment up to which all that was accepted is known here. Refusals
     before any attempt also tell `up_ms`, the age of the process, and `lag_ms`, how late its
-    event loop ran in the last second.
+    event loop ran in the last second. `digest` is the same each time that a caller sends the
+    same request; it is there for those that failed, once any is suspected of ending upstreams.
     """
 
     id: str
@@ -46,6 +47,7 @@
     known_ms: float = -1.0
     up_ms: float = -1.0
     lag_ms: float = -1.0
+    digest: str = ""
 
     @property
     def is_vital(self) -> bool:
@@ -59,7 +61,8 @@
     What decided stands as it was when the choice was made: `reason` is home, relief, trial or
     other-region; `busy` the estimated requests at the upstream, resting on a report of `report_ms`
     before (-1: none); `heard_ms` the age of the newest word of a replica; `kept` the part of the
-    service's requests that this region keeps.
+    service's requests that this region keeps. `digest` names the request, whenever it is sent,
+    where it is not known how the attempt ended.
     """
 
     id: str
@@ -77,6 +80,7 @@
     choices: int
     result: str
     detail: str = ""
+    digest: str = ""
     ms: float
 
     @property
@@ -85,6 +89,23 @@
         return self.result != "answered"
 
 
+class UpstreamEnded(Decision, frozen=True, kw_only=True, tag="upstream-ended"):
+    """An upstream's connection broke under a request, and nothing listens at its address any more.
+
+    `digest` names the request whenever it is sent; `ended` counts the upstreams that ended under it
+    as seen by this gateway, and `under_way` are its other requests there.
+    """
+
+    id: str
+    digest: str
+    caller: str
+    target: str
+    upstream: str
+    address: str
+    ended: int
+    under_way: int
+
+
 class RepeatDenied(Decision, frozen=True, kw_only=True, tag="repeat-denied"):
     """A further attempt was not made, and why."""
 
@@ -180,6 +201,7 @@
 AnyDecision = (
     RequestEnded
     | AttemptEnded
+    | UpstreamEnded
     | RepeatDenied
     | FeedEnded
     | BeliefChanged
--- a/src/finchway/observe/_gateway_metrics.py
+++ b/src/finchway/observe/_gateway_metrics.py
@@ -25,6 +25,9 @@
     upstreams: dict[str, int]
     gateways: int
     log_lines_dropped: int
+    suspects: int = 0
+    reports_waiting: int = 0
+    reports_dropped: int = 0
 
 
 class GatewayMetrics:
@@ -42,6 +45,18 @@
         self._denied = Counter(
             "finchway_gateway_repeats_denied_total", "Attempts not repeated", labels, registry
         )
+        self._ended = Counter(
+            "finchway_gateway_upstreams_ended_total",
+            "Upstreams that ended under a request, by request",
+            labels,
+            registry,
+        )
+        self._quarantined = Counter(
+            "finchway_gateway_requests_quarantined_total",
+            "Requests refused since upstreams end under them",
+            labels,
+            registry,
+        )
         self._feeds = Counter(
             "finchway_gateway_feeds_total", "Questions to replicas by outcome", labels, registry
         )
@@ -74,6 +89,14 @@
         """Count one attempt at an upstream."""
         self._attempts.inc({"service": service, "result": result})
 
+    def count_upstream_ended(self, service: str) -> None:
+        """Count a request under which an upstream ended."""
+        self._ended.inc({"service": service})
+
+    def count_quarantined(self, service: str) -> None:
+        """Count a request that was refused since upstreams end under it."""
+        self._quarantined.inc({"service": service})
+
     def count_feed(self, transit_s: float | None) -> None:
         """Count one question to a replica; None for one that was given up."""
         if transit_s is None:
@@ -98,6 +121,9 @@
             "upstream_connections_opened": state.upstream_connections_opened,
             "gateways": state.gateways,
             "log_lines_dropped": state.log_lines_dropped,
+            "suspect_requests": state.suspects,
+            "reports_waiting": state.reports_waiting,
+            "reports_dropped": state.reports_dropped,
         }
         for name, value in figures.items():
             self._gauge.set({"name": name}, value)
--- a/src/finchway/observe/_replica_metrics.py
+++ b/src/finchway/observe/_replica_metrics.py
@@ -24,6 +24,8 @@
     upstreams_silent: int
     gateways: int
     log_lines_dropped: int
+    suspects: int = 0
+    suspects_dropped: int = 0
 
 
 class ReplicaMetrics:
@@ -70,6 +72,8 @@
             "upstreams_silent": state.upstreams_silent,
             "gateways": state.gateways,
             "log_lines_dropped": state.log_lines_dropped,
+            "suspect_requests": state.suspects,
+            "suspect_requests_dropped": state.suspects_dropped,
         }
         for name, value in figures.items():
             self._gauge.set({"name": name}, value)
--- a/src/finchway/registry/_upstream.py
+++ b/src/finchway/registry/_upstream.py
@@ -37,6 +37,11 @@
     cold_for: float = 0.0
     version: str = ""
 
+    @property
+    def life(self) -> str:
+        """The name of this one start of the upstream."""
+        return self.instance
+
     def says_same(self, earlier: Registration) -> bool:
         """Tell whether it differs from an earlier heartbeat only in what time changes."""
         return (
--- a/src/finchway/state/__init__.py
+++ b/src/finchway/state/__init__.py
@@ -19,6 +19,7 @@
     PutResource,
     PutStatus,
     Rejected,
+    ReportRequests,
     Reused,
     SetEvacuation,
     SettleClaim,
@@ -30,8 +31,18 @@
 from finchway.state._history import History
 from finchway.state._machine import StateMachine, encode_resource
 from finchway.state._steering import Evacuation, Steering, SteeringImage
+from finchway.state._suspects import (
+    QUARANTINE_AFTER,
+    QUARANTINED_FOR_MS,
+    RequestReport,
+    Suspect,
+    Suspects,
+    SuspectState,
+)
 
 __all__ = [
+    "QUARANTINED_FOR_MS",
+    "QUARANTINE_AFTER",
     "Accepted",
     "AnyCommand",
     "AnyResult",
@@ -53,6 +64,8 @@
     "PutResource",
     "PutStatus",
     "Rejected",
+    "ReportRequests",
+    "RequestReport",
     "Reused",
     "SetEvacuation",
     "SettleClaim",
@@ -60,6 +73,9 @@
     "Steered",
     "Steering",
     "SteeringImage",
+    "Suspect",
+    "SuspectState",
+    "Suspects",
     "VersionTaken",
     "decode_command",
     "encode_command",
--- a/src/finchway/state/_commands.py
+++ b/src/finchway/state/_commands.py
@@ -14,6 +14,7 @@
 from finchway.catalog import Item
 from finchway.registry import MarkKind
 from finchway.resources import Status
+from finchway.state._suspects import RequestReport
 
 
 class ClaimState(Enum):
@@ -112,6 +113,12 @@
     active: bool
 
 
+class ReportRequests(Command):
+    """Take in what gateways have seen of requests under which upstreams ended."""
+
+    reports: list[RequestReport]
+
+
 AnyCommand = (
     PutResource
     | DeleteResource
@@ -122,6 +129,7 @@
     | ChangeItems
     | MarkUpstream
     | SetEvacuation
+    | ReportRequests
 )
 
 
--- a/src/finchway/state/_machine.py
+++ b/src/finchway/state/_machine.py
@@ -100,12 +100,15 @@
             case c.Expire():
                 self._claims.expire(self._now_ms)
                 self._answers.expire(self._now_ms)
+                self._steering.expire(self._now_ms)
             case c.ChangeItems():
                 return self._steering.change_items(command)
             case c.MarkUpstream():
                 return self._steering.mark_upstream(command)
             case c.SetEvacuation():
                 return self._steering.set_evacuation(command)
+            case c.ReportRequests():
+                return self._steering.report_requests(command, self._now_ms)
         return c.Done()
 
     def snapshot(self) -> bytes:
--- a/src/finchway/state/_steering.py
+++ b/src/finchway/state/_steering.py
@@ -1,4 +1,4 @@
-"""The replicated state of steering: the catalog, evacuated zones, and marks of leaving upstreams.
+"""The replicated state of steering: catalog, evacuated zones, leaving upstreams, suspect requests.
 
 Each effective command takes the next revision, and everything carries the revision that brought
 it. So whoever is behind gets just what is newer, without a history.
@@ -11,6 +11,7 @@
 from finchway.catalog import Catalog, HeldItem
 from finchway.registry import Mark, MarkKind
 from finchway.state import _commands as c
+from finchway.state._suspects import Suspect, Suspects
 
 MARKS_KEPT = 20_000
 
@@ -30,6 +31,7 @@
     items: list[HeldItem] = []
     marks: list[Mark] = []
     evacuations: list[Evacuation] = []
+    suspects: list[Suspect] = []
 
 
 class Steering:
@@ -41,6 +43,7 @@
         self._catalog = Catalog(image.items)
         self._marks = {mark.instance: mark for mark in image.marks}
         self._evacuations = {e.zone: e for e in image.evacuations}
+        self._suspects = Suspects(image.suspects)
 
     @property
     def revision(self) -> int:
@@ -62,19 +65,28 @@
         """The zones that are evacuated."""
         return frozenset(e.zone for e in self._evacuations.values() if e.active)
 
+    @property
+    def suspects(self) -> Suspects:
+        """The requests under which upstreams have ended."""
+        return self._suspects
+
     def evacuation(self, zone: str) -> Evacuation | None:
         """Return the newest word on a zone."""
         return self._evacuations.get(zone)
 
     def image(self, since: int = -1) -> SteeringImage:
-        """Return everything that is newer than a revision, in a stable order."""
-        if since >= self._revision:
+        """Return everything that is newer than a revision, in a stable order.
+
+        Since -1 it is the whole state; since 0, all of it that gateways have to know.
+        """
+        if since >= self._revision and since >= 0:
             return SteeringImage(self._revision)
         return SteeringImage(
             self._revision,
             [held for held in self._catalog.held if held.revision > since],
             sorted((m for m in self._marks.values() if m.revision > since), key=_order),
             sorted((e for e in self._evacuations.values() if e.revision > since), key=_order),
+            self._suspects.since(since),
         )
 
     def merge(self, image: SteeringImage) -> bool:
@@ -87,6 +99,8 @@
             self._marks[mark.instance] = mark
         for evacuation in image.evacuations:
             self._evacuations[evacuation.zone] = evacuation
+        for suspect in image.suspects:
+            self._suspects.put(suspect)
         self._revision = image.revision
         self._trim()
         return True
@@ -125,6 +139,16 @@
             )
         return c.Steered(self._revision)
 
+    def report_requests(self, command: c.ReportRequests, now_ms: int) -> c.AnyResult:
+        """Take in what gateways have seen of requests under which upstreams ended."""
+        for report in command.reports:
+            self._revision += self._suspects.report(report, now_ms, self._revision + 1)
+        return c.Steered(self._revision)
+
+    def expire(self, now_ms: int) -> None:
+        """Let time pass for the suspect requests."""
+        self._revision += self._suspects.expire(now_ms, self._revision + 1)
+
     def _trim(self) -> None:
         """Forget the oldest marks; instances are never reused, and old ones are long gone."""
         if len(self._marks) <= MARKS_KEPT:
--- /dev/null
+++ b/src/finchway/state/_suspects.py
@@ -0,0 +1,195 @@
+"""Requests under which upstreams have ended: the replicated table of suspects.
+
+A request is named by its digest, and an upstream that ended by the name of its life. Under a
+request that ends whatever runs it, upstream after upstream ends and none answers; one that only was
+under way when an upstream ended is answered by the next. So a suspect is a request under which
+upstreams have ended since it was last answered, whichever gateways saw that. One with several of
+them is quarantined: it is sent to no upstream until it is tried again, a long time later.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from msgspec import Struct
+from msgspec.structs import replace
+
+# Upstreams that end under a request before it is quarantined. Two may be chance, since an upstream
+# that ends takes all requests with it that are under way there.
+QUARANTINE_AFTER = 3
+# Milliseconds for which an upstream that ended speaks against a request: callers that try again do
+# so within seconds.
+SUSPECTED_FOR_MS = 60_000
+# Milliseconds until a request is tried again, by how often it has been quarantined. Each trial may
+# cost an upstream with all that is under way there, while waiting costs one caller one request.
+QUARANTINED_FOR_MS = (600_000, 3_600_000, 86_400_000)
+# Suspects that are held: 50 KB at the most in the first answer to a gateway.
+MOST_SUSPECTS = 512
+# Names of lives that are kept with a suspect, so that a report that comes twice counts once.
+LIVES_KEPT = 8
+
+
+class SuspectState(Enum):
+    """Where a request stands.
+
+    SUSPECTED: some upstreams have ended under it. QUARANTINED: it gets none. ON_TRIAL: it may be
+    sent again, and is quarantined again as soon as one more ends. CLEARED: nothing speaks against
+    it any more; kept for a while, so that all copies of the table learn of it.
+    """
+
+    SUSPECTED = "suspected"
+    QUARANTINED = "quarantined"
+    ON_TRIAL = "on-trial"
+    CLEARED = "cleared"
+
+
+class RequestReport(Struct, frozen=True, array_like=True):
+    """What a gateway has seen of a request: the lives that ended under it, or that it was answered.
+
+    An answer is newer than the ends in the same report.
+    """
+
+    request: str
+    ended: tuple[str, ...] = ()
+    answered: bool = False
+
+
+class Suspect(Struct, frozen=True, array_like=True):
+    """A request, the lives of upstreams that ended under it, and the revision that said so.
+
+    Revision 0 is that of a suspect with a single life: gateways need not hear of it. `until_ms` is
+    when the state changes by itself, on the log's clock; `quarantines` counts how often it was.
+    """
+
+    revision: int
+    request: str
+    state: SuspectState
+    ended: tuple[str, ...]
+    until_ms: int
+    quarantines: int = 0
+
+    @property
+    def is_current(self) -> bool:
+        """Whether anything speaks against the request."""
+        return self.state is not SuspectState.CLEARED
+
+
+class Suspects:
+    """The table; deterministic. Each change that gateways must hear of takes a new revision."""
+
+    def __init__(self, held: list[Suspect] = ()) -> None:
+        self._held = {suspect.request: suspect for suspect in held}
+        self._dropped = 0
+
+    def __len__(self) -> int:
+        return len(self._held)
+
+    def __bool__(self) -> bool:
+        return bool(self._held)
+
+    @property
+    def all(self) -> list[Suspect]:
+        """All suspects, in the order in which they last changed."""
+        return list(self._held.values())
+
+    @property
+    def dropped(self) -> int:
+        """How many were dropped here since others needed their place."""
+        return self._dropped
+
+    def get(self, request: str) -> Suspect | None:
+        """Return what is held of a request."""
+        return self._held.get(request)
+
+    def since(self, revision: int) -> list[Suspect]:
+        """Return the suspects that changed after a revision, by revision and name."""
+        newer = [suspect for suspect in self._held.values() if suspect.revision > revision]
+        return sorted(newer, key=lambda suspect: (suspect.revision, suspect.request))
+
+    def put(self, suspect: Suspect) -> None:
+        """Take in a suspect as another copy of the table holds it."""
+        self._held.pop(suspect.request, None)
+        self._held[suspect.request] = suspect
+        self._trim()
+
+    def report(self, report: RequestReport, now_ms: int, revision: int) -> bool:
+        """Take in a report; tells whether the revision, the next one, was taken for it."""
+        if report.answered:
+            return self.clear(report.request, now_ms, revision)
+        held = self._held.get(report.request)
+        if held is None or not held.is_current:
+            held = Suspect(0, report.request, SuspectState.SUSPECTED, (), 0)
+        news = [life for life in dict.fromkeys(report.ended) if life not in held.ended]
+        if not news:
+            return False
+        ended = (*held.ended, *news)
+        match held.state:
+            case SuspectState.QUARANTINED:
+                changed = replace(held, ended=ended[-LIVES_KEPT:])
+            case SuspectState.ON_TRIAL:
+                changed = _quarantined(held, ended, now_ms)
+            case _ if len(ended) >= QUARANTINE_AFTER:
+                changed = _quarantined(held, ended, now_ms)
+            case _:
+                changed = replace(held, ended=ended, until_ms=now_ms + SUSPECTED_FOR_MS)
+        is_told = len(ended) > 1
+        self.put(replace(changed, revision=revision if is_told else 0))
+        return is_told
+
+    def clear(self, request: str, now_ms: int, revision: int) -> bool:
+        """Note that nothing speaks against a request; tells whether the revision was taken."""
+        held = self._held.get(request)
+        if held is None or not held.is_current:
+            return False
+        if not held.revision:
+            del self._held[request]
+            return False
+        until_ms = now_ms + SUSPECTED_FOR_MS
+        self.put(Suspect(revision, request, SuspectState.CLEARED, (), until_ms))
+        return True
+
+    def expire(self, now_ms: int, revision: int) -> bool:
+        """Let time pass for what is due; tells whether the revision was taken."""
+        due = [suspect for suspect in self._held.values() if suspect.until_ms <= now_ms]
+        taken = False
+        for suspect in due:
+            match suspect.state:
+                case SuspectState.QUARANTINED:
+                    until_ms = now_ms + QUARANTINED_FOR_MS[-1]
+                    state = SuspectState.ON_TRIAL
+                    self.put(replace(suspect, revision=revision, state=state, until_ms=until_ms))
+                    taken = True
+                case SuspectState.CLEARED:
+                    del self._held[suspect.request]
+                case _:
+                    taken |= self.clear(suspect.request, now_ms, revision)
+        return taken
+
+    def _trim(self) -> None:
+        """Drop what says least: the cleared, then those with fewest ends, the oldest first."""
+        if len(self._held) <= MOST_SUSPECTS:
+            return
+        least = min(self._held.values(), key=_weight)
+        del self._held[least.request]
+        self._dropped += 1
+
+
+def _quarantined(held: Suspect, ended: tuple[str, ...], now_ms: int) -> Suspect:
+    seconds = QUARANTINED_FOR_MS[min(held.quarantines, len(QUARANTINED_FOR_MS) - 1)]
+    return replace(
+        held,
+        state=SuspectState.QUARANTINED,
+        ended=ended[-LIVES_KEPT:],
+        until_ms=now_ms + seconds,
+        quarantines=held.quarantines + 1,
+    )
+
+
+def _weight(suspect: Suspect) -> tuple[int, int]:
+    """Order suspects by how much would be lost with them; `min` takes the oldest of equals."""
+    match suspect.state:
+        case SuspectState.CLEARED:
+            return 0, 0
+        case SuspectState.SUSPECTED:
+            return 1, len(suspect.ended)
+    return 2, suspect.quarantines
--- a/src/finchway/transport/_messages.py
+++ b/src/finchway/transport/_messages.py
@@ -8,7 +8,7 @@
 
 from msgspec import Struct
 
-from finchway.feed import Feed, ShareHeard, Subscribe
+from finchway.feed import Feed, ReportedRequests, ShareHeard, Subscribe
 from finchway.membership import Heartbeat, HeartbeatReply
 from finchway.observe import Event
 from finchway.replication import AnyMessage, Member, Members
@@ -219,6 +219,7 @@
     | Subscribe
     | Feed
     | ShareHeard
+    | ReportedRequests
     | Ok
     | Failure
 )
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -16,11 +16,12 @@
     HttpServer,
     RequestLog,
     Router,
+    SuspectDesk,
     UpstreamTable,
 )
 from finchway.observe import DecisionLog, GatewayMetrics, LogWriter, LoopLag
 from finchway.registry import Registration, UpstreamState
-from finchway.state import ChangeItems, Steering
+from finchway.state import ChangeItems, RequestReport, Steering
 
 NAMES = HeaderNames()
 ZONES = {"north-a": "north", "south-a": "south"}
@@ -177,13 +178,11 @@
         self.decisions = DecisionLog("g1", self.writer)
         self.table = UpstreamTable("g1", lambda: ZONES, self.world, bounds, self.decisions)
         router = Router("north-a", lambda: ZONES, self.world, self.table, bounds)
+        log = RequestLog(self.world, self.decisions, GatewayMetrics("g1"), LoopLag())
+        self.reports: list[RequestReport] = []
+        self.suspects = SuspectDesk(self.world, self.table, log, self.reports.append)
         self.forwarder = Forwarder(
-            self.world,
-            self.table,
-            router,
-            NAMES,
-            RequestLog(self.world, self.decisions, GatewayMetrics("g1"), LoopLag()),
-            bounds.apply_within,
+            self.world, self.table, router, NAMES, log, self.suspects, bounds.apply_within
         )
         self.steering = Steering()
         self.told = 0
@@ -200,6 +199,7 @@
             address, self.forwarder.serve, lambda: self.world.steering.catalog.limits
         )
         assert limits.is_empty
+        self.nursery.start_soon(self.suspects.run)
         await self.nursery.start(self.server.run)
 
     def tell(self, upstreams=(), gateways=("g1",), **fields) -> None:
--- a/tests/gateway/test_deadly_requests.py
+++ b/tests/gateway/test_deadly_requests.py
@@ -10,7 +10,10 @@
 
 import trio
 
-from tests.gateway.harness import NAMES, Upstream, answer, gateway, header_of
+from finchway.catalog import RouteType
+from finchway.gateway._http import BUFFERED_BODY_BYTES
+from finchway.state import ReportRequests, RequestReport
+from tests.gateway.harness import NAMES, Caller, Upstream, answer, gateway, header_of
 
 DEADLY = b"/x/deadly/1"
 UPSTREAMS = 8
@@ -71,9 +74,17 @@
     return sum(r.split(b" ")[1] == path for u in upstreams for r in u.requests)
 
 
-async def ask(subject, number: int, path: bytes = DEADLY, **fields):
+async def connect_from(subject, source: str) -> Caller:
+    """Connect from an address of the loopback range."""
+    sock = trio.socket.socket()
+    await sock.bind((source, 0))
+    await sock.connect(subject.address)
+    return Caller(trio.SocketStream(sock))
+
+
+async def ask(subject, number: int, path: bytes = DEADLY, source: str = "127.0.0.1", **fields):
     """Ask on a connection of its own; returns status and head."""
-    caller = await subject.connect()
+    caller = await connect_from(subject, source)
     try:
         status, head, _ = await caller.ask(path=path, request_id=b"id-%d" % number, **fields)
         return status, head
@@ -81,12 +92,12 @@
         await caller.stream.aclose()
 
 
-def play(check, deadly=(DEADLY,)) -> None:
+def play(check, deadly=(DEADLY,), **route) -> None:
     """Run a check of a gateway with mortal upstreams."""
 
     async def run():
         upstreams = [Mortal(f"i-{n}", deadly) for n in range(UPSTREAMS)]
-        async with gateway(*upstreams) as subject:
+        async with gateway(*upstreams, **route) as subject:
             for upstream in upstreams:
                 upstream.subject = subject
             await check(subject, upstreams)
@@ -108,3 +119,153 @@
         assert (await ask(subject, TRIES + 1, path=b"/x/other"))[0] == 200
 
     play(check)
+
+
+def tell_reports(subject, *reports) -> None:
+    """Have the gateway learn what others have seen."""
+    subject.steering.report_requests(ReportRequests(now_ms=0, reports=list(reports)), 0)
+    image = subject.steering.image(subject.world.steering.revision)
+    subject.tell()
+    subject.suspects.learn(image.suspects)
+
+
+def test_other_callers_and_other_bodies_are_not_held_for_the_same_request():
+    async def check(subject, upstreams):
+        for number in range(3):
+            await ask(subject, number, method=b"POST", body=b"deadly")
+            await trio.sleep(0.1)
+        assert (await ask(subject, 3, method=b"POST", body=b"deadly"))[0] == 503
+        before = reached(upstreams)
+        await ask(subject, 4, method=b"POST", body=b"other")
+        await ask(subject, 5, method=b"POST", body=b"deadly", source="127.0.0.2")
+        assert reached(upstreams) > before + 1
+
+    play(check)
+
+
+def test_each_upstream_that_ends_is_reported_and_an_answer_as_well():
+    async def check(subject, upstreams):
+        await ask(subject, 1)
+        await trio.sleep(0.1)
+        digest = subject.reports[0].request
+        assert [r.request for r in subject.reports] == [digest] * 2
+        lives = {life for report in subject.reports for life in report.ended}
+        assert len(lives) == 2
+        assert lives <= {f"i-{n}" for n in range(UPSTREAMS)}
+        for upstream in upstreams:
+            upstream._deadly = ()
+        assert (await ask(subject, 2))[0] == 200
+        assert subject.reports[-1] == RequestReport(digest, answered=True)
+
+    play(check)
+
+
+def test_what_other_gateways_saw_counts_and_an_answer_there_as_well():
+    async def check(subject, upstreams):
+        await ask(subject, 1)
+        await trio.sleep(0.1)
+        digest = subject.reports[0].request
+        own = [life for report in subject.reports for life in report.ended]
+        tell_reports(subject, RequestReport(digest, (*own, "elsewhere")))
+        before = reached(upstreams)
+        assert (await ask(subject, 2))[0] == 503
+        assert reached(upstreams) == before
+        tell_reports(subject, RequestReport(digest, answered=True))
+        for upstream in upstreams:
+            upstream._deadly = ()
+        assert (await ask(subject, 3))[0] == 200
+
+    play(check)
+
+
+def test_a_suspect_request_is_sent_to_one_upstream_at_a_time():
+    async def check(subject, upstreams):
+        await ask(subject, 1, path=b"/x/well")
+        await ask(subject, 2)
+        await trio.sleep(0.1)
+        before = reached(upstreams)
+        assert before == 2
+        assert (await ask(subject, 3))[0] == 502
+        assert reached(upstreams) == before + 1
+
+    play(check)
+
+
+def test_a_quarantined_request_that_is_under_way_is_broken_off():
+    async def wait(upstream, stream, request):
+        started.set()
+        assert await stream.receive_some(1) == b""
+        return False
+
+    started = trio.Event()
+
+    async def run():
+        upstream = Upstream("i-1", wait)
+        async with gateway(upstream) as subject:
+            answers = []
+
+            async def call():
+                answers.append(await ask(subject, 1))
+
+            subject.nursery.start_soon(call)
+            await started.wait()
+            (task,) = subject.suspects._carried
+            tell_reports(subject, RequestReport(task.fingerprint, ("a", "b", "c")))
+            with trio.fail_after(1.0):
+                await upstream.ended.wait()
+                while not answers:
+                    await trio.sleep(0.01)
+            # It may have run: nothing that says otherwise.
+            assert answers[0][0] == 502
+
+    trio.run(run)
+
+
+def test_a_connection_that_breaks_at_a_living_upstream_does_not_count():
+    async def break_off(upstream, stream, request):
+        return False
+
+    async def run():
+        upstreams = [Upstream(f"i-{n}", break_off) for n in range(UPSTREAMS)]
+        async with gateway(*upstreams) as subject:
+            for number in range(TRIES):
+                assert (await ask(subject, number))[0] == 502
+                await trio.sleep(0.12)
+            assert subject.reports == []
+
+    trio.run(run)
+
+
+def test_requests_beside_a_deadly_one_are_served_by_others():
+    async def check(subject, upstreams):
+        statuses = []
+
+        async def call(number):
+            status, _ = await ask(subject, number, path=b"/x/beside/%d" % number)
+            statuses.append(status)
+
+        async with trio.open_nursery() as nursery:
+            for number in range(TRIES):
+                nursery.start_soon(ask, subject, 100 + number)
+                nursery.start_soon(call, number)
+                await trio.sleep(0.05)
+        assert statuses.count(200) >= TRIES - 1
+        assert (await ask(subject, 200, path=b"/x/beside/1"))[0] == 200
+
+    play(check)
+
+
+def test_a_request_that_may_run_once_is_told_apart_by_a_long_body():
+    body = b"x" * (BUFFERED_BODY_BYTES + 10)
+
+    async def check(subject, upstreams):
+        for number in range(3):
+            await ask(subject, number, method=b"POST", body=body)
+            await trio.sleep(0.1)
+        before = reached(upstreams)
+        assert (await ask(subject, 4, method=b"POST", body=body))[0] == 503
+        assert reached(upstreams) == before
+        await ask(subject, 5, method=b"POST", body=body + b"y")
+        assert reached(upstreams) == before + 1
+
+    play(check, type=RouteType.UNSAFE)
