Tell the lives of an upstream under one id apart by when each was born

Cause: one id stood for one life. Registry, holders of addresses, marks, rosters of the silent, records of gateways, reports on requests, lines and explanations now go by the life; without word of its start an upstream's id alone stands for it, as before. A later life ends the earlier at once: what is under way there is broken off, and the requests are examined. An earlier one is believed again only once the later has been silent for 5 s, so a clock that was set back heals within seconds. Ruled out: one mark for an id, that of the life born last: a life whose clock was set back could not leave.

--- a/src/finchway/control/_feed.py
+++ b/src/finchway/control/_feed.py
@@ -140,7 +140,7 @@
             silent=(
                 held.silent
                 if silent is None
-                else sorted(heard.registration.instance for heard in silent)
+                else sorted(heard.registration.life for heard in silent)
             ),
             replicas=[
                 ReplicaAddress(member.name, member.address)
--- a/src/finchway/control/_steering.py
+++ b/src/finchway/control/_steering.py
@@ -19,7 +19,7 @@
 )
 from finchway.feed import choose_gateways
 from finchway.observe import BeliefChanged, DecisionLog, OrderEnded, ReplicaMetrics, ReplicaState
-from finchway.registry import MarkKind, Registration, UpstreamState
+from finchway.registry import MarkKind, Registration, UpstreamState, name_life
 from finchway.state import (
     AnyCommand,
     ChangeItems,
@@ -83,11 +83,14 @@
         if not self._control.feed.hear(registration):
             self._note_late(registration)
         if registration.state is UpstreamState.DRAINING:
-            await self._mark(registration.instance, MarkKind.DRAINING)
+            await self._mark(registration.instance, registration.born, MarkKind.DRAINING)
 
-    async def deregister(self, instance: str) -> None:
-        """Note that an upstream is gone."""
-        await self._mark(instance, MarkKind.GONE)
+    async def deregister(self, instance: str, born: int = 0) -> None:
+        """Note that a life of an upstream is gone: if it is not told which, that heard last."""
+        heard = self._control.feed.registry.get(instance)
+        if heard is not None and not (born and heard.registration.born):
+            born = heard.registration.born
+        await self._mark(instance, born, MarkKind.GONE)
 
     async def evacuate(self, zone: str, active: bool) -> None:
         """Begin or end the evacuation of a zone."""
@@ -113,7 +116,7 @@
     def _note_late(self, registration: Registration) -> None:
         self._decisions.write(
             BeliefChanged(
-                subject=f"upstream/{registration.instance}",
+                subject=f"upstream/{registration.life}",
                 now=f"heartbeat {registration.sequence} came late and is passed over",
                 source=f"{registration.service} {registration.address}",
             )
@@ -129,12 +132,14 @@
             BeliefChanged(subject=f"zone/{zone}", now=now, before=before, source="gateways")
         )
 
-    async def _mark(self, instance: str, kind: MarkKind) -> None:
-        held = self._control.runner.machine.steering.marks.get(instance)
+    async def _mark(self, instance: str, born: int, kind: MarkKind) -> None:
+        life = name_life(instance, born)
+        held = self._control.runner.machine.steering.marks.get(life)
         if held is not None and (held.kind is kind or held.kind is MarkKind.GONE):
             return
-        with self._noted(kind.value, f"upstream/{instance}"):
-            await self._submit(MarkUpstream(now_ms=_now_ms(), instance=instance, kind=kind))
+        command = MarkUpstream(now_ms=_now_ms(), instance=instance, kind=kind, born=born)
+        with self._noted(kind.value, f"upstream/{life}"):
+            await self._submit(command)
 
     def render_metrics(self) -> bytes:
         """Return the replica's figures in the Prometheus text form."""
--- a/src/finchway/control/_steering_api.py
+++ b/src/finchway/control/_steering_api.py
@@ -12,6 +12,7 @@
 from finchway.control._steering import SteeringService
 from finchway.exceptions import Finding, NotFoundError, ResourceError
 from finchway.registry import Registration
+from finchway.state import Steering
 
 _SPECS = {ItemKind.ROUTE: Route, ItemKind.SERVICE: ServiceSpec, ItemKind.LIMITS: Limits}
 
@@ -27,6 +28,10 @@
     active: bool
 
 
+class _Leaving(Struct, forbid_unknown_fields=True):
+    born: int = 0
+
+
 class UpstreamRow(Struct, frozen=True):
     """An upstream as a replica knows it; `age_s` is that of its newest heartbeat."""
 
@@ -93,7 +98,8 @@
                 await self._service.hear(_convert(named, Registration, "body"))
                 return {"instance": instance}
             case "DELETE", ["upstreams", instance]:
-                await self._service.deregister(instance)
+                born = _convert(_decode(body or b"{}"), _Leaving, "body").born
+                await self._service.deregister(instance, born)
                 return {"instance": instance}
         raise NotFoundError(f"no such call below /v1/steering: {method} {'/'.join(parts)}")
 
@@ -113,7 +119,7 @@
                     heard.registration.address,
                     heard.registration.zone,
                     heard.registration.slots,
-                    _state(heard.registration, steering.marks),
+                    _state(heard.registration, steering),
                     round(now - heard.heard_at, 3),
                 )
                 for heard in control.feed.registry.all()
@@ -163,8 +169,8 @@
     return items
 
 
-def _state(registration: Registration, marks: dict) -> str:
-    mark = marks.get(registration.instance)
+def _state(registration: Registration, steering: Steering) -> str:
+    mark = steering.mark_of(registration)
     return mark.kind.value if mark else registration.state.value
 
 
--- a/src/finchway/feed/_messages.py
+++ b/src/finchway/feed/_messages.py
@@ -69,8 +69,8 @@
 class Roster(Struct, frozen=True, kw_only=True):
     """Who is there, as one replica sees it; it is sent whole, and only when it has changed.
 
-    `serving` are the gateways that take callers, in order of their names; `silent` are the
-    upstreams whose heartbeats stopped; `version` counts this replica process's changes.
+    `serving` are the gateways that take callers, in order of their names; `silent` are the lives
+    of upstreams whose heartbeats stopped; `version` counts this replica process's changes.
     """
 
     version: int = 0
--- a/src/finchway/feed/_world.py
+++ b/src/finchway/feed/_world.py
@@ -142,9 +142,9 @@
         word = self._words.get(life)
         return word.roster.version if word else 0
 
-    def is_silent(self, instance: str) -> bool:
-        """Tell whether all fresh replicas say that an upstream's heartbeats have stopped."""
-        return instance in self._silent
+    def is_silent(self, life: str) -> bool:
+        """Tell whether all fresh replicas say that a life's heartbeats have stopped."""
+        return life in self._silent
 
     def evacuation_changed_at(self, zone: str) -> float:
         """When this gateway learned of the newest word on a zone's evacuation."""
@@ -171,8 +171,12 @@
     def forget_silent(self, now: float) -> None:
         """Drop the upstreams that have been silent for long."""
         oldest = now - FORGET_SILENT_AFTER_S
-        for instance in [name for name, since in self._silent_since.items() if since < oldest]:
-            self._registry.remove(instance)
+        long_silent = {life for life, since in self._silent_since.items() if since < oldest}
+        if not long_silent:
+            return
+        for heard in self._registry.all():
+            if heard.registration.life in long_silent:
+                self._registry.remove(heard.registration.instance)
 
     def _learn_word(self, feed: Feed, now: float) -> None:
         word = self._words.get(feed.life)
--- a/src/finchway/gateway/_forward.py
+++ b/src/finchway/gateway/_forward.py
@@ -226,6 +226,7 @@
         outcome = Outcome(Verdict.UNKNOWN, CANCELLED)
         try:
             upstream = await self._table.connect(record, now)
+            record.in_use.add(upstream)
             task.attempts += 1
             answer = await self._exchange(connection, task, record, upstream)
             outcome = self._judge(task, choice, upstream, answer, now)
@@ -253,6 +254,7 @@
                 self._note_unanswered(task, record, upstream)
             self._log.note_attempt(task, choice, outcome, started)
             if upstream is not None:
+                record.in_use.discard(upstream)
                 if whole:
                     self._table.put_back(record, upstream)
                 elif not streams:
--- a/src/finchway/gateway/_record.py
+++ b/src/finchway/gateway/_record.py
@@ -23,7 +23,7 @@
 
 
 class UpstreamRecord:
-    """One incarnation of an upstream."""
+    """One life of an upstream."""
 
     __slots__ = (
         "answered_keys",
@@ -31,6 +31,7 @@
         "failures",
         "idle",
         "in_flight",
+        "in_use",
         "pacer",
         "registration",
         "report_own",
@@ -56,6 +57,7 @@
         self.cold_until = float("-inf")
         self.pacer: Pacer | None = None
         self.idle: list[UpstreamConnection] = []
+        self.in_use: set[UpstreamConnection] = set()
         self.standing = Standing()
         self.answered_keys: dict[str, float] = {}
         self.under_way: dict[str, float] = {}
@@ -109,6 +111,12 @@
         self.unanswered = 0
         self.resting_until = float("-inf")
 
+    def end(self) -> None:
+        """Break off what is under way at a life that is over, and close what is kept."""
+        for connection in self.in_use:
+            connection.close()
+        self.close_idle()
+
     def close_idle(self) -> None:
         """Close the connections that nothing uses."""
         for connection in self.idle:
--- a/src/finchway/gateway/_request_log.py
+++ b/src/finchway/gateway/_request_log.py
@@ -87,7 +87,7 @@
                 id=task.request_id,
                 number=task.attempts,
                 key=task.key,
-                upstream=registration.instance,
+                upstream=registration.life,
                 zone=registration.zone,
                 region=choice.region,
                 reason=choice.reason.value,
--- a/src/finchway/gateway/_suspects.py
+++ b/src/finchway/gateway/_suspects.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import time
+from collections import deque
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from enum import Enum
@@ -36,6 +37,8 @@
 # Upstreams that wait to be looked at after a connection broke; when all upstreams end at once, some
 # of the requests that were under way at each are enough to tell.
 MOST_EXAMINED = 64
+# Seconds within which an upstream that ended is heard again, if nothing else showed its end.
+BACK_WITHIN_S = 10.0
 # Seconds that callers of a quarantined request are told to stay away at least: its time may be over
 # by this instance's clock, and not yet by that of the replicas.
 COME_BACK_LEAST_S = 10.0
@@ -56,6 +59,14 @@
     last_at: float
 
 
+class _Unclear(Struct):
+    """A request whose connection broke at an upstream that seemed to live on."""
+
+    task: Task
+    record: UpstreamRecord
+    at: float
+
+
 class SuspectDesk:
     """Judges the requests of one gateway, and finds out whether upstreams ended under them."""
 
@@ -72,6 +83,8 @@
         self._report = report
         self._seen: dict[str, _Seen] = {}
         self._carried: set[Task] = set()
+        self._unclear: deque[_Unclear] = deque(maxlen=MOST_EXAMINED)
+        table.watch_replaced(self._note_replaced)
         self._examine, self._to_examine = trio.open_memory_channel[tuple[Task, UpstreamRecord]](
             MOST_EXAMINED
         )
@@ -158,16 +171,33 @@
                 nursery.start_soon(self._look_at, task, record)
 
     async def _look_at(self, task: Task, record: UpstreamRecord) -> None:
-        """Note that an upstream ended, if nothing listens at its address any more."""
+        """Note that an upstream ended, if nothing listens at its address any more.
+
+        It may be back already, or something may listen in its place: then only the heartbeats of
+        its next life tell.
+        """
         now = trio.current_time()
+        if self._table.was_replaced(record):
+            self._note_ended(task, record, now)
+            return
         try:
             connection = await self._table.connect_anew(record)
         except AttemptError as error:
             if error.failure is Failure.REFUSED:
                 self._note_ended(task, record, now)
             return
+        self._unclear.append(_Unclear(task, record, now))
         self._table.keep(record, connection)
 
+    def _note_replaced(self, record: UpstreamRecord) -> None:
+        """Note the requests under which a life has ended, now that the next one has begun."""
+        now = trio.current_time()
+        found = [unclear for unclear in self._unclear if unclear.record is record]
+        for unclear in found:
+            self._unclear.remove(unclear)
+            if now - unclear.at <= BACK_WITHIN_S:
+                self._note_ended(unclear.task, record, now)
+
     def _note_ended(self, task: Task, record: UpstreamRecord, now: float) -> None:
         life = record.registration.life
         seen = self._seen.pop(task.fingerprint, None) or _Seen(set(), now)
--- a/src/finchway/gateway/_table.py
+++ b/src/finchway/gateway/_table.py
@@ -23,6 +23,7 @@
 IDLE_KEPT = 16
 IN_USE = "in use"
 SILENT = "silent"
+REPLACED = "over: started again"
 POOR = "answering worse than its fellows"
 # Seconds after which the table is brought up to date without news, for what only time changes.
 _REFRESH_S = 0.5
@@ -66,6 +67,7 @@
         self._bounds = bounds
         self._records: dict[str, UpstreamRecord] = {}
         self._by_service: dict[str, dict[str, RegionUpstreams]] = {}
+        self._note_replaced: Callable[[UpstreamRecord], None] = lambda record: None
         self._refreshed_at = float("-inf")
         self._seen_changes = -1
         self._opened = 0
@@ -138,7 +140,7 @@
         words = ("well", POOR) if is_poor else (POOR, "well")
         self._decisions.write(
             BeliefChanged(
-                subject=f"upstream/{record.registration.instance}",
+                subject=f"upstream/{record.registration.life}",
                 now=words[1],
                 before=words[0],
                 source=f"its last answers; bad {record.standing.bad_share:.2f}",
@@ -200,6 +202,9 @@
 
     def _record(self, registration: Registration, heard_at: float) -> UpstreamRecord:
         record = self._records.get(registration.instance)
+        if record is not None and record.registration.life != registration.life:
+            self._end(record)
+            record = None
         if record is None:
             record = self._records[registration.instance] = UpstreamRecord(registration)
         record.registration = registration
@@ -209,6 +214,20 @@
         record.cold_until = max(record.cold_until, cold_until)
         return record
 
+    def _end(self, record: UpstreamRecord) -> None:
+        """Break off what is under way at a life that is over, since the next one has begun."""
+        self._note_state(record, REPLACED, -0.001)
+        record.end()
+        self._note_replaced(record)
+
+    def watch_replaced(self, note: Callable[[UpstreamRecord], None]) -> None:
+        """Have each life told that is over since a later one of the same upstream has begun."""
+        self._note_replaced = note
+
+    def was_replaced(self, record: UpstreamRecord) -> bool:
+        """Tell whether a later life of the upstream has begun."""
+        return record.state == REPLACED
+
     def _cold_start(self, service: str) -> float:
         spec = self._world.steering.catalog.service(service)
         return (spec.cold_start if spec else 0.0) + self._bounds.heartbeat
@@ -216,10 +235,10 @@
     def _state(self, registration: Registration) -> str:
         if registration.state is not UpstreamState.READY:
             return registration.state.value
-        mark = self._world.steering.marks.get(registration.instance)
+        mark = self._world.steering.mark_of(registration)
         if mark is not None:
             return mark.kind.value
-        if self._world.is_silent(registration.instance):
+        if self._world.is_silent(registration.life):
             return SILENT
         return IN_USE
 
@@ -228,7 +247,7 @@
             return
         self._decisions.write(
             BeliefChanged(
-                subject=f"upstream/{record.registration.instance}",
+                subject=f"upstream/{record.registration.life}",
                 now=state,
                 before=record.state,
                 source=f"{record.registration.service} {record.registration.address}",
--- a/src/finchway/registry/__init__.py
+++ b/src/finchway/registry/__init__.py
@@ -2,7 +2,7 @@
 
 from finchway.registry._addresses import AddressHolders
 from finchway.registry._registry import Heard, Registry
-from finchway.registry._upstream import Mark, MarkKind, Registration, UpstreamState
+from finchway.registry._upstream import Mark, MarkKind, Registration, UpstreamState, name_life
 
 __all__ = [
     "AddressHolders",
@@ -12,4 +12,5 @@
     "Registration",
     "Registry",
     "UpstreamState",
+    "name_life",
 ]
--- a/src/finchway/registry/_registry.py
+++ b/src/finchway/registry/_registry.py
@@ -8,11 +8,16 @@
 from __future__ import annotations
 
 from msgspec import Struct
+from msgspec.structs import replace
 
 from finchway.registry._addresses import AddressHolders
 from finchway.registry._upstream import Registration
 
 COLD_TOLERANCE_S = 0.3
+# Seconds of silence of a later life until an earlier one of the same id is believed again: longer
+# than heartbeats are known to be held up on their way, short enough that an upstream whose clock
+# was set back is used again within seconds.
+LATER_LIFE_HEARD_S = 5.0
 
 
 class Heard(Struct, frozen=True):
@@ -54,7 +59,10 @@
         """
         instance = registration.instance
         held = self._heard.get(instance)
-        if held is not None and held.registration.sequence >= registration.sequence:
+        if held is not None and not registration.born:
+            # One that does not tell its start is no other life than the one that is known.
+            registration = replace(registration, born=held.registration.born)
+        if held is not None and self._is_late(held, registration, heard_at):
             return False
         if self._holders and not self._holders.take(registration, heard_at, held is not None):
             return False
@@ -67,6 +75,19 @@
         self._heard[instance] = Heard(registration, heard_at, self._order, cold_until)
         return True
 
+    def _is_late(self, held: Heard, registration: Registration, heard_at: float) -> bool:
+        """Tell whether a heartbeat is older than the one that is held of its instance.
+
+        An earlier life is over, unless the later one falls silent and the earlier is heard after
+        that: then the upstream's clock was set back between its two lives.
+        """
+        earlier = held.registration
+        if registration.born == earlier.born:
+            return earlier.sequence >= registration.sequence
+        if registration.born > earlier.born:
+            return False
+        return heard_at - held.heard_at < LATER_LIFE_HEARD_S
+
     def remove(self, instance: str) -> None:
         """Forget an upstream."""
         heard = self._heard.pop(instance, None)
--- a/src/finchway/registry/_upstream.py
+++ b/src/finchway/registry/_upstream.py
@@ -7,6 +7,11 @@
 from msgspec import Struct
 
 
+def name_life(instance: str, born: int) -> str:
+    """Return the name of one life of an upstream; its id alone if it does not tell its start."""
+    return f"{instance}@{born}" if born else instance
+
+
 class UpstreamState(Enum):
     """What an upstream says of itself."""
 
@@ -15,16 +20,18 @@
 
 
 class MarkKind(Enum):
-    """How an incarnation of an upstream leaves; both stick for good."""
+    """How a life of an upstream leaves; both stick to it for good."""
 
     DRAINING = "draining"
     GONE = "gone"
 
 
 class Registration(Struct, frozen=True, kw_only=True):
-    """One heartbeat of one incarnation of an upstream.
+    """One heartbeat of one life of an upstream.
 
-    `sequence` grows with every heartbeat. `cold_for` is in seconds, counted from the heartbeat.
+    `born` is when this life started, in Unix milliseconds by the upstream's own clock, 0 if it does
+    not say so: then its instance alone stands for its life. `sequence` grows with every heartbeat
+    of a life. `cold_for` is in seconds, counted from the heartbeat.
     """
 
     instance: str
@@ -36,16 +43,18 @@
     sequence: int
     cold_for: float = 0.0
     version: str = ""
+    born: int = 0
 
     @property
     def life(self) -> str:
         """The name of this one start of the upstream."""
-        return self.instance
+        return name_life(self.instance, self.born)
 
     def says_same(self, earlier: Registration) -> bool:
         """Tell whether it differs from an earlier heartbeat only in what time changes."""
         return (
-            self.state is earlier.state
+            self.born == earlier.born
+            and self.state is earlier.state
             and self.address == earlier.address
             and self.slots == earlier.slots
             and self.service == earlier.service
@@ -55,8 +64,14 @@
 
 
 class Mark(Struct, frozen=True, array_like=True):
-    """The committed word that an incarnation leaves, and the revision that brought it."""
+    """The committed word that a life leaves, and the revision that brought it."""
 
     revision: int
     instance: str
     kind: MarkKind
+    born: int = 0
+
+    @property
+    def life(self) -> str:
+        """The name of the life that leaves; without word of its start, all lives of the id."""
+        return name_life(self.instance, self.born)
--- a/src/finchway/state/_commands.py
+++ b/src/finchway/state/_commands.py
@@ -100,10 +100,11 @@
 
 
 class MarkUpstream(Command):
-    """Note that an incarnation of an upstream leaves."""
+    """Note that a life of an upstream leaves; `born` is 0 if it did not say which one."""
 
     instance: str
     kind: MarkKind
+    born: int = 0
 
 
 class SetEvacuation(Command):
--- a/src/finchway/state/_steering.py
+++ b/src/finchway/state/_steering.py
@@ -9,7 +9,7 @@
 from msgspec import Struct
 
 from finchway.catalog import Catalog, HeldItem
-from finchway.registry import Mark, MarkKind
+from finchway.registry import Mark, MarkKind, Registration
 from finchway.state import _commands as c
 from finchway.state._suspects import Suspect, Suspects
 
@@ -41,7 +41,7 @@
         image = image or SteeringImage()
         self._revision = image.revision
         self._catalog = Catalog(image.items)
-        self._marks = {mark.instance: mark for mark in image.marks}
+        self._marks = {mark.life: mark for mark in image.marks}
         self._evacuations = {e.zone: e for e in image.evacuations}
         self._suspects = Suspects(image.suspects)
 
@@ -57,7 +57,7 @@
 
     @property
     def marks(self) -> dict[str, Mark]:
-        """The marks by instance."""
+        """The marks by the lives that leave."""
         return self._marks
 
     @property
@@ -96,7 +96,7 @@
         for held in image.items:
             self._catalog.put(held)
         for mark in image.marks:
-            self._marks[mark.instance] = mark
+            self._marks[mark.life] = mark
         for evacuation in image.evacuations:
             self._evacuations[evacuation.zone] = evacuation
         for suspect in image.suspects:
@@ -120,12 +120,20 @@
             self._catalog.put(HeldItem(self._revision, item))
         return c.Steered(self._revision)
 
+    def mark_of(self, registration: Registration) -> Mark | None:
+        """Return the mark that binds an upstream's present life, if there is one.
+
+        It binds no other life of the id, unless it was not told which one leaves.
+        """
+        return self._marks.get(registration.life) or self._marks.get(registration.instance)
+
     def mark_upstream(self, command: c.MarkUpstream) -> c.AnyResult:
-        """Mark an incarnation as leaving; gone is never taken back to draining."""
-        held = self._marks.get(command.instance)
+        """Mark a life as leaving; gone is never taken back to draining."""
+        mark = Mark(self._revision + 1, command.instance, command.kind, command.born)
+        held = self._marks.get(mark.life)
         if held is None or (held.kind is MarkKind.DRAINING and command.kind is MarkKind.GONE):
             self._revision += 1
-            self._marks[command.instance] = Mark(self._revision, command.instance, command.kind)
+            self._marks[mark.life] = mark
             self._trim()
         return c.Steered(self._revision)
 
@@ -150,11 +158,11 @@
         self._revision += self._suspects.expire(now_ms, self._revision + 1)
 
     def _trim(self) -> None:
-        """Forget the oldest marks; instances are never reused, and old ones are long gone."""
+        """Forget the oldest marks: those lives are long over."""
         if len(self._marks) <= MARKS_KEPT:
             return
         for mark in sorted(self._marks.values(), key=_order)[: len(self._marks) - MARKS_KEPT]:
-            del self._marks[mark.instance]
+            del self._marks[mark.life]
 
 
 def _order(entry: Mark | Evacuation) -> int:
--- a/tests/adapter/test_documents.py
+++ b/tests/adapter/test_documents.py
@@ -2,7 +2,12 @@
 
 import msgspec
 import pytest
-from platform_documents import items_from_patch, items_to_document, registration_from_beat
+from platform_documents import (
+    born_from_deregistration,
+    items_from_patch,
+    items_to_document,
+    registration_from_beat,
+)
 from platform_settings import load_settings, to_seconds
 
 from finchway.catalog import Backend, Catalog, HeldItem, ItemKind, RouteType
@@ -142,3 +147,25 @@
     del beat[missing]
     with pytest.raises(ResourceError, match=missing):
         registration_from_beat("i-1", encode(beat))
+
+
+def test_the_start_of_a_worker_is_read_and_tells_its_lives_apart():
+    document = documents.beat("10.0.0.1:1", "ready", 3)
+    assert registration_from_beat("i-1", encode(document)).born == 0
+    registration = registration_from_beat("i-1", encode(document | {"born": 1_787_833_522_241}))
+    assert registration.life == "i-1@1787833522241"
+
+
+@pytest.mark.parametrize("born", [True, 1.5, "1787833522241", -1, 2**60, None, [1]])
+def test_a_start_that_is_no_whole_number_of_milliseconds_is_refused(born):
+    document = documents.beat("10.0.0.1:1", "ready", 3) | {"born": born}
+    with pytest.raises(ResourceError, match="born"):
+        registration_from_beat("i-1", encode(document))
+    with pytest.raises(ResourceError, match="born"):
+        born_from_deregistration(encode({"born": born}))
+
+
+def test_a_deregistration_may_tell_which_life_ends():
+    assert born_from_deregistration(b"") == 0
+    assert born_from_deregistration(b"{}") == 0
+    assert born_from_deregistration(encode({"born": 5})) == 5
