--- a/tests/gateway/test_deadly_requests.py
+++ b/tests/gateway/test_deadly_requests.py
@@ -121,6 +121,25 @@
     play(check)
 
 
+def test_a_caller_whose_address_changes_does_not_get_more_upstreams():
+    """Callers on the road change their networks, and come back from other addresses.
+
+    Tries of one request came to gateways of all three regions within half a second, and upstreams
+    went on ending under it: 26 and 31 of two requests, where 29 and 34 had when nothing was
+    remembered. Each address counted as a caller of its own, so a request was known again only by
+    the one retry that followed from the same address.
+    """
+
+    async def check(subject, upstreams):
+        for number in range(TRIES):
+            await ask(subject, number, source=f"127.0.0.{number + 1}")
+            await trio.sleep(0.1)
+        assert reached(upstreams) <= MOST_ENDED + MOST_RETRIES
+        assert (await ask(subject, TRIES, source="127.0.0.99"))[0] == 503
+
+    play(check)
+
+
 def tell_reports(subject, *reports) -> None:
     """Have the gateway learn what others have seen."""
     subject.steering.report_requests(ReportRequests(now_ms=0, reports=list(reports)), 0)
