--- a/tests/gateway/test_deadly_requests.py
+++ b/tests/gateway/test_deadly_requests.py
@@ -37,6 +37,7 @@
         self._name = name
         self._deadly = deadly
         self._life = trio.CancelScope()
+        self.slow = (b"/x/slow",)
         self.lives = 1
         self.subject = None
 
@@ -61,7 +62,12 @@
             self.instance = f"{self._name}-{self.lives}"
             await trio.sleep(BACK_AFTER_S)
 
+    def end(self) -> None:
+        self._life.cancel()
+
     async def _work(self, _, stream, request):
+        if request.split(b" ")[1] in self.slow:
+            await trio.sleep_forever()
         if request.split(b" ")[1] in self._deadly:
             await trio.sleep(RUNS_FOR_S)
             self._life.cancel()
@@ -140,6 +146,34 @@
     play(check)
 
 
+def test_upstreams_that_end_together_do_not_speak_against_what_was_under_way_at_all_of_them():
+    """Many callers ask for the same thing, and all upstreams of a service end at once.
+
+    The request was under way at each of them, so each end counted, and the thing was refused for
+    minutes after the upstreams were back. Only an end of an attempt that was sent when the ends
+    before it were known says something of the request.
+    """
+
+    async def check(subject, upstreams):
+        async def call(number):
+            with trio.move_on_after(0.5):
+                await ask(subject, number, path=b"/x/slow", affinity_key=b"%d" % number)
+
+        async with trio.open_nursery() as nursery:
+            for number in range(4 * UPSTREAMS):
+                nursery.start_soon(call, number)
+            await trio.sleep(0.1)
+            assert sum(bool(u.requests) for u in upstreams) > MOST_ENDED
+            for upstream in upstreams:
+                upstream.end()
+        await trio.sleep(BACK_AFTER_S + 0.2)
+        for upstream in upstreams:
+            upstream.slow = ()
+        assert (await ask(subject, 100, path=b"/x/slow"))[0] == 200
+
+    play(check)
+
+
 def tell_reports(subject, *reports) -> None:
     """Have the gateway learn what others have seen."""
     subject.steering.report_requests(ReportRequests(now_ms=0, reports=list(reports)), 0)
