Count an end only for a request that was sent when the ends before it were known

Cause: ends counted wherever a request was under way, so upstreams that end at the same moment spoke against what many ask for. A gateway now tells with an end how many were known before it; the largest count that was reported stands. What a request did is reported once it is over, so one that a further upstream answers is not. Ruled out: sets of lives (that is what failed); the time of each send by the clocks of several processes (they jump by seconds); blame only by upstreams that had answered before (a gateway has seen few of them); hearing of second ends only (a request with one attempt then never reaches a second). Before: 503 where 200 is due, once all upstreams are back.

--- a/src/finchway/control/_feed.py
+++ b/src/finchway/control/_feed.py
@@ -119,7 +119,7 @@
         return Feed(
             life=self._life,
             order=part[-1].order if more else self._registry.order,
-            image=steering.image(question.revision if known else 0),
+            image=steering.image(question.revision if known else -1),
             upstreams=[
                 HeardUpstream(heard.registration, round(now - heard.heard_at, 3)) for heard in part
             ],
--- a/src/finchway/gateway/_forward.py
+++ b/src/finchway/gateway/_forward.py
@@ -135,7 +135,7 @@
             # Nobody waits: a gateway that was frozen would bring what piled up to the upstreams.
             self._log.note_ended(task, 0, "the caller had left")
             raise CallerLeftError
-        clearance = self._suspects.clearance(task, trio.current_time())
+        clearance = self._suspects.clear(task, trio.current_time())
         if clearance is Clearance.REFUSED:
             await self._refuse_quarantined(connection, task)
             return
--- a/src/finchway/gateway/_suspects.py
+++ b/src/finchway/gateway/_suspects.py
@@ -53,9 +53,9 @@
 
 
 class _Seen(Struct):
-    """The lives of upstreams that ended here under a request, and when the last one did."""
+    """How many upstreams ended here under a request, and when the last one did."""
 
-    lives: set[str]
+    ends: int
     last_at: float
 
 
@@ -89,21 +89,19 @@
             MOST_EXAMINED
         )
 
-    def clearance(self, task: Task, now: float) -> Clearance:
+    def clear(self, task: Task, now: float) -> Clearance:
         """Tell how often a request may be sent, counting what it has done to upstreams before."""
         if self._knows_nothing():
             return Clearance.FREE
-        held = self._world.steering.suspects.get(task.fingerprint)
-        lives = self._lives_here(task, now)
-        if held is None or not held.is_current:
-            return _judge(len(lives))
-        match held.state:
-            case SuspectState.QUARANTINED:
-                return Clearance.REFUSED
-            case SuspectState.ON_TRIAL:
-                is_new = not lives.issubset(held.ended)
-                return Clearance.REFUSED if is_new else Clearance.ONCE
-        return _judge(len(lives.union(held.ended)))
+        held = self._held(task)
+        here = self._ends_here(task, now)
+        ends = task.ends_known = max(here, held.ends if held else 0)
+        if held is not None and held.state is SuspectState.QUARANTINED:
+            return Clearance.REFUSED
+        if here >= QUARANTINE_AFTER and (held is None or here > held.ends):
+            # The replicas' word on the newest end is still to come.
+            return Clearance.REFUSED
+        return Clearance.ONCE if ends else Clearance.FREE
 
     def may_repeat(self, task: Task, now: float) -> bool:
         """Tell whether a request may be sent to a further upstream.
@@ -113,13 +111,12 @@
         """
         if self._knows_nothing():
             return True
-        held = self._world.steering.suspects.get(task.fingerprint)
-        is_suspect = held is not None and held.is_current
-        return not is_suspect and len(self._lives_here(task, now)) <= 1
+        held = self._held(task)
+        return max(self._ends_here(task, now), held.ends if held else 0) <= task.ends_seen
 
     def quarantined_for(self, task: Task) -> float:
         """Return the seconds after which a request that is refused may be tried again."""
-        held = self._world.steering.suspects.get(task.fingerprint)
+        held = self._held(task)
         first = QUARANTINED_FOR_MS[0] / 1000
         if held is None or held.state is not SuspectState.QUARANTINED:
             return first
@@ -127,12 +124,18 @@
 
     @contextmanager
     def carrying(self, task: Task) -> Iterator[None]:
-        """Break a request off if it is quarantined while it is under way."""
+        """Break a request off if it is quarantined while it is under way.
+
+        What it did to upstreams is reported once it is over: one that a further upstream answers
+        has done nothing.
+        """
         self._carried.add(task)
         try:
             yield
         finally:
             self._carried.discard(task)
+            task.is_over = True
+            self._report_ends(task)
 
     def note_broken(self, task: Task, record: UpstreamRecord) -> None:
         """Take in that a connection broke under a request, and find out whether its upstream ended.
@@ -146,11 +149,11 @@
 
     def note_answered(self, task: Task) -> None:
         """Take in that an upstream has run a request and lives."""
+        task.is_answered = True
         if self._knows_nothing():
             return
-        seen = self._seen.pop(task.fingerprint, None)
-        held = self._world.steering.suspects.get(task.fingerprint)
-        if seen is not None or (held is not None and held.is_current):
+        self._seen.pop(task.fingerprint, None)
+        if self._held(task) is not None:
             self._report(RequestReport(task.fingerprint, answered=True))
 
     def learn(self, suspects: list[Suspect]) -> None:
@@ -199,38 +202,44 @@
                 self._note_ended(unclear.task, record, now)
 
     def _note_ended(self, task: Task, record: UpstreamRecord, now: float) -> None:
-        life = record.registration.life
-        seen = self._seen.pop(task.fingerprint, None) or _Seen(set(), now)
-        self._seen[task.fingerprint] = seen
-        seen.lives.add(life)
-        seen.last_at = now
+        if task.is_answered:
+            return
+        task.ends_seen += 1
+        task.last_ended = record.registration.life
+        ends = task.ends_known + task.ends_seen
+        seen = self._seen.pop(task.fingerprint, None)
+        self._seen[task.fingerprint] = _Seen(max(ends, seen.ends if seen else 0), now)
         if len(self._seen) > MOST_REMEMBERED:
             del self._seen[next(iter(self._seen))]
-        self._log.note_ended_under(task, record, len(seen.lives))
-        self._report(RequestReport(task.fingerprint, (life,)))
-        if len(seen.lives) >= QUARANTINE_AFTER:
+        self._log.note_ended_under(task, record, ends)
+        self._report_ends(task)
+        if ends >= QUARANTINE_AFTER:
             self._break_off({task.fingerprint})
 
+    def _report_ends(self, task: Task) -> None:
+        if task.is_over and task.ends_seen and not task.is_answered:
+            ends = task.ends_known + task.ends_seen
+            self._report(RequestReport(task.fingerprint, ends, task.last_ended))
+
     def _break_off(self, quarantined: set[str]) -> None:
         for task in [task for task in self._carried if task.fingerprint in quarantined]:
             task.is_quarantined = True
             task.scope.cancel()
 
-    def _lives_here(self, task: Task, now: float) -> set[str]:
+    def _held(self, task: Task) -> Suspect | None:
+        """Return what the replicas say of a request, if anything speaks against it."""
+        held = self._world.steering.suspects.get(task.fingerprint)
+        return held if held is not None and held.is_current else None
+
+    def _ends_here(self, task: Task, now: float) -> int:
         seen = self._seen.get(task.fingerprint)
         if seen is None:
-            return set()
+            return 0
         if now - seen.last_at > REMEMBERED_FOR_S:
             del self._seen[task.fingerprint]
-            return set()
-        return seen.lives
+            return 0
+        return seen.ends
 
     def _knows_nothing(self) -> bool:
         """Tell whether no request is suspect, so that none needs a digest."""
         return not self._seen and not self._world.steering.suspects
-
-
-def _judge(ended: int) -> Clearance:
-    if ended >= QUARANTINE_AFTER:
-        return Clearance.REFUSED
-    return Clearance.ONCE if ended else Clearance.FREE
--- a/src/finchway/gateway/_task.py
+++ b/src/finchway/gateway/_task.py
@@ -19,7 +19,8 @@
     `has_key` tells whether the caller named the thing that the request concerns; `key` is the
     request's id otherwise. `is_read` is set once the caller has nothing more to send. `once` allows
     a single attempt. Cancelling `scope` ends the attempts; `is_quarantined` tells that this was
-    done since upstreams end under the request.
+    done since upstreams end under the request. `ends_known` counts the upstreams that were known to
+    have ended under it when it came, and `ends_seen` those that have since.
     """
 
     request: CallerRequest
@@ -37,6 +38,11 @@
     is_read: trio.Event = field(default_factory=trio.Event)
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     once: bool = False
+    ends_known: int = 0
+    ends_seen: int = 0
+    last_ended: str = ""
+    is_over: bool = False
+    is_answered: bool = False
     is_quarantined: bool = False
     digest: str = ""
 
--- a/src/finchway/observe/_decisions.py
+++ b/src/finchway/observe/_decisions.py
@@ -93,7 +93,7 @@
     """An upstream's connection broke under a request, and nothing listens at its address any more.
 
     `digest` names the request whenever it is sent; `ended` counts the upstreams that ended under it
-    as seen by this gateway, and `under_way` are its other requests there.
+    one after the other, as far as this gateway knows, and `under_way` are its other requests there.
     """
 
     id: str
--- a/src/finchway/state/_steering.py
+++ b/src/finchway/state/_steering.py
@@ -75,11 +75,8 @@
         return self._evacuations.get(zone)
 
     def image(self, since: int = -1) -> SteeringImage:
-        """Return everything that is newer than a revision, in a stable order.
-
-        Since -1 it is the whole state; since 0, all of it that gateways have to know.
-        """
-        if since >= self._revision and since >= 0:
+        """Return everything that is newer than a revision, in a stable order."""
+        if since >= self._revision:
             return SteeringImage(self._revision)
         return SteeringImage(
             self._revision,
--- a/src/finchway/state/_suspects.py
+++ b/src/finchway/state/_suspects.py
@@ -3,8 +3,10 @@
 A request is named by its digest, and an upstream that ended by the name of its life. Under a
 request that ends whatever runs it, upstream after upstream ends and none answers; one that only was
 under way when an upstream ended is answered by the next. So a suspect is a request under which
-upstreams have ended since it was last answered, whichever gateways saw that. One with several of
-them is quarantined: it is sent to no upstream until it is tried again, a long time later.
+upstreams have ended, one after the other, since it was last answered, whichever gateways saw that.
+An end counts if the request was sent when the ends before it were known: when many upstreams end at
+once, that is one end for all that was under way there. A request with several of them is
+quarantined: it is sent to no upstream until it is tried again, a long time later.
 """
 
 from __future__ import annotations
@@ -14,18 +16,21 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
-# Upstreams that end under a request before it is quarantined. Two may be chance, since an upstream
-# that ends takes all requests with it that are under way there.
+# Upstreams that end under a request, one after the other, before it is quarantined. Two may be
+# chance, since an upstream that ends takes all requests with it that are under way there.
 QUARANTINE_AFTER = 3
 # Milliseconds for which an upstream that ended speaks against a request: callers that try again do
 # so within seconds.
 SUSPECTED_FOR_MS = 60_000
-# Milliseconds until a request is tried again, by how often it has been quarantined. Each trial may
-# cost an upstream with all that is under way there, while waiting costs one caller one request.
-QUARANTINED_FOR_MS = (600_000, 3_600_000, 86_400_000)
+# Milliseconds until a request is tried again, by how often it has been quarantined. Upstreams may
+# have been to blame, so the first wait is short; each trial may cost an upstream with all that is
+# under way there, while waiting costs one caller one request, so the later ones are long.
+QUARANTINED_FOR_MS = (60_000, 600_000, 3_600_000, 86_400_000)
+# Requests that are quarantined at once: if upstreams end under more, the upstreams are to blame.
+MOST_QUARANTINED = 32
 # Suspects that are held: 50 KB at the most in the first answer to a gateway.
 MOST_SUSPECTS = 512
-# Names of lives that are kept with a suspect, so that a report that comes twice counts once.
+# Names of lives that are kept with a suspect, for those who look into it.
 LIVES_KEPT = 8
 
 
@@ -44,26 +49,28 @@
 
 
 class RequestReport(Struct, frozen=True, array_like=True):
-    """What a gateway has seen of a request: the lives that ended under it, or that it was answered.
+    """What a gateway has seen of a request: the life that ended under it, or that it was answered.
 
-    An answer is newer than the ends in the same report.
+    `ends` counts the upstreams that ended under it one after the other, this one included.
     """
 
     request: str
-    ended: tuple[str, ...] = ()
+    ends: int = 0
+    ended: str = ""
     answered: bool = False
 
 
 class Suspect(Struct, frozen=True, array_like=True):
-    """A request, the lives of upstreams that ended under it, and the revision that said so.
+    """A request, how many upstreams ended under it, and the revision that said so.
 
-    Revision 0 is that of a suspect with a single life: gateways need not hear of it. `until_ms` is
-    when the state changes by itself, on the log's clock; `quarantines` counts how often it was.
+    `ended` names the newest of their lives. `until_ms` is when the state changes by itself, on the
+    log's clock; `quarantines` counts how often it was quarantined.
     """
 
     revision: int
     request: str
     state: SuspectState
+    ends: int
     ended: tuple[str, ...]
     until_ms: int
     quarantines: int = 0
@@ -75,7 +82,7 @@
 
 
 class Suspects:
-    """The table; deterministic. Each change that gateways must hear of takes a new revision."""
+    """The table; deterministic. Each change takes a new revision."""
 
     def __init__(self, held: list[Suspect] = ()) -> None:
         self._held = {suspect.request: suspect for suspect in held}
@@ -118,34 +125,23 @@
             return self.clear(report.request, now_ms, revision)
         held = self._held.get(report.request)
         if held is None or not held.is_current:
-            held = Suspect(0, report.request, SuspectState.SUSPECTED, (), 0)
-        news = [life for life in dict.fromkeys(report.ended) if life not in held.ended]
-        if not news:
+            held = Suspect(0, report.request, SuspectState.SUSPECTED, 0, (), 0)
+        if report.ends <= held.ends:
             return False
-        ended = (*held.ended, *news)
-        match held.state:
-            case SuspectState.QUARANTINED:
-                changed = replace(held, ended=ended[-LIVES_KEPT:])
-            case SuspectState.ON_TRIAL:
-                changed = _quarantined(held, ended, now_ms)
-            case _ if len(ended) >= QUARANTINE_AFTER:
-                changed = _quarantined(held, ended, now_ms)
-            case _:
-                changed = replace(held, ended=ended, until_ms=now_ms + SUSPECTED_FOR_MS)
-        is_told = len(ended) > 1
-        self.put(replace(changed, revision=revision if is_told else 0))
-        return is_told
+        ended = (*held.ended, report.ended)[-LIVES_KEPT:]
+        changed = replace(held, revision=revision, ends=report.ends, ended=ended)
+        if held.state is not SuspectState.QUARANTINED:
+            changed = self._judge(changed, now_ms)
+        self.put(changed)
+        return True
 
     def clear(self, request: str, now_ms: int, revision: int) -> bool:
         """Note that nothing speaks against a request; tells whether the revision was taken."""
         held = self._held.get(request)
         if held is None or not held.is_current:
             return False
-        if not held.revision:
-            del self._held[request]
-            return False
         until_ms = now_ms + SUSPECTED_FOR_MS
-        self.put(Suspect(revision, request, SuspectState.CLEARED, (), until_ms))
+        self.put(Suspect(revision, request, SuspectState.CLEARED, 0, (), until_ms))
         return True
 
     def expire(self, now_ms: int, revision: int) -> bool:
@@ -165,6 +161,19 @@
                     taken |= self.clear(suspect.request, now_ms, revision)
         return taken
 
+    def _judge(self, suspect: Suspect, now_ms: int) -> Suspect:
+        """Quarantine a request, unless it is one of too many or has too few ends."""
+        quarantined = sum(s.state is SuspectState.QUARANTINED for s in self._held.values())
+        if suspect.ends < QUARANTINE_AFTER or quarantined >= MOST_QUARANTINED:
+            return replace(suspect, until_ms=now_ms + SUSPECTED_FOR_MS)
+        wait_ms = QUARANTINED_FOR_MS[min(suspect.quarantines, len(QUARANTINED_FOR_MS) - 1)]
+        return replace(
+            suspect,
+            state=SuspectState.QUARANTINED,
+            until_ms=now_ms + wait_ms,
+            quarantines=suspect.quarantines + 1,
+        )
+
     def _trim(self) -> None:
         """Drop what says least: the cleared, then those with fewest ends, the oldest first."""
         if len(self._held) <= MOST_SUSPECTS:
@@ -174,22 +183,11 @@
         self._dropped += 1
 
 
-def _quarantined(held: Suspect, ended: tuple[str, ...], now_ms: int) -> Suspect:
-    seconds = QUARANTINED_FOR_MS[min(held.quarantines, len(QUARANTINED_FOR_MS) - 1)]
-    return replace(
-        held,
-        state=SuspectState.QUARANTINED,
-        ended=ended[-LIVES_KEPT:],
-        until_ms=now_ms + seconds,
-        quarantines=held.quarantines + 1,
-    )
-
-
 def _weight(suspect: Suspect) -> tuple[int, int]:
     """Order suspects by how much would be lost with them; `min` takes the oldest of equals."""
     match suspect.state:
         case SuspectState.CLEARED:
             return 0, 0
         case SuspectState.SUSPECTED:
-            return 1, len(suspect.ended)
+            return 1, suspect.ends
     return 2, suspect.quarantines
