Have the soak send deadly requests and start back ends again, half of them under their id

Cause: no run had a request that ends back ends, nor a second life under an id, nor late heartbeats of a first. The check: once a request has ended three, it reaches back ends three times more at the most through gateways that no fault struck.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -38,7 +38,7 @@
     print(
         f"seed {report.seed}: {answers}; {report.runs} runs at back ends, "
         f"{report.changes} changes, {report.added_asked} answers on added routes, "
-        f"{report.left} back ends left",
+        f"{report.left} back ends left, {report.ended} ended under requests",
         flush=True,
     )
     if not report.violations:
--- a/bench/soak/_callers.py
+++ b/bench/soak/_callers.py
@@ -6,6 +6,7 @@
 import random
 
 import h11
+import msgspec
 import trio
 
 from bench.soak._ledger import NO_ANSWER, Answer, Ledger, Sent
@@ -18,6 +19,10 @@
 LONG_BODY_SHARE = 0.05
 LONG_BODY_BYTES = 200_000
 KEYS = 40
+# Requests that end each back end, as many as a run of 20 s has, and the mean time until one of them
+# comes again, at any gateway.
+DEADLY_EVERY_S = 10.0
+DEADLY_AGAIN_S = 1.0
 # Part of the requests that go to a route which an operator has added during the run, mostly the
 # newest: what was accepted long ago is in force anyhow.
 ADDED_SHARE = 0.2
@@ -33,12 +38,16 @@
         self._ledger = ledger
         self._rng = random.Random(seed)
         self._numbers = itertools.count(1)
+        # A source of its own, so that the calls of earlier seeds stay as they are.
+        self._deadly_rng = random.Random(seed + 1_000)
+        self._deadly_names: list[str] = []
 
     async def run(self) -> None:
         """Call until cancelled."""
         async with trio.open_nursery() as nursery:
             for _ in range(self._count):
                 nursery.start_soon(self._call_forever)
+            nursery.start_soon(self._call_deadly)
 
     async def answers_well(self, gateway: str) -> bool:
         """Tell whether a request through a gateway is served now."""
@@ -67,6 +76,32 @@
                 gateway = self._rng.choice(list(self._gateways))
                 await trio.sleep(THINK_S)
 
+    async def _call_deadly(self) -> None:
+        """Send requests that end back ends; each comes again and again, at any gateway."""
+        rng = self._deadly_rng
+        next_at = trio.current_time() + rng.uniform(0.0, DEADLY_EVERY_S / 2)
+        while True:
+            if trio.current_time() >= next_at:
+                self._deadly_names.append(f"deadly-{len(self._deadly_names)}")
+                next_at = trio.current_time() + DEADLY_EVERY_S
+            await trio.sleep(rng.expovariate(1 / DEADLY_AGAIN_S))
+            if not self._deadly_names:
+                continue
+            gateway = rng.choice(list(self._gateways))
+            connection = await self._connect(gateway)
+            if connection is None:
+                continue
+            name, repeatable = rng.choice(self._deadly_names), rng.random() < 0.7
+            request_id = f"d-{next(self._numbers)}"
+            sent = Sent(request_id, gateway, repeatable, trio.current_time(), deadly=name)
+            self._ledger.sent[request_id] = sent
+            with trio.move_on_after(SILENT_AFTER_S):
+                answer = await connection.exchange(sent, rng.randrange(KEYS))
+                self._ledger.answers[request_id] = msgspec.structs.replace(
+                    answer, at=trio.current_time()
+                )
+            await connection.close()
+
     async def _use(self, connection: _Connection, gateway: str) -> None:
         while connection.is_open:
             if await self._ask(connection, gateway) is None:
@@ -149,7 +184,8 @@
             ("Content-Length", str(len(sent.payload))),
         ]
         method = "GET" if sent.repeatable else "POST"
-        data = self._http.send(h11.Request(method=method, target=f"/{place}/x", headers=headers))
+        target = f"/{place}/{sent.deadly or 'x'}"
+        data = self._http.send(h11.Request(method=method, target=target, headers=headers))
         data += self._http.send(h11.Data(data=sent.payload)) + self._http.send(h11.EndOfMessage())
         await self._stream.send_all(data)
 
--- a/bench/soak/_checks.py
+++ b/bench/soak/_checks.py
@@ -8,7 +8,7 @@
 
 from msgspec import Struct
 
-from bench.soak._ledger import NO_ANSWER, Ended, Ledger, Left, Run
+from bench.soak._ledger import NO_ANSWER, Ended, EndedUnder, Ledger, Left, Run
 from bench.soak._plan import FaultKind, Shape
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -17,6 +17,10 @@
 # What an accepted change may take until no gateway says that its route is not there.
 IN_FORCE_WITHIN_S = 2.5
 STOP_WITHIN_S = 7.0
+# Back ends that may end under one request until it is known, and further ones after that; and what
+# it may take until every gateway knows.
+ENDS_ALLOWED = 3
+KNOWN_WITHIN_S = 3.0
 PLANNED = frozenset({FaultKind.STOP.value, FaultKind.STOP_AND_RELOAD.value})
 DISK_ENDS = frozenset({FaultKind.FULL_DISK.value})
 
@@ -45,6 +49,7 @@
         *_planned_stops(ledger, runs),
         *_configuration(ledger),
         *_denials(ledger),
+        *_deadly(ledger, shape),
         *_processes(ledger),
     ]
 
@@ -154,6 +159,30 @@
             yield Violation("accepted routes are not denied", evidence)
 
 
+def _deadly(ledger: Ledger, shape: Shape) -> Iterator[Violation]:
+    """Find requests that went on ending back ends long after they had ended three.
+
+    A gateway that faults have struck lately may not know of it, nor while most replicas may not.
+    """
+    by_name: dict[str, list[EndedUnder]] = defaultdict(list)
+    for ended in sorted(ledger.ended_under, key=lambda ended: ended.at):
+        by_name[ended.deadly].append(ended)
+    most = (shape.replicas - 1) // 2
+    for name, ends in by_name.items():
+        known_at = ends[ENDS_ALLOWED - 1].at + KNOWN_WITHIN_S if len(ends) > ENDS_ALLOWED else 0.0
+        later = []
+        for ended in ends[ENDS_ALLOWED:]:
+            sent = ledger.sent[ended.id]
+            start = sent.at - IN_TOUCH_S
+            in_touch = ledger.is_calm(sent.gateway, start, ended.at)
+            in_touch = in_touch and ledger.faulted(shape.replica_names, start, ended.at) <= most
+            if sent.at > known_at and in_touch:
+                later.append(ended)
+        if len(later) > ENDS_ALLOWED:
+            evidence = f"{name} ended {len(ends)}, {len(later)} of them after it was known"
+            yield Violation("deadly requests are kept from back ends", evidence)
+
+
 def _ended_well(ended: Ended) -> bool:
     """Tell whether a planned stop ended as it should.
 
--- a/bench/soak/_ledger.py
+++ b/bench/soak/_ledger.py
@@ -10,7 +10,8 @@
 class Sent(Struct, frozen=True):
     """A request that a caller sent to a gateway; `repeatable` tells whether it may run twice.
 
-    `route` names the route that an operator added during the run, where it was for one of these.
+    `route` names the route that an operator added during the run, where it was for one of these;
+    `deadly` names a request that ends each back end which begins to run it.
     """
 
     id: str
@@ -19,6 +20,7 @@
     at: float
     payload: bytes = b""
     route: str = ""
+    deadly: str = ""
 
 
 class Answer(Struct, frozen=True):
@@ -45,6 +47,14 @@
     answered: float | None = None
 
 
+class EndedUnder(Struct, frozen=True):
+    """A back end that ended since it began to run a deadly request."""
+
+    deadly: str
+    id: str
+    at: float
+
+
 class Left(Struct, frozen=True):
     """An upstream's leaving, or a zone's evacuation, that was acknowledged."""
 
@@ -87,6 +97,7 @@
         self.sent: dict[str, Sent] = {}
         self.answers: dict[str, Answer] = {}
         self.runs: list[Run] = []
+        self.ended_under: list[EndedUnder] = []
         self.left: list[Left] = []
         self.evacuated: list[Left] = []
         self.acknowledged: list[Held] = []
--- a/bench/soak/_run.py
+++ b/bench/soak/_run.py
@@ -62,7 +62,8 @@
 class Report(Struct, frozen=True, kw_only=True):
     """What a run showed; `statuses` counts the answers of callers, None where none came.
 
-    `added_asked` counts the answered requests for routes that were added during the run.
+    `added_asked` counts the answered requests for routes that were added during the run, and
+    `ended` the back ends that ended under deadly requests.
     """
 
     seed: int
@@ -72,6 +73,7 @@
     changes: int
     added_asked: int
     left: int
+    ended: int
     violations: list[Violation]
     folder: str
 
@@ -265,6 +267,7 @@
             changes=len(ledger.acknowledged),
             added_asked=sum(bool(ledger.sent[i].route) for i in ledger.answers),
             left=len(ledger.left),
+            ended=len(ledger.ended_under),
             violations=check(ledger, self._shape),
             folder=str(self._folder),
         )
--- a/bench/soak/_upstreams.py
+++ b/bench/soak/_upstreams.py
@@ -4,13 +4,15 @@
 
 import itertools
 import random
+import time
+from typing import Any
 
 import h11
 import trio
 
 from bench.soak._checks import expected_body
 from bench.soak._control import ControlClient
-from bench.soak._ledger import Ledger, Left, Run
+from bench.soak._ledger import EndedUnder, Ledger, Left, Run
 
 BEAT_S = 0.5
 SLOTS = 4
@@ -19,11 +21,18 @@
 REFUSED_SHARE = 0.02
 LIFE_S = (6.0, 20.0)
 STAY_AFTER_LEAVING_S = 8.0
+# Seconds after which a back end that ended under a request is back, and the part of those that keep
+# their id. As many heartbeats of the earlier life come late.
+BACK_AFTER_S = (0.3, 3.0)
+KEEPS_ID_SHARE = 0.5
+LATE_BEATS = 2
+LATE_BY_S = 0.6
+DEADLY = b"/deadly-"
 _READ_BYTES = 64 * 1024
 
 
 class Upstream:
-    """One incarnation of a back end."""
+    """A back end; it starts again after a deadly request, under its id or another."""
 
     def __init__(self, instance: str, zone: str, ledger: Ledger, rng: random.Random) -> None:
         self.instance = instance
@@ -33,44 +42,101 @@
         self._rng = rng
         self._running = 0
         self._sequence = itertools.count(1)
+        self._born = _now_ms()
+        self._lives = 1
+        self._life = trio.CancelScope()
+        self._is_up = True
+        # A source of its own, so that what earlier seeds do stays as it is.
+        self._deadly_rng = random.Random(instance)
 
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
-        """Serve until cancelled."""
-        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
-        self.address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
-        await trio.serve_listeners(self._serve, listeners, task_status=task_status)
+        """Serve until cancelled, one life after the other."""
+        port = 0
+        while True:
+            listeners = await trio.open_tcp_listeners(port, host="127.0.0.1")
+            port = listeners[0].socket.getsockname()[1]
+            self.address = f"127.0.0.1:{port}"
+            self._life = trio.CancelScope()
+            self._is_up = True
+            if self._lives == 1:
+                task_status.started()
+            with self._life:
+                await trio.serve_listeners(self._serve, listeners)
+            if not self._life.cancelled_caught:
+                return
+            await trio.sleep(self._deadly_rng.uniform(*BACK_AFTER_S))
+            self._begin_life()
+
+    def _begin_life(self) -> None:
+        self._lives += 1
+        self._running = 0
+        self._sequence = itertools.count(1)
+        self._born = _now_ms()
+        if self._deadly_rng.random() >= KEEPS_ID_SHARE:
+            self.instance = f"{self.instance}.{self._lives}"
 
     async def beat(self, control: ControlClient, state: str = "ready") -> bool:
         """Send one heartbeat; tell whether it was acknowledged."""
-        body = {
+        path = f"/v1/steering/upstreams/{self.instance}"
+        answer = await control.call("PUT", path, self._document(state, next(self._sequence)))
+        return answer is not None and answer[0] == 200
+
+    def _document(self, state: str, sequence: int) -> dict[str, Any]:
+        return {
             "address": self.address,
             "service": "bays",
             "zone": self._zone,
             "slots": SLOTS,
             "state": state,
-            "sequence": next(self._sequence),
+            "sequence": sequence,
+            "born": self._born,
         }
-        answer = await control.call("PUT", f"/v1/steering/upstreams/{self.instance}", body)
-        return answer is not None and answer[0] == 200
+
+    async def _beat_late(self, control: ControlClient) -> None:
+        """Have heartbeats of a life arrive when it is over."""
+        path = f"/v1/steering/upstreams/{self.instance}"
+        documents = [self._document("ready", next(self._sequence)) for _ in range(LATE_BEATS)]
+        for document in documents:
+            await trio.sleep(LATE_BY_S)
+            await control.call("PUT", path, document)
 
     async def live(self, control: ControlClient, life_s: float) -> None:
         """Register, serve for a while, leave with notice, and stay until nothing can come."""
         async with trio.open_nursery() as nursery:
             await nursery.start(self.run)
+            nursery.start_soon(self._send_late_beats, control)
             with trio.move_on_after(life_s):
                 while True:
-                    await self.beat(control)
+                    if self._is_up:
+                        await self.beat(control)
                     await trio.sleep(BEAT_S)
-            while not await self._leave(control):
+            left = self._lives, self.instance
+            while not (self._is_up and await self._leave(control)):
                 await trio.sleep(BEAT_S / 5)
-            self._ledger.left.append(Left(self.instance, trio.current_time()))
+                left = self._lives, self.instance
+            if left == (self._lives, self.instance):
+                self._note_left()
             await trio.sleep(STAY_AFTER_LEAVING_S)
             nursery.cancel_scope.cancel()
 
+    async def _send_late_beats(self, control: ControlClient) -> None:
+        """Send late heartbeats of each life that ends."""
+        while True:
+            await trio.sleep(BEAT_S / 10)
+            if not self._is_up:
+                await self._beat_late(control)
+                while not self._is_up:
+                    await trio.sleep(BEAT_S / 10)
+
+    def _note_left(self) -> None:
+        self._ledger.left.append(Left(self.instance, trio.current_time()))
+
     async def _leave(self, control: ControlClient) -> bool:
         if self._rng.random() < 0.5:
             return await self.beat(control, "draining")
-        answer = await control.call("DELETE", f"/v1/steering/upstreams/{self.instance}")
+        answer = await control.call(
+            "DELETE", f"/v1/steering/upstreams/{self.instance}", {"born": self._born}
+        )
         return answer is not None and answer[0] == 200
 
     async def _serve(self, stream: trio.SocketStream) -> None:
@@ -96,8 +162,19 @@
             return await self._reply(stream, http, request_id, 421, b"", not_run=True)
         if self._running >= SLOTS * 2 or self._rng.random() < REFUSED_SHARE:
             return await self._reply(stream, http, request_id, 503, b"", not_run=True)
+        if DEADLY in request.target:
+            await self._end_under(request_id, request.target.rpartition(b"/")[2].decode())
         return await self._work(stream, http, request_id, payload)
 
+    async def _end_under(self, request_id: str, deadly: str) -> None:
+        """End with everything that is under way, since a deadly request has begun."""
+        now = trio.current_time()
+        self._ledger.runs.append(Run(request_id, self.instance, self._zone, now))
+        self._ledger.ended_under.append(EndedUnder(deadly, request_id, now))
+        self._is_up = False
+        self._life.cancel()
+        await trio.sleep_forever()
+
     async def _work(
         self, stream: trio.SocketStream, http: h11.Connection, request_id: str, payload: bytes
     ) -> bool:
@@ -143,6 +220,10 @@
         return http.our_state is h11.DONE
 
 
+def _now_ms() -> int:
+    return int(time.time() * 1000)
+
+
 async def _next_event(stream: trio.SocketStream, http: h11.Connection):
     while (event := http.next_event()) is h11.NEED_DATA:
         http.receive_data(await stream.receive_some(_READ_BYTES))
