--- a/bench/soak/_machines.py
+++ b/bench/soak/_machines.py
@@ -39,6 +39,7 @@
         self._ledger = ledger
         self._running: dict[str, subprocess.Popen] = {}
         self._told: set[str] = set()
+        self._suspended: dict[str, float] = {}
         self._started: set[int] = set()
         names = shape.replica_names + shape.gateway_names
         ports = iter(free_ports(4 * len(names)))
@@ -158,7 +159,20 @@
 
     def spoil(self, name: str, fault: str, value: float) -> None:
         """Have a fault of clock or storage take effect in a process; 0 ends it."""
-        self._faults_path(name).write_text(f"{fault} {value}\n" if value else "")
+        lines = [f"{fault} {value}\n"] if value else []
+        if name in self._suspended:
+            lines.append(f"suspended {self._suspended[name]}\n")
+        self._faults_path(name).write_text("".join(lines))
+
+    async def suspend(self, name: str, seconds: float) -> None:
+        """Stop a process as if its machine were suspended: its steady clocks stand still."""
+        started = trio.current_time()
+        self.signal(name, signal.SIGSTOP)
+        await trio.sleep(seconds)
+        away = trio.current_time() - started
+        self._suspended[name] = self._suspended.get(name, 0.0) + away
+        self.spoil(name, "", 0.0)
+        self.signal(name, signal.SIGCONT)
 
     def deafen(self, name: str) -> None:
         """Stop reading a process's log, until `hear`."""
--- a/bench/soak/intrusion/sitecustomize.py
+++ b/bench/soak/intrusion/sitecustomize.py
@@ -1,7 +1,8 @@
 """Put on the path of a process under soak: spoils its clock and its disk from outside.
 
-The file named by `SOAK_FAULTS` holds `clock SECONDS`, `sync SECONDS` or `full 1`, a line each; it
-is read again whenever it changes. What a file held at its last sync is noted beside it, so that a
+The file named by `SOAK_FAULTS` holds `clock SECONDS`, `sync SECONDS`, `suspended SECONDS` or
+`full 1`, a line each; it is read again whenever it changes. The steady clocks stood still for as
+long as the machine was suspended. What a file held at its last sync is noted beside it, so that a
 loss of power can cut it back to that.
 """
 
@@ -11,6 +12,7 @@
 
 _PATH = os.environ.get("SOAK_FAULTS", "")
 _time, _write, _fsync, _replace = time.time, os.write, os.fsync, os.replace
+_perf_counter, _monotonic = time.perf_counter, time.monotonic
 _held: dict[str, float] = {}
 _seen = None
 
@@ -39,6 +41,14 @@
     return _time() + _faults().get("clock", 0.0)
 
 
+def _spoiled_perf_counter():
+    return _perf_counter() - _faults().get("suspended", 0.0)
+
+
+def _spoiled_monotonic():
+    return _monotonic() - _faults().get("suspended", 0.0)
+
+
 def _spoiled_write(fd, data):
     if _faults().get("full") and _is_data(fd):
         raise OSError(errno.ENOSPC, "no space left (soak)")
@@ -65,6 +75,8 @@
 
 if _PATH:
     time.time = _spoiled_time
+    time.perf_counter = _spoiled_perf_counter
+    time.monotonic = _spoiled_monotonic
     os.write = _spoiled_write
     os.fsync = _noted_fsync
     os.replace = _noted_replace
--- a/tests/process/mortal.py
+++ b/tests/process/mortal.py
@@ -106,11 +106,19 @@
 class Scene:
     """A deployment with mortal upstreams, and a caller."""
 
-    def __init__(self, folder, nursery: trio.Nursery, upstreams: int, keeps_instance: bool) -> None:
-        self.machines = Machines(folder, SHAPE, Ledger(), nursery)
+    def __init__(
+        self,
+        folder,
+        nursery: trio.Nursery,
+        upstreams: int,
+        keeps_instance: bool,
+        shape: Shape = SHAPE,
+    ) -> None:
+        self.machines = Machines(folder, shape, Ledger(), nursery)
         self.control = ControlClient(list(self.machines.api.values()), random.Random(1))
         self.upstreams = [Mortal(f"i-{n}", self.control, keeps_instance) for n in range(upstreams)]
-        self.names = SHAPE.gateway_names
+        self.names = shape.gateway_names
+        self.replicas = shape.replica_names
         self._numbers = itertools.count(1)
 
     @property
@@ -152,7 +160,7 @@
         await self.until_served()
 
     async def restart_all(self) -> None:
-        everyone = SHAPE.replica_names + self.names
+        everyone = self.replicas + self.names
         for name in everyone:
             self.machines.kill(name)
         for name in everyone:
