Measure by the time since boot, which counts suspensions of the machine

Cause: trio's own clock is the steady one. The event loop of every process now has a clock over the time since boot, so ages, leases and deadlines of gateways, entries and replicas count a suspension alike; virtual time in tests stays. The kernel measures sleeps by the steady clock, so the loop sleeps 0.2 s at most: what came due meanwhile is seen that late at the latest (test_clock). Ruled out: the time of day (it jumps); correcting single places (there are over a hundred readings). Before: 404 from a gateway that wakes; after: 503, and 404 again once it has heard. Left: entries and replicas have no process test of their own for it; they run on the same loop.

--- a/src/finchway/daemon.py
+++ b/src/finchway/daemon.py
@@ -15,6 +15,7 @@
 from hypercorn.config import Config
 from hypercorn.trio import serve
 
+from finchway._clock import BootClock
 from finchway._settings import CONTROL, ENTRY, GATEWAY, Settings, define_flags, read_settings
 from finchway._signals import SignalWatch
 from finchway.control import (
@@ -424,7 +425,7 @@
         if left:
             raise flags.Error(f"unexpected argument {left[0]!r}")
         settings = read_settings(values, os.environ)
-        trio.run(run_process, settings)
+        trio.run(run_process, settings, clock=BootClock())
     except flags.Error as error:
         print(f"finchwayd: {error}", file=sys.stderr)
         sys.exit(2)
