Read what comes from outside by typed schemas with bounds; refuse the rest with the field's name

Cause: documents were read by hand, with the errors that someone had thought of. The platform's documents are typed now, down to born of a deregistration; what a heartbeat must hold is checked in one place, for the product's own call as well: names, address, slots, counts, times, and a service that is configured. What is refused leaves nothing, is counted and gets a line a second at most. Counts in headers of upstreams are read by one function that knows what a digit is. An upstream that comes before its service is taken with its next heartbeat; one that was taken once is heard until it ends, also when its service is dropped. Ruled out: to refuse leaving words of services that are not configured (they must bind), unknown zones (settings may trail behind).

--- a/src/finchway/control/_steering.py
+++ b/src/finchway/control/_steering.py
@@ -19,7 +19,13 @@
 )
 from finchway.feed import choose_gateways
 from finchway.observe import BeliefChanged, DecisionLog, OrderEnded, ReplicaMetrics, ReplicaState
-from finchway.registry import MarkKind, Registration, UpstreamState, name_life
+from finchway.registry import (
+    MarkKind,
+    Registration,
+    UpstreamState,
+    check_registration,
+    name_life,
+)
 from finchway.state import (
     AnyCommand,
     ChangeItems,
@@ -34,6 +40,10 @@
 # Seconds since a message of the leader after which the figures say that it is not heard: fifteen of
 # its heartbeats with the usual election time.
 LEADER_HEARD_WITHIN_S = 1.5
+# Seconds between two lines on calls that are refused, and characters of each: another writer may
+# send thousands.
+REFUSED_EVERY_S = 1.0
+REFUSED_SHOWN = 200
 
 
 class SteeringService:
@@ -49,6 +59,7 @@
         self._decisions = decisions
         self._metrics = metrics
         self._pressed: set[str] = set()
+        self._refused_at = float("-inf")
 
     @property
     def control(self) -> ControlServer:
@@ -78,8 +89,12 @@
         return self._control.runner.machine.steering.catalog.standing()
 
     async def hear(self, registration: Registration) -> None:
-        """Take in an upstream's heartbeat; one that says that it leaves is committed first."""
+        """Take in an upstream's heartbeat; one that says that it leaves is committed first.
+
+        Raises `ResourceError` for one that is not to be believed.
+        """
         self._metrics.count_heartbeat()
+        self._check(registration)
         if not self._control.feed.hear(registration):
             self._note_late(registration)
         if registration.state is UpstreamState.DRAINING:
@@ -113,6 +128,31 @@
             raise UnavailableError("no gateway is known to be ready")
         return named
 
+    def _check(self, registration: Registration) -> None:
+        """Refuse a heartbeat out of bounds, or of a service that is not configured.
+
+        An upstream may start before its service is: its next heartbeat after that is taken. One
+        that was taken once is heard until it ends, also when its service is dropped.
+        """
+        findings = check_registration(registration)
+        catalog = self._control.runner.machine.steering.catalog
+        is_known = self._control.feed.registry.get(registration.instance) is not None
+        if not (catalog.is_empty or is_known or catalog.service(registration.service)):
+            findings.append(Finding("service", f"no service {registration.service[:40]!r}"))
+        if findings:
+            raise ResourceError(findings, "heartbeat")
+
+    def note_refused(self, call: str, error: FinchwayError) -> None:
+        """Count a call that could not be believed or read; log one a second at most."""
+        self._metrics.count_refused(call)
+        now = trio.current_time()
+        if now - self._refused_at < REFUSED_EVERY_S:
+            return
+        self._refused_at = now
+        self._decisions.write(
+            BeliefChanged(subject=call, now="refused", source=error.message[:REFUSED_SHOWN])
+        )
+
     def _note_late(self, registration: Registration) -> None:
         self._decisions.write(
             BeliefChanged(
--- a/src/finchway/control/_steering_api.py
+++ b/src/finchway/control/_steering_api.py
@@ -10,7 +10,7 @@
 
 from finchway.catalog import Item, ItemKind, Limits, Route, ServiceSpec
 from finchway.control._steering import SteeringService
-from finchway.exceptions import Finding, NotFoundError, ResourceError
+from finchway.exceptions import Finding, InputError, NotFoundError, ResourceError
 from finchway.registry import Registration
 from finchway.state import Steering
 
@@ -85,6 +85,13 @@
 
     async def change(self, method: str, parts: list[str], body: bytes) -> Any:
         """Answer a call that changes something; the answer means that it is committed."""
+        try:
+            return await self._change(method, parts, body)
+        except InputError as error:
+            self._service.note_refused(parts[0] if parts else "", error)
+            raise
+
+    async def _change(self, method: str, parts: list[str], body: bytes) -> Any:
         match method, parts:
             case "POST", ["items"]:
                 return {"revision": await self._service.change_items(parse_items(_decode(body)))}
@@ -94,7 +101,9 @@
                 return {"zone": zone, "active": active}
             case "PUT", ["upstreams", instance]:
                 document = _decode(body)
-                named = document | {"instance": instance} if isinstance(document, dict) else {}
+                named = (
+                    document | {"instance": instance} if isinstance(document, dict) else document
+                )
                 await self._service.hear(_convert(named, Registration, "body"))
                 return {"instance": instance}
             case "DELETE", ["upstreams", instance]:
@@ -177,7 +186,7 @@
 def _decode(body: bytes) -> Any:
     try:
         return msgspec.json.decode(body)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError, ValueError) as error:
         raise ResourceError([Finding("body", str(error))], "body") from error
 
 
--- a/src/finchway/gateway/_connection.py
+++ b/src/finchway/gateway/_connection.py
@@ -26,6 +26,7 @@
 _HEAD_BYTES = 64 * 1024
 _PIECE_BYTES = 16 * 1024
 _STRAYS_READ = 3
+_COUNT_DIGITS = 9
 
 
 class Failure(Enum):
@@ -256,8 +257,9 @@
             self._keep = False
         for word in (answer.header(b"keep-alive") or "").split(","):
             name, _, value = word.strip().partition("=")
-            if name.lower() == "timeout" and value.isdigit():
-                self._idle_for = float(value)
+            seconds = read_count(value)
+            if name.lower() == "timeout" and seconds is not None:
+                self._idle_for = float(seconds)
 
     async def _next_event(self):
         try:
@@ -279,6 +281,17 @@
             self._keep = False
 
 
+def read_count(text: str) -> int | None:
+    """Return the whole number that a header tells; None if it is none, or beyond all sense.
+
+    `isdigit` alone takes signs such as "²", which are no numbers.
+    """
+    text = text.strip()
+    if not (text.isascii() and text.isdigit() and len(text) <= _COUNT_DIGITS):
+        return None
+    return int(text)
+
+
 def _failure_of(error: Exception) -> Failure:
     """Tell a connection on which nothing was acknowledged for long from one that was broken off."""
     cause = error.__cause__
--- a/src/finchway/gateway/_forward.py
+++ b/src/finchway/gateway/_forward.py
@@ -9,7 +9,13 @@
 
 from finchway.catalog import Route, RouteType
 from finchway.feed import World
-from finchway.gateway._connection import Answer, AttemptError, Failure, UpstreamConnection
+from finchway.gateway._connection import (
+    Answer,
+    AttemptError,
+    Failure,
+    UpstreamConnection,
+    read_count,
+)
 from finchway.gateway._http import (
     CallerConnection,
     CallerLeftError,
@@ -343,10 +349,10 @@
         return Outcome(Verdict.NOT_RUN, f"refused with {answer.status}", record=record)
 
     def _note_load(self, record: UpstreamRecord, answer: Answer, now: float) -> None:
-        text = answer.header(self._names.load)
-        parts = text.split(",") if text else []
-        if len(parts) >= 2 and parts[0].strip().isdigit() and parts[1].strip().isdigit():
-            record.report(int(parts[0]), int(parts[1]), now)
+        parts = (answer.header(self._names.load) or "").split(",")
+        counts = [read_count(part) for part in parts[:2]]
+        if len(counts) == 2 and None not in counts:
+            record.report(*counts, now)
 
     # Answers
 
--- a/src/finchway/observe/_replica_metrics.py
+++ b/src/finchway/observe/_replica_metrics.py
@@ -47,6 +47,9 @@
         self._heartbeats = Counter(
             "finchway_replica_heartbeats_total", "Heartbeats of upstreams", labels, registry
         )
+        self._refused = Counter(
+            "finchway_replica_refused_total", "Calls that could not be believed", labels, registry
+        )
         self._gauge = Gauge("finchway_replica_state", "State by name", labels, registry)
 
     def count_order(self, order: str, outcome: str, seconds: float) -> None:
@@ -59,6 +62,10 @@
         """Count one heartbeat of an upstream."""
         self._heartbeats.inc({})
 
+    def count_refused(self, call: str) -> None:
+        """Count one call that could not be read or believed."""
+        self._refused.inc({"call": call})
+
     def render(self, state: ReplicaState) -> bytes:
         """Return all figures in the text form."""
         figures = {
--- a/tests/adapter/test_words_of_other_writers.py
+++ b/tests/adapter/test_words_of_other_writers.py
@@ -10,14 +10,17 @@
 import copy
 
 import msgspec
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from platform_documents import born_from_deregistration, items_from_patch, registration_from_beat
 
 from finchway.exceptions import ResourceError
 from finchway.feed import HeardUpstream
+from finchway.registry import check_registration
 from tests.adapter import documents
 
+NESTED = b"[" * 100_000
 ODD = st.recursive(
     st.none()
     | st.booleans()
@@ -84,7 +87,8 @@
         registration = registration_from_beat("i-1", msgspec.json.encode(document))
     except ResourceError:
         return
-    msgspec.msgpack.encode(HeardUpstream(registration, 0.0))
+    if not check_registration(registration):
+        msgspec.msgpack.encode(HeardUpstream(registration, 0.0))
 
 
 @settings(max_examples=400, deadline=None, derandomize=True)
@@ -109,3 +113,44 @@
             read()
         except ResourceError:
             continue
+
+
+def test_what_cannot_be_read_is_refused():
+    for data in (NESTED, b'{"a":' * 50_000, b"\xff", b"null", b"3"):
+        with pytest.raises(ResourceError):
+            registration_from_beat("i-1", data)
+        with pytest.raises(ResourceError):
+            items_from_patch(data)
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        (("info", "slots"), 0),
+        (("info", "slots"), -1),
+        (("info", "slots"), True),
+        (("info", "slots"), 1.5),
+        (("info", "slots"), 10**30),
+        (("info", "slots"), "4"),
+        (("info", "version"), ["v1"]),
+        (("info", "zone"), ""),
+        (("info", "service"), "x" * 1_000),
+        (("status", "sequence"), -1),
+        (("status", "sequence"), 2**70),
+        (("status", "state"), "resting"),
+        (("status", "cold_remaining"), "9" * 400 + "s"),
+        (("status", "cold_remaining"), "9999999s"),
+        (("address",), "x"),
+        (("address",), "10.0.0.1"),
+        (("address",), "10.0.0.999:80"),
+        (("address",), "10.0.0.1:99999"),
+    ],
+)
+def test_a_heartbeat_with_a_field_out_of_bounds_is_refused_by_its_name(field, value):
+    data = msgspec.json.encode(changed(BEAT, field, value))
+    with pytest.raises(ResourceError) as caught:
+        registration = registration_from_beat("i-1", data)
+        findings = check_registration(registration)
+        if findings:
+            raise ResourceError(findings, "heartbeat")
+    assert field[-1].partition("_")[0] in str(caught.value)
