Show operators which requests are quarantined, and let them release one

Cause: a request that is kept from upstreams could be seen in lines only, and was back after its time alone. finchway steering lists the suspects with state, ends and upstreams; finchway release DIGEST clears one, as an answer would. Ruled out: a way to quarantine by hand (no user asked for it). Shown by a process test: the request reaches an upstream again after its release, an unknown digest is answered with exit code 5.

--- a/src/finchway/cli/_commands.py
+++ b/src/finchway/cli/_commands.py
@@ -330,6 +330,20 @@
     rows = [[str(row[name]) for name in columns] for row in view["gateways"]]
     headings = ["GATEWAY", "ZONE", "READY", "LEAVING", "REVISION", "AGE S"]
     context.printer.table(view, headings, rows)
+    rows = [
+        [s["request"], s["state"], str(s["ends"]), ", ".join(s["ended"]), str(s["seconds"])]
+        for s in view["suspects"]
+    ]
+    headings = ["SUSPECT REQUEST", "STATE", "ENDS", "UPSTREAMS", "FOR S"]
+    context.printer.table(view, headings, rows)
+
+
+def release(context: Context, arguments: list[str]) -> None:
+    """Have a request that is suspected of ending upstreams sent to them again: release DIGEST."""
+    if len(arguments) != 1:
+        raise _usage("release DIGEST")
+    answer = context.api.post(f"/v1/steering/suspects/{arguments[0]}/release", {})
+    context.printer.line(answer, f"request {arguments[0]} may be sent to upstreams again")
 
 
 def evacuate(context: Context, arguments: list[str]) -> None:
@@ -422,6 +436,7 @@
     "steering": steering,
     "evacuate": evacuate,
     "readmit": readmit,
+    "release": release,
     "explain": explain,
     "replica": replica,
     "bootstrap": bootstrap,
--- a/src/finchway/control/_steering.py
+++ b/src/finchway/control/_steering.py
@@ -14,6 +14,7 @@
     ConflictError,
     FinchwayError,
     Finding,
+    NotFoundError,
     ResourceError,
     UnavailableError,
 )
@@ -31,6 +32,8 @@
     ChangeItems,
     MarkUpstream,
     Rejected,
+    ReportRequests,
+    RequestReport,
     SetEvacuation,
     Steered,
     VersionTaken,
@@ -112,6 +115,21 @@
         with self._noted("evacuate" if active else "readmit", f"zone/{zone}"):
             await self._submit(SetEvacuation(now_ms=_now_ms(), zone=zone, active=active))
 
+    async def release(self, request: str) -> None:
+        """Have a request that is suspected of ending upstreams sent to them again.
+
+        Raises `NotFoundError` if nothing speaks against it.
+        """
+        held = self._control.runner.machine.steering.suspects.get(request)
+        if held is None or not held.is_current:
+            raise NotFoundError(
+                f"no request {request!r} is suspected of ending upstreams",
+                "the list of suspects in `finchway steering` has the digests",
+            )
+        report = RequestReport(request, answered=True)
+        with self._noted("release", f"request/{request}"):
+            await self._submit(ReportRequests(now_ms=_now_ms(), reports=[report]))
+
     def gateways(self, host: str, region: str, zone: str) -> list[str]:
         """Return the gateways' addresses for a caller; raises `UnavailableError` without any."""
         catalog = self._control.runner.machine.steering.catalog
--- a/src/finchway/control/_steering_api.py
+++ b/src/finchway/control/_steering_api.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import Any
 
 import msgspec
@@ -12,7 +13,7 @@
 from finchway.control._steering import SteeringService
 from finchway.exceptions import Finding, InputError, NotFoundError, ResourceError
 from finchway.registry import Registration
-from finchway.state import Steering
+from finchway.state import Steering, Suspect
 
 _SPECS = {ItemKind.ROUTE: Route, ItemKind.SERVICE: ServiceSpec, ItemKind.LIMITS: Limits}
 
@@ -57,6 +58,16 @@
     age_s: float
 
 
+class SuspectRow(Struct, frozen=True):
+    """A request under which upstreams have ended; `seconds` is how long it stays so at most."""
+
+    request: str
+    state: str
+    ends: int
+    ended: list[str]
+    seconds: float
+
+
 class SteeringView(Struct, frozen=True):
     """How steering stands at one replica."""
 
@@ -65,6 +76,7 @@
     evacuated: list[str]
     upstreams: list[UpstreamRow]
     gateways: list[GatewayRow]
+    suspects: list[SuspectRow]
 
 
 class SteeringApi:
@@ -106,6 +118,9 @@
                 )
                 await self._service.hear(_convert(named, Registration, "body"))
                 return {"instance": instance}
+            case "POST", ["suspects", request, "release"]:
+                await self._service.release(request)
+                return {"request": request}
             case "DELETE", ["upstreams", instance]:
                 born = _convert(_decode(body or b"{}"), _Leaving, "body").born
                 await self._service.deregister(instance, born)
@@ -146,6 +161,7 @@
                 )
                 for heard in control.feed.gateways.live(now)
             ],
+            [_suspect_row(suspect) for suspect in steering.suspects.all if suspect.is_current],
         )
 
 
@@ -178,6 +194,12 @@
     return items
 
 
+def _suspect_row(suspect: Suspect) -> SuspectRow:
+    seconds = max(0.0, round(suspect.until_ms / 1000 - time.time(), 1))
+    ended = list(suspect.ended)
+    return SuspectRow(suspect.request, suspect.state.value, suspect.ends, ended, seconds)
+
+
 def _state(registration: Registration, steering: Steering) -> str:
     mark = steering.mark_of(registration)
     return mark.kind.value if mark else registration.state.value
--- a/tests/process/test_deadly_requests.py
+++ b/tests/process/test_deadly_requests.py
@@ -9,10 +9,13 @@
 from __future__ import annotations
 
 import itertools
+import json
 
 import pytest
 import trio
 
+from bench.deploy import CREDENTIAL
+from finchway.cli import run
 from tests.process.mortal import play
 
 pytestmark = pytest.mark.xdist_group("gateway")
@@ -46,3 +49,32 @@
         assert await scene.ask(scene.names[0], "/safe/well") == 200
 
     play(check, tmp_path, UPSTREAMS)
+
+
+def test_an_operator_sees_what_is_quarantined_and_releases_it(tmp_path, capsys):
+    def call(scene, *arguments):
+        api = ",".join(scene.machines.api.values())
+        code = run([*arguments, f"--api={api}", f"--credential={CREDENTIAL}", "--timeout=10"])
+        captured = capsys.readouterr()
+        return code, captured.out, captured.err
+
+    async def check(scene):
+        while await scene.ask("g1") != 503:
+            await trio.sleep(0.3)
+        _, out, _ = await trio.to_thread.run_sync(call, scene, "steering", "-o", "json")
+        (suspect,) = json.loads(out)["suspects"]
+        assert (suspect["state"], suspect["ends"]) == ("quarantined", 3)
+        assert len(suspect["ended"]) > 0
+        _, out, _ = await trio.to_thread.run_sync(call, scene, "steering")
+        assert suspect["request"] in out
+        before = scene.reached
+        code, _, _ = await trio.to_thread.run_sync(call, scene, "release", suspect["request"])
+        assert code == 0
+        await trio.sleep(0.3)
+        await scene.ask("g1")
+        assert scene.reached > before
+        code, _, err = await trio.to_thread.run_sync(call, scene, "release", "0123456789abcdef")
+        assert code == 5
+        assert "no request '0123456789abcdef' is suspected" in err
+
+    play(check, tmp_path, UPSTREAMS)
