Hold what a request has done to upstreams apart from the request; let a suspect try again what never ran

A bound on requests that are held with their bodies until it is known whether an upstream ended: 16 (16 MB at the most), not 64.

--- a/src/finchway/gateway/_forward.py
+++ b/src/finchway/gateway/_forward.py
@@ -54,12 +54,12 @@
         suspects: SuspectDesk,
         apply_within: float,
     ) -> None:
-        self._suspects = suspects
         self._world = world
         self._table = table
         self._router = router
         self._names = names
         self._log = log
+        self._suspects = suspects
         self._apply_within = apply_within
         self._in_flight = 0
 
@@ -141,7 +141,7 @@
             # Nobody waits: a gateway that was frozen would bring what piled up to the upstreams.
             self._log.note_ended(task, 0, "the caller had left")
             raise CallerLeftError
-        clearance = self._suspects.clear(task, trio.current_time())
+        clearance = self._suspects.clearance(task, trio.current_time())
         if clearance is Clearance.REFUSED:
             await self._refuse_quarantined(connection, task)
             return
@@ -215,11 +215,12 @@
         """Return why a further attempt must not be made; empty if it may."""
         if task.request.more:
             return "the body was streamed"
-        if outcome.verdict is Verdict.UNKNOWN and task.route.type is not RouteType.SAFE:
+        may_have_run = outcome.verdict is Verdict.UNKNOWN
+        if may_have_run and task.route.type is not RouteType.SAFE:
             return "it may have run and must not run twice"
         if task.deadline - now < _LEAST_LEFT_S:
             return "no time left"
-        if task.once or not self._suspects.may_repeat(task, now):
+        if may_have_run and (task.once or not self._suspects.may_repeat(task, now)):
             return "upstreams have ended under it"
         return ""
 
--- a/src/finchway/gateway/_suspects.py
+++ b/src/finchway/gateway/_suspects.py
@@ -39,6 +39,8 @@
 MOST_EXAMINED = 64
 # Seconds within which an upstream that ended is heard again, if nothing else showed its end.
 BACK_WITHIN_S = 10.0
+# Requests that are held for that long, with their bodies of up to 1 MiB each.
+MOST_UNCLEAR = 16
 # Seconds that callers of a quarantined request are told to stay away at least: its time may be over
 # by this instance's clock, and not yet by that of the replicas.
 COME_BACK_LEAST_S = 10.0
@@ -83,19 +85,19 @@
         self._report = report
         self._seen: dict[str, _Seen] = {}
         self._carried: set[Task] = set()
-        self._unclear: deque[_Unclear] = deque(maxlen=MOST_EXAMINED)
+        self._unclear: deque[_Unclear] = deque(maxlen=MOST_UNCLEAR)
         table.watch_replaced(self._note_replaced)
         self._examine, self._to_examine = trio.open_memory_channel[tuple[Task, UpstreamRecord]](
             MOST_EXAMINED
         )
 
-    def clear(self, task: Task, now: float) -> Clearance:
+    def clearance(self, task: Task, now: float) -> Clearance:
         """Tell how often a request may be sent, counting what it has done to upstreams before."""
         if self._knows_nothing():
             return Clearance.FREE
         held = self._held(task)
         here = self._ends_here(task, now)
-        ends = task.ends_known = max(here, held.ends if held else 0)
+        ends = task.evidence.known = max(here, held.ends if held else 0)
         if held is not None and held.state is SuspectState.QUARANTINED:
             return Clearance.REFUSED
         if here >= QUARANTINE_AFTER and (held is None or here > held.ends):
@@ -112,7 +114,7 @@
         if self._knows_nothing():
             return True
         held = self._held(task)
-        return max(self._ends_here(task, now), held.ends if held else 0) <= task.ends_seen
+        return max(self._ends_here(task, now), held.ends if held else 0) <= task.evidence.seen
 
     def quarantined_for(self, task: Task) -> float:
         """Return the seconds after which a request that is refused may be tried again."""
@@ -134,7 +136,7 @@
             yield
         finally:
             self._carried.discard(task)
-            task.is_over = True
+            task.evidence.is_over = True
             self._report_ends(task)
 
     def note_broken(self, task: Task, record: UpstreamRecord) -> None:
@@ -149,7 +151,7 @@
 
     def note_answered(self, task: Task) -> None:
         """Take in that an upstream has run a request and lives."""
-        task.is_answered = True
+        task.evidence.is_answered = True
         if self._knows_nothing():
             return
         self._seen.pop(task.fingerprint, None)
@@ -189,8 +191,10 @@
             if error.failure is Failure.REFUSED:
                 self._note_ended(task, record, now)
             return
-        self._unclear.append(_Unclear(task, record, now))
         self._table.keep(record, connection)
+        while self._unclear and now - self._unclear[0].at > BACK_WITHIN_S:
+            self._unclear.popleft()
+        self._unclear.append(_Unclear(task, record, now))
 
     def _note_replaced(self, record: UpstreamRecord) -> None:
         """Note the requests under which a life has ended, now that the next one has begun."""
@@ -202,24 +206,25 @@
                 self._note_ended(unclear.task, record, now)
 
     def _note_ended(self, task: Task, record: UpstreamRecord, now: float) -> None:
-        if task.is_answered:
+        evidence = task.evidence
+        if evidence.is_answered:
             return
-        task.ends_seen += 1
-        task.last_ended = record.registration.life
-        ends = task.ends_known + task.ends_seen
-        seen = self._seen.pop(task.fingerprint, None)
-        self._seen[task.fingerprint] = _Seen(max(ends, seen.ends if seen else 0), now)
+        evidence.seen += 1
+        evidence.last = record.registration.life
+        earlier = self._seen.pop(task.fingerprint, None)
+        ends = max(evidence.ends, earlier.ends if earlier else 0)
+        self._seen[task.fingerprint] = _Seen(ends, now)
         if len(self._seen) > MOST_REMEMBERED:
             del self._seen[next(iter(self._seen))]
-        self._log.note_ended_under(task, record, ends)
+        self._log.note_ended_under(task, record, evidence.ends)
         self._report_ends(task)
-        if ends >= QUARANTINE_AFTER:
+        if evidence.ends >= QUARANTINE_AFTER:
             self._break_off({task.fingerprint})
 
     def _report_ends(self, task: Task) -> None:
-        if task.is_over and task.ends_seen and not task.is_answered:
-            ends = task.ends_known + task.ends_seen
-            self._report(RequestReport(task.fingerprint, ends, task.last_ended))
+        evidence = task.evidence
+        if evidence.is_over and evidence.seen and not evidence.is_answered:
+            self._report(RequestReport(task.fingerprint, evidence.ends, evidence.last))
 
     def _break_off(self, quarantined: set[str]) -> None:
         for task in [task for task in self._carried if task.fingerprint in quarantined]:
--- a/src/finchway/gateway/_table.py
+++ b/src/finchway/gateway/_table.py
@@ -147,6 +147,14 @@
             )
         )
 
+    def watch_replaced(self, note: Callable[[UpstreamRecord], None]) -> None:
+        """Have each life told that is over since a later one of the same upstream has begun."""
+        self._note_replaced = note
+
+    def was_replaced(self, record: UpstreamRecord) -> bool:
+        """Tell whether a later life of the upstream has begun."""
+        return record.state == REPLACED
+
     def may_get(self, record: UpstreamRecord, now: float) -> bool:
         """Tell whether an upstream may get a request at this moment."""
         return record.resting_until <= now and self._cold_allows(record, now)
@@ -220,14 +228,6 @@
         record.end()
         self._note_replaced(record)
 
-    def watch_replaced(self, note: Callable[[UpstreamRecord], None]) -> None:
-        """Have each life told that is over since a later one of the same upstream has begun."""
-        self._note_replaced = note
-
-    def was_replaced(self, record: UpstreamRecord) -> bool:
-        """Tell whether a later life of the upstream has begun."""
-        return record.state == REPLACED
-
     def _cold_start(self, service: str) -> float:
         spec = self._world.steering.catalog.service(service)
         return (spec.cold_start if spec else 0.0) + self._bounds.heartbeat
--- a/src/finchway/gateway/_task.py
+++ b/src/finchway/gateway/_task.py
@@ -13,14 +13,33 @@
 from finchway.gateway._record import UpstreamRecord
 
 
+class Evidence(Struct):
+    """What a request has done to upstreams, as far as this gateway knows.
+
+    `known` counts the upstreams that were known to have ended under it when it came, `seen` those
+    that have since; `last` names the life of the newest. `is_over` tells that no further attempt
+    follows, and `is_answered` that an upstream has run it and lives.
+    """
+
+    known: int = 0
+    seen: int = 0
+    last: str = ""
+    is_over: bool = False
+    is_answered: bool = False
+
+    @property
+    def ends(self) -> int:
+        """How many upstreams have ended under it, one after the other."""
+        return self.known + self.seen
+
+
 class Task(Struct, eq=False):
     """A request on its way; `refusal` says why no upstream was chosen.
 
     `has_key` tells whether the caller named the thing that the request concerns; `key` is the
-    request's id otherwise. `is_read` is set once the caller has nothing more to send. `once` allows
-    a single attempt. Cancelling `scope` ends the attempts; `is_quarantined` tells that this was
-    done since upstreams end under the request. `ends_known` counts the upstreams that were known to
-    have ended under it when it came, and `ends_seen` those that have since.
+    request's id otherwise. `is_read` is set once the caller has nothing more to send. `once` has it
+    run by one upstream at most. Cancelling `scope` ends the attempts; `is_quarantined` tells that
+    this was done since upstreams end under the request.
     """
 
     request: CallerRequest
@@ -38,12 +57,8 @@
     is_read: trio.Event = field(default_factory=trio.Event)
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     once: bool = False
-    ends_known: int = 0
-    ends_seen: int = 0
-    last_ended: str = ""
-    is_over: bool = False
-    is_answered: bool = False
     is_quarantined: bool = False
+    evidence: Evidence = field(default_factory=Evidence)
     digest: str = ""
 
     @property
