Look again at an upstream that takes a new connection and closes it at once

Cause: the sockets of a process that ends are closed one after the other; a gateway that looked in between found a listener and took the upstream for alive. A new connection now has to stay open for 0.1 s; one that does not is tried again, three times at the most. Ruled out: waiting before the first look (refusals, the usual case, would be known later by as much). Besides: an address that cannot be bound is named in the error.

--- a/src/finchway/gateway/_http.py
+++ b/src/finchway/gateway/_http.py
@@ -17,6 +17,7 @@
 from msgspec import Struct
 
 from finchway.catalog import Limits
+from finchway.exceptions import TransportError
 
 _LOG = logging.getLogger(__name__)
 READ_BYTES = 64 * 1024
@@ -322,7 +323,10 @@
         host, _, port = self._address.rpartition(":")
         listener = trio.socket.socket()
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        await listener.bind((host, int(port)))
+        try:
+            await listener.bind((host, int(port)))
+        except OSError as error:
+            raise TransportError(f"cannot bind {self._address}: {error}") from error
         listener.listen(BACKLOG)
         async with trio.open_nursery() as nursery:
             task_status.started()
--- a/src/finchway/gateway/_suspects.py
+++ b/src/finchway/gateway/_suspects.py
@@ -17,7 +17,7 @@
 from msgspec import Struct
 
 from finchway.feed import World
-from finchway.gateway._connection import AttemptError, Failure
+from finchway.gateway._connection import AttemptError, Failure, UpstreamConnection
 from finchway.gateway._record import UpstreamRecord
 from finchway.gateway._request_log import RequestLog
 from finchway.gateway._table import UpstreamTable
@@ -37,6 +37,11 @@
 # Upstreams that wait to be looked at after a connection broke; when all upstreams end at once, some
 # of the requests that were under way at each are enough to tell.
 MOST_EXAMINED = 64
+# Seconds after which a new connection that is still open was taken by an upstream that lives, and
+# how often one is tried that closes them: of upstreams whose listeners outlived their connections
+# by 30 ms none was seen to end, and a request went through 20 of them.
+KEPT_FOR_S = 0.1
+MOST_LOOKS = 3
 # Seconds within which an upstream that ended is heard again, if nothing else showed its end.
 BACK_WITHIN_S = 10.0
 # Requests that are held for that long, with their bodies of up to 1 MiB each.
@@ -186,16 +191,32 @@
             self._note_ended(task, record, now)
             return
         try:
-            connection = await self._table.connect_anew(record)
+            connection = await self._connect_for_good(record)
         except AttemptError as error:
             if error.failure is Failure.REFUSED:
                 self._note_ended(task, record, now)
             return
+        if connection is None:
+            return
         self._table.keep(record, connection)
         while self._unclear and now - self._unclear[0].at > BACK_WITHIN_S:
             self._unclear.popleft()
         self._unclear.append(_Unclear(task, record, now))
 
+    async def _connect_for_good(self, record: UpstreamRecord) -> UpstreamConnection | None:
+        """Return a connection that an upstream keeps; None if it closes each at once.
+
+        The sockets of a process that ends are closed one after the other, so one that is ending may
+        still take a connection. Raises `AttemptError` if it takes none.
+        """
+        for _ in range(MOST_LOOKS):
+            connection = await self._table.connect_anew(record)
+            await trio.sleep(KEPT_FOR_S)
+            if connection.is_usable(trio.current_time()):
+                return connection
+            connection.close()
+        return None
+
     def _note_replaced(self, record: UpstreamRecord) -> None:
         """Note the requests under which a life has ended, now that the next one has begun."""
         now = trio.current_time()
