Test replicas across a suspension of their machine

Cause: the clock was tested with what a gateway knows only. A replica that wakes tells how old its state is (5 s and more after 5 s), and names no gateway that it has not heard since. Ruled out: a jump by virtual time (it would not show which clock the loop has).

--- a/tests/unit/test_clock.py
+++ b/tests/unit/test_clock.py
@@ -6,8 +6,10 @@
 import trio
 
 from finchway._clock import LONGEST_SLEEP_S, BootClock, read_since_boot
-from finchway.feed import Feed, World
+from finchway.control._feed import FeedDesk
+from finchway.feed import Feed, GatewayBeat, Subscribe, World
 from finchway.state import SteeringImage
+from tests.unit.test_feed_desk import QuietRunner
 
 
 class Machine:
@@ -64,3 +66,27 @@
             return time.monotonic() - started
 
     assert play(check) < 0.05 + LONGEST_SLEEP_S + 0.2
+
+
+def test_a_replica_that_wakes_tells_how_old_its_state_is():
+    async def check(machine):
+        runner = QuietRunner()
+        runner.covered_at = trio.current_time()
+        desk = FeedDesk(runner, None, 1.5)
+        beat = GatewayBeat(name="g", incarnation="1", address="", zone="z", region="r")
+        machine.suspended += 5.0
+        return (await desk.answer(Subscribe(beat=beat, revision=0))).age
+
+    assert play(check) >= 5.0
+
+
+def test_a_gateway_that_wakes_is_not_named_until_it_is_heard_again():
+    async def check(machine):
+        desk = FeedDesk(QuietRunner(), None, 1.5)
+        beat = GatewayBeat(name="g", incarnation="1", address="", zone="z", region="r", ready=True)
+        await desk.answer(Subscribe(beat=beat, revision=0))
+        assert len(desk.gateways.serving(trio.current_time())) == 1
+        machine.suspended += 5.0
+        assert desk.gateways.serving(trio.current_time()) == []
+
+    play(check)
