Show what upstreams ask of a gateway, and what was left of it when a request went out

The lines of a refused attempt said only that it was refused: neither the rest that it asked for nor whether an earlier one was still running could be told, so the three hypotheses on repeats at upstreams that rest could not be told apart. A typed reader takes Retry-After and the leaving header from each answer's head, also of answers whose body breaks off; attempt lines have asked_ms, leaving and rest_left_ms, a belief line says what was asked or could not be read, and finchway_gateway_asked_total and upstreams_resting count them. Nothing is decided by it yet.

--- a/src/finchway/gateway/_connection.py
+++ b/src/finchway/gateway/_connection.py
@@ -5,6 +5,7 @@
 import errno
 import select
 import socket
+from collections.abc import Callable
 from enum import Enum
 
 import h11
@@ -67,6 +68,10 @@
         return None
 
 
+def _hear_nothing(answer: Answer) -> None:
+    """Take no notice of an answer's head."""
+
+
 class UpstreamConnection:
     """One connection to one upstream."""
 
@@ -80,6 +85,7 @@
         self._sent_whole = False
         self._unsent = b""
         self._is_kept = False
+        self._hear = _hear_nothing
 
     @classmethod
     async def open(cls, address: str, instance: str) -> UpstreamConnection:
@@ -151,12 +157,16 @@
         await self._write(self._http.send(h11.EndOfMessage()) or b"")
         self._sent_whole = True
 
-    async def receive(self, id_header: bytes, request_id: str) -> Answer:
+    async def receive(
+        self, id_header: bytes, request_id: str, hear: Callable[[Answer], None] = _hear_nothing
+    ) -> Answer:
         """Return the answer to the request; raises `AttemptError` if there is none.
 
         The body is read whole if it is short enough; otherwise `read_part` goes on. Answers with
-        another request's id are passed over.
+        another request's id are passed over. `hear` is given the head of each answer as it comes:
+        what the upstream says there holds, whatever becomes of the body.
         """
+        self._hear = hear
         if len(self._unsent) <= _PIECE_BYTES:
             await self._write(self._unsent)
             self._sent_whole = True
@@ -240,6 +250,7 @@
                 raise AttemptError(Failure.BROKEN, "closed without an answer")
         answer = Answer(event.status_code, bytes(event.reason), list(event.headers))
         self._note_keeping(answer)
+        self._hear(answer)
         parts = []
         size = 0
         while size <= BUFFERED_ANSWER_BYTES:
--- a/src/finchway/gateway/_forward.py
+++ b/src/finchway/gateway/_forward.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import functools
 import math
 import random
+import time
 
 import trio
 
@@ -31,6 +33,7 @@
 from finchway.gateway._suspects import Clearance, SuspectDesk
 from finchway.gateway._table import UpstreamTable
 from finchway.gateway._task import Choice, Task
+from finchway.pushback import ASKED_NOTHING, read_asked
 
 # Seconds after which refused callers are told to come back, drawn between the two: 0.25 s for all
 # brought them back into the same surge (docs/DESIGN.md, "Gateways").
@@ -226,6 +229,7 @@
 
     async def _attempt(self, connection: CallerConnection, task: Task, choice: Choice) -> Outcome:
         record = choice.record
+        task.asked = ASKED_NOTHING
         now = started = trio.current_time()
         self._table.note_sent(record, task.request_id, task.key, now)
         upstream = None
@@ -289,15 +293,25 @@
     ) -> Answer:
         request = task.request
         headers = self._headers(task, record)
+        hear = functools.partial(self._hear, task, record)
         if not request.more:
             await upstream.send(request.method, request.target, headers, request.body)
-            return await upstream.receive(self._names.request_id, task.request_id)
+            return await upstream.receive(self._names.request_id, task.request_id, hear)
         await upstream.send_start(request.method, request.target, headers, request.body)
         while (part := await connection.read_more()) is not None:
             await upstream.send_part(part)
         task.is_read.set()
         await upstream.send_end()
-        return await upstream.receive(self._names.request_id, task.request_id)
+        return await upstream.receive(self._names.request_id, task.request_id, hear)
+
+    def _hear(self, task: Task, record: UpstreamRecord, answer: Answer) -> None:
+        """Take in what the head of an answer asks of this gateway."""
+        asked = read_asked(answer.status, answer.headers, self._names.leaving, time.time())
+        if asked is ASKED_NOTHING:
+            return
+        task.asked = asked
+        self._table.note_asked(record, asked, trio.current_time())
+        self._log.note_asked(task)
 
     def _headers(self, task: Task, record: UpstreamRecord) -> Headers:
         names = self._names
--- a/src/finchway/gateway/_names.py
+++ b/src/finchway/gateway/_names.py
@@ -17,6 +17,7 @@
     load: bytes = b"finchway-server-load"
     not_executed: bytes = b"finchway-not-executed"
     cold_ms: bytes = b"finchway-cold-ms"
+    leaving: bytes = b"finchway-leaving"
 
 
 HOP_HEADERS = frozenset(
--- a/src/finchway/gateway/_request_log.py
+++ b/src/finchway/gateway/_request_log.py
@@ -100,10 +100,23 @@
                 result=outcome.verdict.value,
                 detail=outcome.detail,
                 digest=task.fingerprint if outcome.verdict is Verdict.UNKNOWN else "",
+                rest_left_ms=_ms(choice.rest_left),
+                asked_ms=_ms(task.asked.rest_s),
+                leaving=task.asked.leaving,
                 ms=_ms(trio.current_time() - started),
             )
         )
 
+    def note_asked(self, task: Task) -> None:
+        """Count what an answer asks of this gateway."""
+        asked = task.asked
+        if asked.rest_s > 0:
+            self._metrics.count_asked(task.service, "rest")
+        if asked.leaving:
+            self._metrics.count_asked(task.service, "leaving")
+        if asked.unread:
+            self._metrics.count_asked(task.service, "unreadable")
+
     def note_quarantined(self, task: Task) -> None:
         """Log and count a request that is refused since upstreams end under it."""
         self._metrics.count_quarantined(task.service)
--- a/src/finchway/gateway/_router.py
+++ b/src/finchway/gateway/_router.py
@@ -191,6 +191,7 @@
             now - record.reported_at,
             now - self._world.heard_at,
             plan.kept_part,
+            self._table.rests.left(record.registration.life, now),
         )
 
     def _candidate(
--- a/src/finchway/gateway/_table.py
+++ b/src/finchway/gateway/_table.py
@@ -14,6 +14,7 @@
 from finchway.gateway._record import UpstreamRecord
 from finchway.observe import BeliefChanged, DecisionLog
 from finchway.policy import Pacer, rank
+from finchway.pushback import Asked, RestBook
 from finchway.registry import Registration, UpstreamState
 
 # Part of the allowed rate that a cold upstream gets: two gateways may hold themselves for its only
@@ -25,6 +26,8 @@
 SILENT = "silent"
 REPLACED = "over: started again"
 POOR = "answering worse than its fellows"
+# Characters of a header that makes no sense which are logged.
+MOST_SHOWN = 40
 # Seconds after which the table is brought up to date without news, for what only time changes.
 _REFRESH_S = 0.5
 
@@ -71,6 +74,7 @@
         self._refreshed_at = float("-inf")
         self._seen_changes = -1
         self._opened = 0
+        self._rests = RestBook()
 
     @property
     def decisions(self) -> DecisionLog:
@@ -82,6 +86,11 @@
         """How many connections have been opened."""
         return self._opened
 
+    @property
+    def rests(self) -> RestBook:
+        """The rests that upstreams have asked of this gateway."""
+        return self._rests
+
     def get(self, instance: str) -> UpstreamRecord | None:
         """Return the record of an upstream."""
         return self._records.get(instance)
@@ -147,6 +156,18 @@
             )
         )
 
+    def note_asked(self, record: UpstreamRecord, asked: Asked, now: float) -> None:
+        """Take in and log what an answer asks of this gateway."""
+        life = record.registration.life
+        if asked.rest_s > 0:
+            self._rests.ask(life, asked.rest_s, now)
+            self._log_asked(life, "asks for rest", f"its 503: {asked.rest_s:g} s")
+        if asked.unread:
+            self._log_asked(life, "unreadable", f"its retry-after: {asked.unread[:MOST_SHOWN]}")
+
+    def _log_asked(self, life: str, now: str, source: str) -> None:
+        self._decisions.write(BeliefChanged(subject=f"upstream/{life}", now=now, source=source))
+
     def watch_replaced(self, note: Callable[[UpstreamRecord], None]) -> None:
         """Have each life told that is over since a later one of the same upstream has begun."""
         self._note_replaced = note
--- a/src/finchway/gateway/_task.py
+++ b/src/finchway/gateway/_task.py
@@ -11,6 +11,7 @@
 from finchway.gateway._fingerprint import fingerprint
 from finchway.gateway._http import CallerRequest
 from finchway.gateway._record import UpstreamRecord
+from finchway.pushback import ASKED_NOTHING, Asked
 
 
 class Evidence(Struct):
@@ -39,7 +40,8 @@
     `has_key` tells whether the caller named the thing that the request concerns; `key` is the
     request's id otherwise. `is_read` is set once the caller has nothing more to send. `once` has it
     run by one upstream at most. Cancelling `scope` ends the attempts; `is_quarantined` tells that
-    this was done since upstreams end under the request.
+    this was done since upstreams end under the request. `asked` is what the answer of the last
+    attempt asked of this gateway.
     """
 
     request: CallerRequest
@@ -60,6 +62,7 @@
     is_quarantined: bool = False
     evidence: Evidence = field(default_factory=Evidence)
     digest: str = ""
+    asked: Asked = ASKED_NOTHING
 
     @property
     def fingerprint(self) -> str:
@@ -88,7 +91,8 @@
 
     `busy` is the estimated requests at it, from a report that was `report_age` seconds old;
     `heard_age` is the age of the newest word of a replica, and `kept_part` the part of the
-    service's requests that this region keeps at the moment.
+    service's requests that this region keeps at the moment. `rest_left` is what was left of a rest
+    that the upstream had asked for, in seconds.
     """
 
     record: UpstreamRecord
@@ -98,3 +102,4 @@
     report_age: float
     heard_age: float
     kept_part: float
+    rest_left: float = 0.0
--- a/src/finchway/observe/_gateway_metrics.py
+++ b/src/finchway/observe/_gateway_metrics.py
@@ -28,6 +28,7 @@
     suspects: int = 0
     reports_waiting: int = 0
     reports_dropped: int = 0
+    upstreams_resting: int = 0
 
 
 class GatewayMetrics:
@@ -57,6 +58,12 @@
             labels,
             registry,
         )
+        self._asked = Counter(
+            "finchway_gateway_asked_total",
+            "Answers of upstreams that asked for rest or said that they leave, or were unreadable",
+            labels,
+            registry,
+        )
         self._feeds = Counter(
             "finchway_gateway_feeds_total", "Questions to replicas by outcome", labels, registry
         )
@@ -97,6 +104,10 @@
         """Count a request that was refused since upstreams end under it."""
         self._quarantined.inc({"service": service})
 
+    def count_asked(self, service: str, what: str) -> None:
+        """Count an answer that asks something of this gateway."""
+        self._asked.inc({"service": service, "what": what})
+
     def count_feed(self, transit_s: float | None) -> None:
         """Count one question to a replica; None for one that was given up."""
         if transit_s is None:
@@ -124,6 +135,7 @@
             "suspect_requests": state.suspects,
             "reports_waiting": state.reports_waiting,
             "reports_dropped": state.reports_dropped,
+            "upstreams_resting": state.upstreams_resting,
         }
         for name, value in figures.items():
             self._gauge.set({"name": name}, value)
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -179,7 +179,8 @@
         self.decisions = DecisionLog("g1", self.writer)
         self.table = UpstreamTable("g1", lambda: ZONES, self.world, bounds, self.decisions)
         router = Router("north-a", lambda: ZONES, self.world, self.table, bounds)
-        log = RequestLog(self.world, self.decisions, GatewayMetrics("g1"), LoopLag())
+        self.metrics = GatewayMetrics("g1")
+        log = RequestLog(self.world, self.decisions, self.metrics, LoopLag())
         self.reports: list[RequestReport] = []
         self.suspects = SuspectDesk(self.world, self.table, log, self.reports.append)
         self.forwarder = Forwarder(
--- a/tests/gateway/test_explain.py
+++ b/tests/gateway/test_explain.py
@@ -5,12 +5,24 @@
 from finchway.catalog import RouteType
 from finchway.cli import run
 from finchway.gateway import Bounds
-from finchway.observe import FeedEnded, FeedOutcome
+from finchway.observe import FeedEnded, FeedOutcome, GatewayState
 from finchway.state import SetEvacuation
-from tests.gateway.harness import Upstream, gateway, serve_well
+from tests.gateway.harness import NAMES, Upstream, answer, gateway, serve_well
 from tests.gateway.test_forwarding import break_off, refuse, silent
 
 SECRET = b"secret-in-a-body"
+STATE = GatewayState(
+    revision=1,
+    feed_age_s=0.0,
+    known_age_s=0.0,
+    loop_lag_s=0.0,
+    in_flight=0,
+    connections=0,
+    upstream_connections_opened=0,
+    upstreams={},
+    gateways=1,
+    log_lines_dropped=0,
+)
 
 
 def write_log(subject, path):
@@ -120,3 +132,22 @@
     assert run(["explain", "nobody", str(tmp_path / "missing")]) == 2
     assert "missing" in capsys.readouterr().err
     assert run(["explain"]) == 2
+
+
+def test_what_upstreams_ask_for_stands_in_the_lines(tmp_path, capsys):
+    async def ask_for_rest(upstream, stream, request):
+        extra = b"Retry-After: 1.5\r\nRetry-After: soon\r\n" + NAMES.leaving + b": 1\r\n"
+        await stream.send_all(answer(request, b"", b"503 Unavailable", extra))
+
+    async def check():
+        async with gateway(Upstream("i-1", ask_for_rest)) as subject:
+            assert (await ask(subject, tmp_path / "log"))[0] == 503
+            figures = subject.metrics.render(STATE).decode()
+            for what in ("rest", "leaving", "unreadable"):
+                assert f'service="s",what="{what}"}} 1' in figures
+
+    trio.run(check)
+    text = story(capsys, tmp_path / "log")
+    assert "asked_ms=1500.0 leaving=True" in text
+    assert "subject=upstream/i-1 now=asks for rest source=its 503: 1.5 s" in text
+    assert "subject=upstream/i-1 now=unreadable source=its retry-after: soon" in text
--- /dev/null
+++ b/tests/unit/test_pushback.py
@@ -0,0 +1,107 @@
+"""What answers ask of whoever sent the request: how it is read, within bounds."""
+
+import math
+from email.utils import formatdate
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from finchway.pushback import LONGEST_REST_S, Asked, RestBook, read_asked, read_retry_after
+
+NOW = 1_796_000_000.0
+LEAVING = b"leaves"
+
+
+def asked(status, *headers):
+    return read_asked(status, list(headers), LEAVING, NOW)
+
+
+@pytest.mark.parametrize(
+    ("value", "seconds"),
+    [
+        ("3", 3.0),
+        ("0", 0.0),
+        (" 0.25 ", 0.25),
+        (".5", 0.5),
+        ("2.", 2.0),
+        ("999999999", 999_999_999.0),
+        ("-3", None),
+        ("+3", None),
+        ("nan", None),
+        ("inf", None),
+        ("1e3", None),
+        ("0x10", None),
+        ("1,5", None),
+        ("3 s", None),
+        ("3, 5", None),
+        ("", None),
+        ("soon", None),
+        ("²", None),
+        ("٣", None),
+        ("9999999999", None),
+        ("Mon, 99 Nov 2026 00:00:00 GMT", None),
+    ],
+)
+def test_a_time_to_stay_away_is_read_or_passed_over(value, seconds):
+    assert read_retry_after(value, NOW) == seconds
+
+
+def test_a_date_is_counted_from_the_answers_own_so_that_clocks_need_not_agree():
+    value, said_at = formatdate(NOW + 10, usegmt=True), formatdate(NOW + 7, usegmt=True)
+    assert read_retry_after(value, NOW + 86_400, said_at) == 3.0
+    assert read_retry_after(value, NOW, "no date") == 10.0
+    assert read_retry_after(value, NOW + 11) == 0.0
+
+
+@given(st.text(max_size=60))
+def test_any_text_is_read_as_a_bounded_number_or_not_at_all(text):
+    read = read_retry_after(text, NOW)
+    assert read is None or (math.isfinite(read) and read >= 0)
+
+
+@given(st.integers(100, 599), st.lists(st.tuples(st.binary(max_size=20), st.binary(max_size=40))))
+def test_any_head_is_read(status, headers):
+    found = read_asked(status, [*headers, *((b"retry-after", v) for _, v in headers)], LEAVING, NOW)
+    assert math.isfinite(found.rest_s)
+    assert found.rest_s == 0 or status == 503
+
+
+def test_only_a_503_asks_for_rest():
+    assert asked(503, (b"retry-after", b"3")) == Asked(rest_s=3.0)
+    for status in (200, 301, 421, 429, 500, 502):
+        assert asked(status, (b"retry-after", b"3")) == Asked()
+
+
+def test_of_several_times_the_longest_counts_and_what_makes_no_sense_is_told():
+    found = asked(503, (b"retry-after", b"1"), (b"retry-after", b"nan"), (b"retry-after", b"2"))
+    assert found == Asked(rest_s=2.0, unread="nan")
+
+
+def test_every_answer_may_tell_that_its_upstream_leaves_but_one_of_another_upstream():
+    for status in (200, 204, 404, 429, 500, 503):
+        assert asked(status, (LEAVING, b"1")).leaving
+    assert not asked(421, (LEAVING, b"1")).leaving
+    for value in (b"0", b"", b"true", b"11"):
+        assert not asked(200, (LEAVING, value)).leaving
+
+
+def test_the_latest_end_of_a_rest_counts_whichever_was_asked_last():
+    rests = RestBook()
+    rests.ask("i-1", 3.0, 10.0)
+    rests.ask("i-1", 1.0, 10.5)
+    assert rests.left("i-1", 11.0) == 2.0
+    rests.ask("i-1", 3.0, 11.0)
+    assert rests.left("i-1", 11.0) == 3.0
+    assert rests.left("i-1@2", 11.0) == 0.0
+    assert (rests.resting(11.0), rests.resting(14.0)) == (1, 0)
+
+
+def test_a_rest_is_bounded_and_so_are_those_that_are_remembered():
+    rests = RestBook()
+    rests.ask("i-1", 1e9, 0.0)
+    assert rests.left("i-1", 0.0) == LONGEST_REST_S
+    for number in range(10_000):
+        rests.ask(f"j-{number}", 5.0, 0.0)
+    assert rests.resting(0.0) == 4_096
+    assert rests.left("i-1", 0.0) == LONGEST_REST_S
