--- /dev/null
+++ b/tests/gateway/test_asked_rest.py
@@ -0,0 +1,174 @@
+"""Upstreams that turn a request away with 503 and ask for rest, and upstreams that say they leave.
+
+An upstream answered 503 with `Retry-After: 3`; between 0.74 s and 1.5 s later the same gateway sent
+it 62 further requests, two for each call within 1 ms, while a third of that service's callers were
+refused. No line told of the rest: nothing read the header, and a refusal by an upstream that had
+free slots was held to be worth trying there again at once. The lines that settled it are those of
+one call, `number=1` and `number=2` with the same `upstream=` and `detail=refused with 503`.
+"""
+
+import functools
+import math
+
+import trio
+
+from tests.gateway.harness import NAMES, Upstream, answer, gateway, header_of, serve_well
+
+RETRY_AFTER_S = 2
+# A rest binds from half a second after the answer that asked for it, since requests may be on their
+# way; two may come all the same.
+UNDER_WAY_S = 0.5
+MOST_AMID = 2
+CALLS_A_SECOND = 40
+NOT_EXECUTED = NAMES.not_executed + b": 1\r\n"
+
+
+def on_trio(test):
+    @functools.wraps(test)
+    def runner(*args, **kwargs):
+        trio.run(functools.partial(test, *args, **kwargs))
+
+    return runner
+
+
+class Weary(Upstream):
+    """An upstream that asks for rest with its first answer, and serves once the rest is over.
+
+    `extra` are further headers of its refusals. Requests for `/x/long` are answered after a while.
+    """
+
+    def __init__(self, instance="i-1", extra=NOT_EXECUTED, seconds=RETRY_AFTER_S, **fields) -> None:
+        super().__init__(instance, self._turn_away, **fields)
+        self._extra = extra
+        self.retry_after = b"%d" % seconds
+        self.seconds = seconds
+        self.asked_at = math.inf
+        self.came_at: list[float] = []
+        self.long_s = 0.8
+
+    @property
+    def amid(self) -> int:
+        """How many requests came while it wanted none."""
+        first, end = self.asked_at + UNDER_WAY_S, self.asked_at + self.seconds
+        return sum(first < at < end for at in self.came_at)
+
+    async def _turn_away(self, _, stream, request) -> None:
+        now = trio.current_time()
+        self.came_at.append(now)
+        if request.split(b" ")[1] == b"/x/long":
+            await trio.sleep(self.long_s)
+            await stream.send_all(answer(request))
+            return
+        if now >= self.asked_at + self.seconds:
+            await stream.send_all(answer(request))
+            return
+        self.asked_at = min(self.asked_at, now)
+        extra = self._extra + b"Retry-After: " + self.retry_after + b"\r\n"
+        await stream.send_all(answer(request, b"", b"503 Unavailable", extra))
+
+
+class Calls:
+    """Calls at a steady rate, each on a connection of its own, and how they went."""
+
+    def __init__(self, subject) -> None:
+        self.subject = subject
+        self.statuses: list[int] = []
+        self.told: list[float] = []
+        self.took: list[float] = []
+
+    async def call(self, path=b"/x/1", **fields) -> None:
+        started = trio.current_time()
+        caller = await self.subject.connect()
+        status, head, _ = await caller.ask(path=path, **fields)
+        self.took.append(trio.current_time() - started)
+        self.statuses.append(status)
+        if status == 503:
+            self.told.append(float(header_of(head, b"retry-after")))
+        await trio.aclose_forcefully(caller.stream)
+
+    async def press(self, seconds: float) -> None:
+        """Call for some seconds, whatever becomes of the calls."""
+        async with trio.open_nursery() as nursery:
+            for number in range(int(seconds * CALLS_A_SECOND)):
+                identity = b"id-%d" % number
+                fields = {"request_id": identity, "affinity_key": b"k-%d" % (number % 7)}
+                nursery.start_soon(functools.partial(self.call, **fields))
+                await trio.sleep(1 / CALLS_A_SECOND)
+
+
+REFUSALS = {
+    "with free slots": NOT_EXECUTED + NAMES.load + b": 0,0,4\r\n",
+    "full": NOT_EXECUTED + NAMES.load + b": 4,2,4\r\n",
+    "without its load": NOT_EXECUTED,
+    "without word that it was not run": b"",
+}
+
+
+@on_trio
+async def test_an_upstream_that_asks_for_rest_gets_nothing_until_its_end():
+    amid = {}
+
+    async def press(words, extra):
+        upstream = Weary(extra=extra)
+        async with gateway(upstream) as subject:
+            await Calls(subject).press(RETRY_AFTER_S - 0.1)
+            amid[words] = upstream.amid
+
+    async with trio.open_nursery() as nursery:
+        for words, extra in REFUSALS.items():
+            nursery.start_soon(press, words, extra)
+    assert all(count <= MOST_AMID for count in amid.values()), amid
+
+
+@on_trio
+async def test_neither_an_earlier_answer_nor_silence_ends_a_rest():
+    upstream = Weary()
+    async with gateway(upstream) as subject:
+        calls = Calls(subject)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(functools.partial(calls.call, path=b"/x/long"))
+            await trio.sleep(0.05)
+            nursery.start_soon(calls.press, RETRY_AFTER_S - 0.1)
+            await trio.sleep(1.2)
+            # It is not heard of for a moment, and heard again in the same life.
+            subject.world.registry.remove(upstream.instance)
+            subject.tell()
+            await trio.sleep(0.25)
+            subject.tell([upstream.registration(sequence=2)])
+        assert upstream.amid <= MOST_AMID
+        assert calls.statuses.count(200) == 1
+
+
+class Leaver(Upstream):
+    """An upstream that serves, and says in its answers that it leaves."""
+
+    def __init__(self, instance="i-1", status=b"200 OK", extra=b"", **fields) -> None:
+        super().__init__(instance, self._serve_leaving, **fields)
+        self._status = status
+        self._extra = NAMES.leaving + b": 1\r\n" + extra
+
+    async def _serve_leaving(self, _, stream, request) -> None:
+        await stream.send_all(answer(request, b"", self._status, self._extra))
+
+
+@on_trio
+async def test_an_upstream_that_says_it_leaves_in_any_answer_gets_nothing_new():
+    reached = {}
+
+    async def press(status, extra):
+        leaver, other = Leaver(status=status, extra=extra), Upstream("i-2", serve_well)
+        async with gateway(leaver, other) as subject:
+            calls = Calls(subject)
+            while not leaver.requests:
+                await calls.call(request_id=b"k-%d" % len(calls.statuses))
+            before = len(leaver.requests)
+            await calls.press(1.0)
+            reached[status] = len(leaver.requests) - before
+            assert set(calls.statuses[-20:]) == {200}
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(press, b"200 OK", b"")
+        nursery.start_soon(press, b"404 Not Found", b"")
+        nursery.start_soon(press, b"500 Failed", b"")
+        nursery.start_soon(press, b"503 Full", NOT_EXECUTED)
+    assert not any(reached.values()), reached
