Keep to the rest that an upstream asks for, and to its word that it leaves

Cause: nothing read what an answer asks of whoever sent the request, so a refusal was answered by the gateway's own 0.1 s of rest, and where the refusal showed free slots by the repeat at once. Class: words that the other side adds to an answer have no place where they are read and kept.

A request that waited for its connection is looked at again before it goes out. After a rest one request goes first, each gateway at a moment of its own. When all that could serve rest, callers are refused at once with the time that is known.

Ruled out: to go on using free slots (the upstream wants none of them filled); to end a rest by a success (it may be of an earlier request); the record as the place (it is dropped with its upstream).

--- a/src/finchway/gateway/_forward.py
+++ b/src/finchway/gateway/_forward.py
@@ -39,7 +39,10 @@
 # brought them back into the same surge (docs/DESIGN.md, "Gateways").
 COME_BACK_LEAST_S = 0.4
 COME_BACK_MOST_S = 1.0
+# The longest time that a caller is told to stay away while upstreams rest: others may come.
+COME_BACK_LATEST_S = 30.0
 CANCELLED = "cancelled: out of time, or the caller left"
+ASKED_MEANWHILE = "not sent: it asked for rest or began to leave meanwhile"
 # Seconds that must be left for a further attempt: a round trip within a region and some work.
 _LEAST_LEFT_S = 0.02
 
@@ -231,12 +234,19 @@
         record = choice.record
         task.asked = ASKED_NOTHING
         now = started = trio.current_time()
+        life = record.registration.life
+        is_trial = self._table.rests.begin(life, now)
         self._table.note_sent(record, task.request_id, task.key, now)
         upstream = None
         whole = streams = False
         outcome = Outcome(Verdict.UNKNOWN, CANCELLED)
         try:
             upstream = await self._table.connect(record, now)
+            if not self._table.may_still_get(record, trio.current_time()):
+                self._table.keep(record, upstream)
+                upstream = None
+                outcome = Outcome(Verdict.NOT_RUN, ASKED_MEANWHILE, record=record)
+                return outcome
             record.in_use.add(upstream)
             task.attempts += 1
             answer = await self._exchange(connection, task, record, upstream)
@@ -261,6 +271,8 @@
             return outcome
         finally:
             self._table.note_ended(record, task.request_id)
+            if is_trial:
+                self._table.rests.end_trial(life, outcome.verdict is Verdict.ANSWERED)
             if outcome.detail == CANCELLED and trio.current_time() >= task.deadline:
                 self._note_unanswered(task, record, upstream)
             self._log.note_attempt(task, choice, outcome, started)
@@ -356,6 +368,9 @@
         if answer.status == 421:
             record.fail(now)
             record.close_idle()
+        elif task.asked.rest_s > 0:
+            # Free slots say nothing here: it wants none of them filled, not even by the repeat.
+            record.rest(now, SHED_REST_S)
         elif self._router.note_refused(record, now):
             # No other upstream is better for the repeat: this one remembers the key.
             task.tried.discard(record.registration.instance)
@@ -378,7 +393,7 @@
             return
         out_of_time = trio.current_time() >= task.deadline
         if outcome.verdict is Verdict.NOT_RUN and not (out_of_time and task.attempts):
-            reply = _come_back(503)
+            reply = _come_back(503, task.back_in)
         else:
             reply = Reply(504 if out_of_time else 502)
         self._log.note_ended(task, reply.status, outcome.detail)
@@ -406,10 +421,11 @@
             upstream.close()
 
 
-def _come_back(status: int) -> Reply:
-    """Return a refusal that says when to come back.
+def _come_back(status: int, earliest: float = 0.0) -> Reply:
+    """Return a refusal that says when to come back, `earliest` seconds from now if that is known.
 
     The time is drawn, so that callers who were refused together do not come back together.
     """
-    after = random.uniform(COME_BACK_LEAST_S, COME_BACK_MOST_S)
+    least = min(max(COME_BACK_LEAST_S, earliest), COME_BACK_LATEST_S)
+    after = random.uniform(least, least + COME_BACK_MOST_S - COME_BACK_LEAST_S)
     return Reply(status, headers=((b"Retry-After", f"{after:.2f}".encode()),))
--- a/src/finchway/gateway/_request_log.py
+++ b/src/finchway/gateway/_request_log.py
@@ -100,6 +100,7 @@
                 result=outcome.verdict.value,
                 detail=outcome.detail,
                 digest=task.fingerprint if outcome.verdict is Verdict.UNKNOWN else "",
+                passed_over=choice.passed_over,
                 rest_left_ms=_ms(choice.rest_left),
                 asked_ms=_ms(task.asked.rest_s),
                 leaving=task.asked.leaving,
--- a/src/finchway/gateway/_router.py
+++ b/src/finchway/gateway/_router.py
@@ -145,9 +145,18 @@
                 return choice
             if self._has_usable(regions[region], now):
                 break
-        task.refusal = "all upstreams for the key are full or resting"
+        self._explain_refusal(task, regions, now)
         return None
 
+    def _explain_refusal(self, task: Task, regions: dict[str, RegionUpstreams], now: float) -> None:
+        """Note why no upstream was chosen, and when one will want requests if all of them rest."""
+        rests = self._table.rests
+        task.back_in = min(upstreams.back_in(rests, now) for upstreams in regions.values())
+        if task.back_in > 0:
+            task.refusal = "all upstreams have asked for rest"
+        else:
+            task.refusal = "all upstreams for the key are full or resting"
+
     def _has_usable(self, upstreams: RegionUpstreams, now: float) -> bool:
         """Tell whether any of a region's upstreams may get something now.
 
@@ -162,13 +171,21 @@
         """Return the best home of a key in one region; None if none has room."""
         plan = self._plan(task)
         poor = plan.poor(now)
+        rests = self._table.rests
+        passed_over = 0
         candidates: list[Candidate] = []
         for name in plan.upstreams_for(task, region, upstreams.names):
             record = upstreams.records[name]
-            if name in task.tried or not self._table.may_get(record, now):
+            if name in task.tried:
+                continue
+            if not self._table.may_get(record, now):
+                passed_over += rests.left(record.registration.life, now) > 0
                 continue
             if name in poor and not record.standing.may_try(now):
                 continue
+            if task.request.more and rests.is_returning(record.registration.life, now):
+                # Its body can be sent only once, so it must not be the one that is turned away.
+                continue
             candidates.append(self._candidate(plan, region, record, now))
             if len(candidates) == HOMES:
                 break
@@ -179,6 +196,8 @@
         if chosen.instance in poor:
             record.standing.note_trial(now)
             reason = ChoiceReason.TRIAL
+        elif rests.is_returning(record.registration.life, now):
+            reason = ChoiceReason.RETURN
         elif spilled:
             reason = ChoiceReason.OTHER_REGION
         else:
@@ -191,7 +210,8 @@
             now - record.reported_at,
             now - self._world.heard_at,
             plan.kept_part,
-            self._table.rests.left(record.registration.life, now),
+            rests.left(record.registration.life, now),
+            passed_over,
         )
 
     def _candidate(
--- a/src/finchway/gateway/_table.py
+++ b/src/finchway/gateway/_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections import Counter
 from collections.abc import Callable
 
@@ -14,7 +15,7 @@
 from finchway.gateway._record import UpstreamRecord
 from finchway.observe import BeliefChanged, DecisionLog
 from finchway.policy import Pacer, rank
-from finchway.pushback import Asked, RestBook
+from finchway.pushback import Asked, LeavingLives, RestBook
 from finchway.registry import Registration, UpstreamState
 
 # Part of the allowed rate that a cold upstream gets: two gateways may hold themselves for its only
@@ -25,6 +26,7 @@
 IN_USE = "in use"
 SILENT = "silent"
 REPLACED = "over: started again"
+LEAVING = "leaving, as its answers say"
 POOR = "answering worse than its fellows"
 # Characters of a header that makes no sense which are logged.
 MOST_SHOWN = 40
@@ -38,6 +40,15 @@
     names: tuple[str, ...]
     records: dict[str, UpstreamRecord]
 
+    def back_in(self, rests: RestBook, now: float) -> float:
+        """Return the seconds until one of them wants requests again; 0 unless all rest."""
+        least = float("inf")
+        for record in self.records.values():
+            least = min(least, rests.left(record.registration.life, now))
+            if least <= 0:
+                break
+        return least
+
     @property
     def slots(self) -> int:
         """How many requests they work on at once."""
@@ -74,7 +85,8 @@
         self._refreshed_at = float("-inf")
         self._seen_changes = -1
         self._opened = 0
-        self._rests = RestBook()
+        self._rests = RestBook(random.Random())
+        self._leaving = LeavingLives()
 
     @property
     def decisions(self) -> DecisionLog:
@@ -164,6 +176,8 @@
             self._log_asked(life, "asks for rest", f"its 503: {asked.rest_s:g} s")
         if asked.unread:
             self._log_asked(life, "unreadable", f"its retry-after: {asked.unread[:MOST_SHOWN]}")
+        if asked.leaving and self._leaving.add(life):
+            self.refresh(now)
 
     def _log_asked(self, life: str, now: str, source: str) -> None:
         self._decisions.write(BeliefChanged(subject=f"upstream/{life}", now=now, source=source))
@@ -178,7 +192,16 @@
 
     def may_get(self, record: UpstreamRecord, now: float) -> bool:
         """Tell whether an upstream may get a request at this moment."""
-        return record.resting_until <= now and self._cold_allows(record, now)
+        if record.resting_until > now or not self._rests.may_send(record.registration.life, now):
+            return False
+        return self._cold_allows(record, now)
+
+    def may_still_get(self, record: UpstreamRecord, now: float) -> bool:
+        """Tell whether a request may go out to the upstream that was chosen for it.
+
+        It may have waited for a connection, and the upstream has asked for rest, or leaves, since.
+        """
+        return record.state == IN_USE and self._rests.left(record.registration.life, now) <= 0
 
     def note_sent(self, record: UpstreamRecord, request_id: str, key: str, now: float) -> None:
         """Count a request that is being sent."""
@@ -256,6 +279,8 @@
     def _state(self, registration: Registration) -> str:
         if registration.state is not UpstreamState.READY:
             return registration.state.value
+        if registration.life in self._leaving:
+            return LEAVING
         mark = self._world.steering.mark_of(registration)
         if mark is not None:
             return mark.kind.value
--- a/src/finchway/gateway/_task.py
+++ b/src/finchway/gateway/_task.py
@@ -41,7 +41,8 @@
     request's id otherwise. `is_read` is set once the caller has nothing more to send. `once` has it
     run by one upstream at most. Cancelling `scope` ends the attempts; `is_quarantined` tells that
     this was done since upstreams end under the request. `asked` is what the answer of the last
-    attempt asked of this gateway.
+    attempt asked of this gateway. `back_in` are the seconds until an upstream wants requests again,
+    when all that could serve it rest.
     """
 
     request: CallerRequest
@@ -63,6 +64,7 @@
     evidence: Evidence = field(default_factory=Evidence)
     digest: str = ""
     asked: Asked = ASKED_NOTHING
+    back_in: float = 0.0
 
     @property
     def fingerprint(self) -> str:
@@ -76,13 +78,15 @@
     """Why an upstream gets a request.
 
     HOME: it is where the key belongs. RELIEF: that one has no room, and this one has a free slot.
-    TRIAL: it was left out for its poor answers, and one request tries it again. OTHER_REGION: the
-    region whose turn it is has no upstream that may get anything.
+    TRIAL: it was left out for its poor answers, and one request tries it again. RETURN: its rest is
+    over, and one request goes first. OTHER_REGION: the region whose turn it is has no upstream that
+    may get anything.
     """
 
     HOME = "home"
     RELIEF = "relief"
     TRIAL = "trial"
+    RETURN = "return"
     OTHER_REGION = "other-region"
 
 
@@ -91,8 +95,9 @@
 
     `busy` is the estimated requests at it, from a report that was `report_age` seconds old;
     `heard_age` is the age of the newest word of a replica, and `kept_part` the part of the
-    service's requests that this region keeps at the moment. `rest_left` is what was left of a rest
-    that the upstream had asked for, in seconds.
+    service's requests that this region keeps at the moment. `passed_over` counts the upstreams that
+    were passed over for the rest that they had asked for; `rest_left` is what was left of this
+    one's, in seconds.
     """
 
     record: UpstreamRecord
@@ -103,3 +108,4 @@
     heard_age: float
     kept_part: float
     rest_left: float = 0.0
+    passed_over: int = 0
--- a/src/finchway/observe/_decisions.py
+++ b/src/finchway/observe/_decisions.py
@@ -61,10 +61,10 @@
     What decided stands as it was when the choice was made: `reason` is home, relief, trial or
     other-region; `busy` the estimated requests at the upstream, resting on a report of `report_ms`
     before (-1: none); `heard_ms` the age of the newest word of a replica; `kept` the part of the
-    service's requests that this region keeps; `rest_left_ms` what was left of a rest that the
-    upstream had asked for. `asked_ms` is the rest that the answer asks for, `leaving` that it says
-    that the upstream leaves. `digest` names the request, whenever it is sent, where it is not known
-    how the attempt ended.
+    service's requests that this region keeps; `passed_over` the upstreams that were passed over for
+    the rest that they had asked for, and `rest_left_ms` what was left of this one's. `asked_ms` is
+    the rest that the answer asks for, `leaving` that it says that the upstream leaves. `digest`
+    names the request, whenever it is sent, where it is not known how the attempt ended.
     """
 
     id: str
@@ -83,6 +83,7 @@
     result: str
     detail: str = ""
     digest: str = ""
+    passed_over: int = 0
     rest_left_ms: float = 0.0
     asked_ms: float = 0.0
     leaving: bool = False
--- a/tests/gateway/test_asked_rest.py
+++ b/tests/gateway/test_asked_rest.py
@@ -10,8 +10,10 @@
 import functools
 import math
 
+import pytest
 import trio
 
+from finchway.gateway._http import BUFFERED_BODY_BYTES
 from tests.gateway.harness import NAMES, Upstream, answer, gateway, header_of, serve_well
 
 RETRY_AFTER_S = 2
@@ -172,3 +174,184 @@
         nursery.start_soon(press, b"500 Failed", b"")
         nursery.start_soon(press, b"503 Full", NOT_EXECUTED)
     assert not any(reached.values()), reached
+
+
+def in_the_north(count, **fields):
+    return [Weary(f"i-{n}", **fields) for n in range(count)]
+
+
+@on_trio
+async def test_while_all_rest_callers_are_refused_at_once_and_told_when_to_come_back():
+    upstreams = in_the_north(2, seconds=3)
+    async with gateway(*upstreams, timeout=1.0) as subject:
+        calls = Calls(subject)
+        while not all(upstream.requests for upstream in upstreams):
+            await calls.call(request_id=b"k-%d" % len(calls.statuses), deadline_ms=b"1000")
+        before = sum(len(upstream.requests) for upstream in upstreams)
+        fresh = Calls(subject)
+        await fresh.press(0.5)
+        assert sum(len(upstream.requests) for upstream in upstreams) == before
+        assert set(fresh.statuses) == {503}
+        assert max(fresh.took) < 0.2
+        # The rest ends 3 s after it was asked for, 0.5 s ago at most when the last was refused.
+        assert min(fresh.told) >= 2.0
+        assert len(set(fresh.told)) > len(fresh.told) / 2
+
+
+@on_trio
+async def test_others_of_the_region_and_then_other_regions_serve_what_rests():
+    resting, fellow = Weary("i-1"), Upstream("i-2", serve_well)
+    far = Upstream("i-3", serve_well, zone="south-a")
+    async with gateway(resting, fellow, far) as subject:
+        calls = Calls(subject)
+        await calls.press(0.5)
+        assert calls.statuses.count(200) == len(calls.statuses)
+        assert not far.requests
+    resting, far = Weary("i-1"), Upstream("i-3", serve_well, zone="south-a")
+    async with gateway(resting, far) as subject:
+        calls = Calls(subject)
+        await calls.press(0.5)
+        assert calls.statuses.count(200) == len(calls.statuses)
+        assert far.requests
+
+
+@on_trio
+async def test_after_a_rest_one_request_goes_first_and_then_all():
+    upstream = Weary(seconds=1)
+    upstream.long_s = 0.1
+    async with gateway(upstream) as subject:
+        await Calls(subject).call()
+        await trio.sleep(0.9)
+        calls = Calls(subject)
+        await calls.press(1.0)
+        back = [at for at in upstream.came_at if at > upstream.asked_at]
+        assert back[0] >= upstream.asked_at + 1
+        assert set(calls.statuses[-20:]) == {200}
+
+
+@on_trio
+async def test_an_upstream_that_turns_away_whoever_tries_it_again_gets_one_request_each_time():
+    async def never(upstream, stream, request):
+        extra = NOT_EXECUTED + NAMES.load + b": 0,0,4\r\nRetry-After: 0.6\r\n"
+        await stream.send_all(answer(request, b"", b"503 Unavailable", extra))
+
+    upstream = Upstream("i-1", never)
+    async with gateway(upstream) as subject:
+        await Calls(subject).press(3.0)
+        # 3 s hold five rests of 0.6 s.
+        assert len(upstream.requests) <= 6
+
+
+@pytest.mark.parametrize(
+    ("status", "words"),
+    [
+        pytest.param(b"503 Unavailable", NOT_EXECUTED + b"Retry-After: 2\r\n", id="rest"),
+        pytest.param(b"200 OK", NAMES.leaving + b": 1\r\n", id="leaving"),
+    ],
+)
+@on_trio
+async def test_what_is_asked_while_a_request_waits_for_its_connection_binds_it_too(status, words):
+    async def ask(upstream, stream, request):
+        await stream.send_all(answer(request, b"", status, words))
+
+    upstream = Upstream("i-1", ask)
+    async with gateway(upstream) as subject:
+        connect = subject.table.connect_anew
+        opened = 0
+
+        async def connect_slowly(record):
+            nonlocal opened
+            opened += 1
+            await trio.sleep(0.0 if opened == 1 else 0.3)
+            return await connect(record)
+
+        subject.table.connect_anew = connect_slowly
+        calls = Calls(subject)
+        async with trio.open_nursery() as nursery:
+            for number in range(2):
+                nursery.start_soon(functools.partial(calls.call, request_id=b"id-%d" % number))
+        assert opened == 2
+        assert len(upstream.requests) == 1
+        assert calls.statuses[-1] == 503
+
+
+@on_trio
+async def test_a_later_life_has_asked_for_nothing():
+    async def ask(upstream, stream, request):
+        extra = NOT_EXECUTED + NAMES.leaving + b": 1\r\nRetry-After: 60\r\n"
+        await stream.send_all(answer(request, b"", b"503 Unavailable", extra))
+
+    upstream = Upstream("i-1", ask)
+    async with gateway(upstream) as subject:
+        subject.tell([upstream.registration(sequence=2, born=1_000)])
+        calls = Calls(subject)
+        await calls.call()
+        await calls.call()
+        assert len(upstream.requests) == 1
+        upstream.script = serve_well
+        subject.tell([upstream.registration(sequence=1, born=2_000)])
+        await calls.call()
+        assert calls.statuses == [503, 503, 200]
+
+
+@on_trio
+async def test_a_leaving_upstream_gets_nothing_new_although_its_heartbeats_go_on():
+    leaver = Leaver()
+    async with gateway(leaver) as subject:
+        calls = Calls(subject)
+        await calls.call()
+        for sequence in range(2, 6):
+            subject.tell([leaver.registration(sequence=sequence)])
+            await calls.call()
+        assert calls.statuses == [200, 503, 503, 503, 503]
+        # It is not heard of for a moment, and its word still stands when it is heard again.
+        subject.world.registry.remove(leaver.instance)
+        subject.tell()
+        subject.tell([leaver.registration(sequence=7)])
+        await calls.call()
+        assert len(leaver.requests) == 1
+
+
+@on_trio
+async def test_what_another_upstream_answers_at_the_address_does_not_bind_the_one_meant():
+    async def misdirected(upstream, stream, request):
+        extra = NAMES.leaving + b": 1\r\nRetry-After: 60\r\n"
+        await stream.send_all(answer(request, b"", b"421 Misdirected", extra))
+
+    upstream = Upstream("i-1", misdirected)
+    async with gateway(upstream) as subject:
+        calls = Calls(subject)
+        await calls.call()
+        upstream.script = serve_well
+        await trio.sleep(0.6)
+        await calls.call()
+        assert calls.statuses == [503, 200]
+
+
+@on_trio
+async def test_words_of_an_answer_that_breaks_off_hold():
+    async def break_off(upstream, stream, request):
+        extra = b"Retry-After: 2\r\n"
+        whole = answer(request, b"x" * 50, b"503 Unavailable", extra)
+        await stream.send_all(whole[:-20])
+        return False
+
+    upstream = Upstream("i-1", break_off)
+    async with gateway(upstream) as subject:
+        await Calls(subject).press(1.0)
+        assert len(upstream.requests) == 1
+
+
+@on_trio
+async def test_a_body_that_can_be_sent_only_once_does_not_try_an_upstream_again():
+    body = b"x" * (BUFFERED_BODY_BYTES + 10)
+    upstreams = in_the_north(1, seconds=1)
+    async with gateway(*upstreams) as subject:
+        calls = Calls(subject)
+        await calls.call()
+        await trio.sleep(1.4)
+        await calls.call(method=b"POST", body=body)
+        assert len(upstreams[0].requests) == 1
+        await calls.call()
+        await calls.call(method=b"POST", body=body)
+        assert calls.statuses == [503, 503, 200, 200]
