--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -85,6 +85,7 @@
         self.runs: list[Run] = []
         self.peak = 0
         self.refused = 0
+        self.rest_s = 0
         self.mode = "normal"
         self.mode_left = -1
         self.leaving = False
@@ -136,6 +137,7 @@
         self.mode = wanted.get("mode", self.mode)
         self.mode_left = wanted.get("count", -1)
         self.leaving = wanted.get("leaving", self.leaving)
+        self.rest_s = wanted.get("rest_s", 0)
         if wanted.get("restart"):
             self.incarnation = f"{self.rng.getrandbits(48):012x}"
             self.leaving = False
@@ -148,6 +150,8 @@
         if mode == "refuse" or self.in_flight >= self.config.slots + SHED_QUEUE:
             self.refused += 1
             refusal = [*self.headers(), ("finchway-outcome", "not-run")]
+            if self.rest_s:
+                refusal.append(("Retry-After", str(self.rest_s)))
             await conn.reply(503, b"refused", refusal)
             return
         if mode == "die":
