Have entries and the operators' tool keep to the rest that is asked of them

Both now take the words from the one reader and keep them in the one book. An entry refuses at once whoever cannot be served before the rests end, also those who wait in its queue already, and tells the time that is known, rounded up: rounded to the nearest, a caller came back before it. A connection that comes up after its upstream has asked for rest carries nothing, and a resting upstream is not asked for its health.

Ruled out: to look at the leaving mark where connections come up (it would keep the health answers out that end the mark of an earlier life).

--- a/src/finchway/cli/_client.py
+++ b/src/finchway/cli/_client.py
@@ -1,11 +1,13 @@
 """The tool's side of the resource API, over httpcore.
 
 A change carries a change id. When an answer is lost, the same change is sent again, to the next
-address if there is one, and an accepted change gets its first answer.
+address if there is one, and an accepted change gets its first answer. A replica that asks for rest
+gets none of its calls until that is over.
 """
 
 from __future__ import annotations
 
+import random
 import ssl
 import time
 import uuid
@@ -26,10 +28,13 @@
     ResourceError,
     UnavailableError,
 )
+from finchway.pushback import RestBook, read_asked
 
 _TIMEOUTS = {"connect": 2.0, "read": 10.0, "write": 5.0, "pool": 2.0}
 _TRIES = 12
 _RETRY_S = 0.5
+# Seconds for which the tool leaves a replica alone at most, whatever it asks for: somebody waits.
+_LONGEST_REST_S = 10.0
 _FAILED = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException)
 
 
@@ -41,6 +46,7 @@
         self._scheme = "https" if ca_file else "http"
         context = ssl.create_default_context(cafile=ca_file) if ca_file else None
         self._pool = httpcore.ConnectionPool(ssl_context=context)
+        self._rests = RestBook(random.Random())
         self._headers = [(b"authorization", f"Bearer {credential}".encode())]
 
     def list(self, kind: str) -> Any:
@@ -103,7 +109,7 @@
         content = msgspec.json.encode(body) if body is not None else b""
         last: FinchwayError = UnavailableError("no API address is set", "set --api")
         for number in range(_TRIES):
-            address = self._addresses[number % len(self._addresses)]
+            address = self._next_address(number)
             try:
                 response = self._pool.request(
                     method,
@@ -121,10 +127,28 @@
                 if not isinstance(error, UnavailableError):
                     raise error
                 last = error
+                self._note_asked(address, response)
             if number + 1 < _TRIES:
                 time.sleep(_RETRY_S if number + 1 >= len(self._addresses) else 0)
         raise last
 
+    def _next_address(self, number: int) -> str:
+        """Return the next address in turn that does not rest, once there is one."""
+        turn = [
+            self._addresses[(number + k) % len(self._addresses)]
+            for k in range(len(self._addresses))
+        ]
+        now = time.monotonic()
+        address = min(turn, key=lambda address: self._rests.left(address, now))
+        time.sleep(self._rests.left(address, now))
+        return address
+
+    def _note_asked(self, address: str, response: httpcore.Response) -> None:
+        """Take in the rest that a replica asks for, up to what a person at a prompt waits."""
+        headers = [(name.lower(), value) for name, value in response.headers]
+        asked = read_asked(response.status, headers, b"", time.time())
+        self._rests.ask(address, min(asked.rest_s, _LONGEST_REST_S), time.monotonic())
+
 
 def as_error(status: int, content: bytes) -> FinchwayError:
     """Turn a problem of the API into the exception that it stands for."""
--- a/src/finchway/entry/_call.py
+++ b/src/finchway/entry/_call.py
@@ -56,12 +56,14 @@
 
 
 class Facts(Struct, frozen=True):
-    """What an upstream said of itself along with an answer."""
+    """What an upstream said of itself along with an answer, and what it asked for."""
 
     incarnation: str = ""
     load: float | None = None
     leaving: bool = False
     not_run: bool = False
+    rest_s: float = 0.0
+    unread: str = ""
 
 
 class CallError(Exception):
--- a/src/finchway/entry/_dispatch.py
+++ b/src/finchway/entry/_dispatch.py
@@ -35,6 +35,7 @@
     Ticket,
     client_block,
     may_retry,
+    retry_after,
 )
 from finchway.resources import Service
 
@@ -155,8 +156,9 @@
         may_have_run = False
         for number in itertools.count(1):
             begun = _Begun()
+            regions = self._regions(call)
             try:
-                grant = await self._admit(call, excluded)
+                grant = await self._admit(call, regions, excluded)
             except CallError as error:
                 raise _after_attempts(error, may_have_run) from error
             try:
@@ -176,15 +178,24 @@
                 expected = self._view.gate.mean_hold_s(call.service)
                 may_have_run = may_have_run or error.outcome is not Outcome.NOT_RUN
                 if not may_retry(attempt, budget, expected):
-                    final = _as_call_error(error, call, expected)
+                    final = _as_call_error(
+                        error, call, max(4 * expected, self._back_in(call, regions))
+                    )
                     raise _after_attempts(final, may_have_run) from error
                 self._metrics.count_retry(call.service)
                 excluded |= {grant.address}
 
-    async def _admit(self, call: Call, excluded: frozenset[str]) -> Grant:
-        now = trio.current_time()
+    def _regions(self, call: Call) -> tuple[str, ...]:
         caller = Caller(client_block(call.client), call.organisation)
-        regions = self._view.candidates(call.service, call.home, caller, call.rank, now)
+        now = trio.current_time()
+        return self._view.candidates(call.service, call.home, caller, call.rank, now)
+
+    def _back_in(self, call: Call, regions: tuple[str, ...]) -> float:
+        """Return the seconds until an upstream wants requests again; 0 unless all rest."""
+        return self._view.gate.back_in(call.service, regions, trio.current_time(), frozenset())
+
+    async def _admit(self, call: Call, regions: tuple[str, ...], excluded: frozenset[str]) -> Grant:
+        now = trio.current_time()
         ticket = Ticket(next(self._numbers), call.rank, call.deadline, now, regions, excluded)
         decision, evicted = self._view.gate.offer(call.service, ticket, now)
         for other, refusal in evicted:
@@ -240,7 +251,7 @@
         headers = self._forwarded(call, body)
         opened = self._client.open(grant.address, call.method, call.target, headers, content)
         async with opened as reply:
-            self._note_facts(grant.address, reply.facts)
+            self._note_facts(call.service, grant.address, reply.facts)
             if reply.facts.not_run:
                 self._view.directory.record_refusal(grant.address, trio.current_time())
                 raise UpstreamError(
@@ -276,7 +287,7 @@
             headers.append((b"transfer-encoding", b"chunked"))
         return headers
 
-    def _note_facts(self, address: str, facts: Facts) -> None:
+    def _note_facts(self, service: str, address: str, facts: Facts) -> None:
         now = trio.current_time()
         directory = self._view.directory
         directory.record_incarnation(address, facts.incarnation, now)
@@ -284,6 +295,14 @@
             directory.record_report(address, LoadReport(facts.load, now))
         if facts.leaving and directory.mark_leaving(address):
             self._timeline.record(EventKind.UPSTREAM_LEAVING, address, "said by its answer")
+            self._metrics.count_asked(service, "leaving")
+        if facts.rest_s > 0:
+            directory.ask_rest(address, facts.rest_s, now)
+            detail = f"asks for {facts.rest_s:g} s of rest"
+            self._timeline.record(EventKind.UPSTREAM_RESTING, address, detail)
+            self._metrics.count_asked(service, "rest")
+        if facts.unread:
+            self._metrics.count_asked(service, "unreadable")
 
     def _note_success(self, address: str) -> None:
         _, changed = self._view.record_result(address, True, trio.current_time())
@@ -345,10 +364,10 @@
     return error
 
 
-def _as_call_error(error: UpstreamError, call: Call, expected_s: float) -> CallError:
+def _as_call_error(error: UpstreamError, call: Call, back_in: float) -> CallError:
     if error.outcome is Outcome.NOT_RUN:
         detail = f"no upstream took the request: {error.detail}"
-        return CallError("not-run", 503, Outcome.NOT_RUN, detail, max(0.1, expected_s * 4))
+        return CallError("not-run", 503, Outcome.NOT_RUN, detail, retry_after(back_in))
     if trio.current_time() >= call.deadline:
         return CallError("deadline", 504, error.outcome, error.detail)
     return CallError("broken", 502, error.outcome, error.detail)
--- a/src/finchway/entry/_probe.py
+++ b/src/finchway/entry/_probe.py
@@ -98,6 +98,8 @@
             asked_at = self._asked_at.get(address, float("-inf"))
             if now - asked_at < WATCH_S or address not in own | watched:
                 continue
+            if self._view.directory.rest_left(address, now) > 0:
+                continue
             quiet = state.report is None or now - state.report.at > QUIET_S
             if quiet or address in watched or not self._in_touch():
                 due.append(address)
--- a/src/finchway/entry/_upstream.py
+++ b/src/finchway/entry/_upstream.py
@@ -8,7 +8,8 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+import time
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
 import httpcore
@@ -16,10 +17,12 @@
 
 from finchway.entry._call import Facts, Headers, UpstreamError
 from finchway.policy import Outcome
+from finchway.pushback import read_asked
 
 _CONNECT_TIMEOUT_S = 1.0
 _KEEPALIVE_S = 30.0
 _MAX_IDLE = 16
+_LEAVING = b"finchway-leaving"
 _NO_BODY_STATUSES = frozenset({204, 304})
 
 
@@ -44,11 +47,39 @@
             raise UpstreamError(Outcome.UNKNOWN, detail) from error
 
 
+class _AskedMeanwhileError(httpcore.ConnectError):
+    """The upstream asked for rest while a connection to it came up."""
+
+
+class _Connector(httpcore.AsyncNetworkBackend):
+    """Opens connections, and closes those whose upstream has asked for rest meanwhile."""
+
+    def __init__(self, rests: Callable[[str], bool]) -> None:
+        self._backend = httpcore.TrioBackend()
+        self._rests = rests
+
+    async def connect_tcp(self, host, port, **options) -> httpcore.AsyncNetworkStream:
+        """Connect to an upstream."""
+        stream = await self._backend.connect_tcp(host, port, **options)
+        if not self._rests(f"{host}:{port}"):
+            return stream
+        await stream.aclose()
+        raise _AskedMeanwhileError("it asked for rest meanwhile")
+
+    async def sleep(self, seconds: float) -> None:
+        """Sleep between two tries."""
+        await self._backend.sleep(seconds)
+
+
 class UpstreamClient:
-    """Sends requests to upstreams; keeps idle connections to each."""
+    """Sends requests to upstreams; keeps idle connections to each.
 
-    def __init__(self) -> None:
+    `rests` tells whether an upstream wants nothing now.
+    """
+
+    def __init__(self, rests: Callable[[str], bool] = lambda address: False) -> None:
         self._idle: dict[str, list[httpcore.AsyncHTTPConnection]] = {}
+        self._connector = _Connector(rests)
 
     @asynccontextmanager
     async def open(
@@ -76,6 +107,8 @@
         )
         try:
             response = await connection.handle_async_request(request)
+        except _AskedMeanwhileError as error:
+            raise UpstreamError(Outcome.NOT_RUN, f"{address}: {error}", healthy=True) from error
         except (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout) as error:
             raise UpstreamError(Outcome.NOT_RUN, f"no connection to {address}: {error}") from error
         except (httpcore.ProtocolError, httpcore.NetworkError, httpcore.TimeoutException) as error:
@@ -109,7 +142,10 @@
             if connection.is_available() and not connection.has_expired():
                 return connection, origin
             await connection.aclose()
-        return httpcore.AsyncHTTPConnection(origin, keepalive_expiry=_KEEPALIVE_S), origin
+        connection = httpcore.AsyncHTTPConnection(
+            origin, keepalive_expiry=_KEEPALIVE_S, network_backend=self._connector
+        )
+        return connection, origin
 
     async def _give_back(self, address: str, connection: httpcore.AsyncHTTPConnection) -> None:
         idle = self._idle.setdefault(address, [])
@@ -120,19 +156,19 @@
 
 
 def read_facts(status: int, headers: Headers) -> Facts:
-    """Read what an upstream says of itself in the headers of an answer."""
-    incarnation, load, leaving, not_run = "", None, False, False
-    for name, value in headers:
-        match name.lower():
+    """Read what an upstream says of itself, and asks for, in the head of an answer."""
+    incarnation, load, not_run = "", None, False
+    lowered = [(name.lower(), value) for name, value in headers]
+    for name, value in lowered:
+        match name:
             case b"finchway-incarnation":
                 incarnation = value.decode("latin-1")
             case b"finchway-load":
                 load = _number(value)
-            case b"finchway-leaving":
-                leaving = value == b"1"
             case b"finchway-outcome":
                 not_run = status == 503 and value == b"not-run"
-    return Facts(incarnation, load, leaving, not_run)
+    asked = read_asked(status, lowered, _LEAVING, time.time())
+    return Facts(incarnation, load, asked.leaving, not_run, asked.rest_s, asked.unread)
 
 
 def _number(value: bytes) -> float | None:
--- a/src/finchway/observe/_events.py
+++ b/src/finchway/observe/_events.py
@@ -37,6 +37,7 @@
     LEASE_LOST = "lease-lost"
     LEASE_REGAINED = "lease-regained"
     UPSTREAM_LEAVING = "upstream-leaving"
+    UPSTREAM_RESTING = "upstream-resting"
     UPSTREAM_EJECTED = "upstream-ejected"
     UPSTREAM_RETURNED = "upstream-returned"
     REGION_DOWN = "region-down"
--- a/src/finchway/observe/_metrics.py
+++ b/src/finchway/observe/_metrics.py
@@ -20,6 +20,12 @@
         registry = self._registry = Registry()
         self._requests = Counter("finchway_requests_total", "Requests by outcome", labels, registry)
         self._retries = Counter("finchway_retries_total", "Retries by service", labels, registry)
+        self._asked = Counter(
+            "finchway_asked_total",
+            "Answers of upstreams that asked for rest or said that they leave, or were unreadable",
+            labels,
+            registry,
+        )
         self._steers = Counter("finchway_steers_total", "Steering answers", labels, registry)
         self._state = Gauge("finchway_state", "State by name", labels, registry)
         self._latency_gauge = Gauge(
@@ -40,6 +46,10 @@
         """Count one retry."""
         self._retries.inc({"service": service})
 
+    def count_asked(self, service: str, what: str) -> None:
+        """Count an answer that asks something of this entry."""
+        self._asked.inc({"service": service, "what": what})
+
     def count_steer(self, service: str) -> None:
         """Count one steering answer."""
         self._steers.inc({"service": service})
--- a/src/finchway/policy/_choice.py
+++ b/src/finchway/policy/_choice.py
@@ -11,6 +11,8 @@
 
 from msgspec import Struct
 
+from finchway.pushback import RestBook
+
 FAILURES_TO_EJECT = 3
 EJECTION_S = 2.0
 MAX_EJECTION_S = 60.0
@@ -55,6 +57,7 @@
 
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
+        self._rests = RestBook(rng)
         self._states: dict[str, UpstreamState] = {}
 
     def __iter__(self):
@@ -96,6 +99,22 @@
             state.rests_until = now + min(MAX_REST_S, REST_S * 2**state.refusals)
             state.refusals += 1
 
+    def ask_rest(self, address: str, seconds: float, now: float) -> None:
+        """Take in that an upstream wants nothing from this entry for some time."""
+        self._rests.ask(self._life(address), seconds, now)
+
+    def rest_left(self, address: str, now: float) -> float:
+        """Return the seconds until an upstream that asked for rest is tried again; else 0."""
+        return self._rests.left(self._life(address), now)
+
+    def begin(self, address: str, now: float) -> bool:
+        """Count a request that is being sent; tells whether it is the first after a rest."""
+        return self._rests.begin(self._life(address), now)
+
+    def end_trial(self, address: str, was_taken: bool) -> None:
+        """Take in how the first request after a rest ended."""
+        self._rests.end_trial(self._life(address), was_taken)
+
     def record_failure(self, address: str, peers: list[str], now: float) -> bool:
         """Note a failed request; True if the upstream is ejected now.
 
@@ -165,11 +184,21 @@
         return min(drawn, key=lambda address: self._score(address, limits[address], now))
 
     def is_usable(self, address: str, now: float) -> bool:
-        """Tell whether an upstream is known, not leaving and not ejected."""
+        """Tell whether an upstream is known and may get a request now.
+
+        It may not while it leaves, is ejected, or rests.
+        """
         state = self._states.get(address)
         if state is None or state.leaving or state.drained:
             return False
-        return now >= max(state.ejected_until, state.rests_until)
+        if now < max(state.ejected_until, state.rests_until):
+            return False
+        return self._rests.may_send(self._life(address), now)
+
+    def _life(self, address: str) -> str:
+        """Return the name of the upstream's present life, as far as its answers tell it."""
+        state = self._states.get(address)
+        return f"{address}@{state.incarnation}" if state is not None else address
 
     def _free(self, address: str, limit: int, now: float) -> int:
         if not self.is_usable(address, now):
--- a/src/finchway/policy/_gate.py
+++ b/src/finchway/policy/_gate.py
@@ -25,16 +25,21 @@
 SPILL_RANKS = 1_000
 NO_SLOT_REASON = "this entry has no slots of the service and cannot borrow any now"
 NO_REGION_REASON = "no region serves this request now"
+RESTING_REASON = "all upstreams have asked for rest beyond the deadline"
 
 
 class Grant(Struct, frozen=True):
-    """A slot of an upstream, held from `at` until it is released."""
+    """A slot of an upstream, held from `at` until it is released.
+
+    `is_trial` tells that its request is the first one after a rest of the upstream.
+    """
 
     service: str
     region: str
     address: str
     rank: int
     at: float
+    is_trial: bool = False
 
 
 Decision = Grant | Refusal
@@ -97,6 +102,9 @@
         wait_s = lane.rate.wait_s(ahead, slots)
         if not slots and not self._has_prospect(service, ticket.regions, now):
             return Refusal(NO_SLOT_REASON, 1.0), []
+        resting = self._refuse_resting(service, ticket, now) if not slots else None
+        if resting is not None:
+            return resting, []
         if slots and now + wait_s + lane.rate.mean_s > ticket.deadline:
             return Refusal(DEADLINE_REASON, retry_after(wait_s)), []
         evicted = lane.queue.push(ticket)
@@ -116,6 +124,8 @@
         state = self._directory.get(grant.address)
         if state is not None:
             state.in_flight -= 1
+        if grant.is_trial:
+            self._directory.end_trial(grant.address, succeeded)
         if succeeded:
             lane.rate.record(now - grant.at)
 
@@ -129,12 +139,29 @@
                 wait_s = lane.rate.wait_s(len(lane.queue), 1)
                 decided.append((late, Refusal(DEADLINE_REASON, retry_after(wait_s))))
             decided += self._serve(name, lane, now)
+            for ticket in list(lane.queue):
+                resting = self._refuse_resting(name, ticket, now)
+                if resting is not None:
+                    lane.queue.remove(ticket)
+                    decided.append((ticket, resting))
         return decided
 
     def withdraw(self, service: str, ticket: Ticket) -> bool:
         """Take a ticket back whose caller has gone; False if it was decided already."""
         return self._lane(service).queue.remove(ticket)
 
+    def back_in(
+        self, service: str, regions: tuple[str, ...], now: float, excluded: frozenset[str]
+    ) -> float:
+        """Return the seconds until an upstream wants requests again; 0 unless all of them rest."""
+        lefts = [
+            self._directory.rest_left(address, now)
+            for region in regions
+            for address in self._holder.limits((service, region), now)
+            if address not in excluded
+        ]
+        return min(lefts, default=0.0)
+
     def demands(self, keys: list[ShareKey]) -> list[Demand]:
         """Return what this entry wants of each share; only those it wants anything of."""
         demands = []
@@ -205,9 +232,20 @@
         key = (region, rank)
         lane.in_flight_by_rank[key] = lane.in_flight_by_rank.get(key, 0) + 1
         self._directory.get(address).in_flight += 1
+        is_trial = self._directory.begin(address, now)
         held = self._held.setdefault((service, region), {})
         held[address] = held.get(address, 0) + 1
-        return Grant(service, region, address, rank, now)
+        return Grant(service, region, address, rank, now, is_trial)
+
+    def _refuse_resting(self, service: str, ticket: Ticket, now: float) -> Refusal | None:
+        """Return a refusal if all upstreams rest until after a ticket's deadline.
+
+        It is known then that waiting is in vain, and when to come back.
+        """
+        back_in = self.back_in(service, ticket.regions, now, ticket.excluded)
+        if back_in <= 0 or now + back_in <= ticket.deadline:
+            return None
+        return Refusal(RESTING_REASON, retry_after(back_in))
 
     def _has_prospect(self, service: str, regions: tuple[str, ...], now: float) -> bool:
         """Tell whether waiting makes sense: slots may be lent, or upstreams only rest."""
--- a/src/finchway/transport/_http.py
+++ b/src/finchway/transport/_http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import ceil
 from typing import Any
 from urllib.parse import parse_qs
 
@@ -93,7 +94,8 @@
     """Send a problem; one with a time to come back carries `Retry-After` as well."""
     extra = list(headers)
     if problem.retry_after_s:
-        seconds = max(1, round(problem.retry_after_s))
+        # Upwards: whoever comes back before it is time is refused again.
+        seconds = max(1, ceil(problem.retry_after_s))
         extra.append((b"retry-after", str(seconds).encode()))
     encoded = msgspec.json.encode(_without_empty_raw(problem))
     await send(respond, problem.status, encoded, PROBLEM, extra)
--- a/tests/process/test_asked_rest.py
+++ b/tests/process/test_asked_rest.py
@@ -18,7 +18,7 @@
 from bench.deploy import fetch
 from finchway.cli._client import ApiClient
 from finchway.exceptions import UnavailableError
-from tests.process.conftest import header
+from tests.process.conftest import Caller, header
 
 pytestmark = pytest.mark.xdist_group("asked-rest")
 
@@ -43,12 +43,12 @@
         fetch(address, "/fake/mode", mode)
 
 
-def press(caller, entry: str, seconds: float) -> list:
+def press(deployment, entry: str, seconds: float) -> list:
     """Call at a steady rate, whatever becomes of the calls."""
-    with ThreadPoolExecutor(32) as pool:
+    with ThreadPoolExecutor(100) as pool:
         calls = []
         for _ in range(int(seconds * CALLS_A_SECOND)):
-            calls.append(pool.submit(caller.call, entry, "bays"))
+            calls.append(pool.submit(Caller(deployment).call, entry, "bays"))
             time.sleep(1 / CALLS_A_SECOND)
         return [call.result() for call in calls]
 
@@ -59,17 +59,24 @@
     set_rest(deployment, 0)
 
 
-def test_upstreams_that_ask_an_entry_for_rest_get_nothing_until_its_end(deployment, caller):
+def test_upstreams_that_ask_an_entry_for_rest_get_nothing_until_its_end(deployment):
     set_rest(deployment, REST_S)
-    press(caller, "e1", UNDER_WAY_S)
-    before = refused(deployment)
-    press(caller, "e1", REST_S - 2 * UNDER_WAY_S)
-    assert refused(deployment) - before <= MOST_AMID * len(bays(deployment))
+    started = time.monotonic()
+    with ThreadPoolExecutor(1) as pool:
+        # Calls that wait for the end of the rest are no concern here.
+        pressing = pool.submit(press, deployment, "e1", REST_S)
+        time.sleep(UNDER_WAY_S)
+        before = refused(deployment)
+        time.sleep(started + REST_S - 0.1 - time.monotonic())
+        amid = refused(deployment) - before
+        pressing.result()
+    assert before
+    assert amid <= MOST_AMID * len(bays(deployment))
 
 
 def test_callers_are_refused_at_once_and_told_when_the_rest_ends(deployment, caller):
     set_rest(deployment, 10)
-    press(caller, "e2", UNDER_WAY_S)
+    press(deployment, "e2", UNDER_WAY_S)
     started = time.monotonic()
     response = caller.call("e2", "bays", headers={"finchway-timeout-ms": "1500"})
     assert time.monotonic() - started < 0.5
--- a/tests/unit/test_policy.py
+++ b/tests/unit/test_policy.py
@@ -32,6 +32,7 @@
     next_move_status,
     recent_percent,
 )
+from finchway.pushback import RETURN_SPREAD
 from finchway.resources import Division, DrainStatus, Move, MoveStatus, Phase, Share
 
 POOL = [f"10.0.0.{n}:80" for n in range(4)]
@@ -375,3 +376,52 @@
         assert platform.is_gone("u") and not platform.is_gone("never listed")
         platform.record(PlatformList(live=["u"], as_of_ms=5))
         assert platform.leaving == frozenset() and not platform.is_gone("u")
+
+
+class TestRests:
+    """Upstreams that ask an entry for rest: they got its repeats every 0.05 s to 0.5 s."""
+
+    def rest_all(self, made: Gate, seconds: float, now: float) -> None:
+        for address in POOL:
+            made._directory.ask_rest(address, seconds, now)
+
+    def test_whoever_cannot_be_served_before_the_rests_end_is_refused_at_once(self):
+        made = gate()
+        self.rest_all(made, 3.0, 0.0)
+        refusal, _ = made.offer("s", ticket(1, deadline=2.0), 0.0)
+        assert isinstance(refusal, Refusal)
+        assert 3.0 <= refusal.retry_after_s <= 3.0 * (1 + RETURN_SPREAD)
+        assert made.offer("s", ticket(2, deadline=10.0), 0.0)[0] is None
+
+    def test_whoever_waits_is_refused_once_that_is_known(self):
+        made = gate()
+        grants = [made.offer("s", ticket(n), 0.0)[0] for n in range(4)]
+        assert made.offer("s", ticket(10, deadline=2.0), 0.0)[0] is None
+        self.rest_all(made, 3.0, 0.1)
+        made.release(grants[0], 0.1, True)
+        ((waiting, refusal),) = made.pump(0.1)
+        assert (waiting.sequence, type(refusal)) == (10, Refusal)
+        assert made.waiting("s") == 0
+
+    def test_after_a_rest_one_request_goes_first(self):
+        made = gate(slots=2)
+        for address in POOL[1:]:
+            made._directory.mark_leaving(address)
+        made._directory.ask_rest(POOL[0], 1.0, 0.0)
+        first, _ = made.offer("s", ticket(1), 2.0)
+        assert isinstance(first, Grant)
+        assert made.offer("s", ticket(2), 2.0)[0] is None
+        assert made.pump(2.1) == []
+        made.release(first, 2.1, True)
+        ((_, second),) = made.pump(2.1)
+        assert isinstance(second, Grant)
+
+    def test_neither_a_success_nor_an_earlier_request_ends_a_rest_but_a_new_life_does(self):
+        made = directory()
+        made.record_incarnation(POOL[0], "one", 0.0)
+        made.ask_rest(POOL[0], 5.0, 0.0)
+        made.record_success(POOL[0])
+        made.end_trial(POOL[0], True)
+        assert not made.is_usable(POOL[0], 1.0)
+        made.record_incarnation(POOL[0], "two", 1.0)
+        assert made.is_usable(POOL[0], 1.0)
