Have back ends of the soak ask for rest, and say in their answers that they leave

No stand-in of ours did either, so no soak could find a gateway that does not keep to it. Back ends now have weary times in which they refuse all and ask for 0.3 s to 3 s of rest; half of them say for 3 s in their answers alone that they leave. Two checks, with their bounds from the stated aim: two requests from 0.5 s after the asking answer to the end of its rest, no request that was sent over 2 s after a word of leaving; faults that struck the gateway meanwhile excuse it.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -38,7 +38,8 @@
     print(
         f"seed {report.seed}: {answers}; {report.runs} runs at back ends, "
         f"{report.changes} changes, {report.added_asked} answers on added routes, "
-        f"{report.left} back ends left, {report.ended} ended under requests",
+        f"{report.left} back ends left, {report.ended} ended under requests, "
+        f"{report.asked} refusals asked for rest",
         flush=True,
     )
     if not report.violations:
--- a/bench/soak/_checks.py
+++ b/bench/soak/_checks.py
@@ -8,7 +8,7 @@
 
 from msgspec import Struct
 
-from bench.soak._ledger import NO_ANSWER, Ended, EndedUnder, Ledger, Left, Run
+from bench.soak._ledger import NO_ANSWER, Arrival, Ended, EndedUnder, Ledger, Left, Run
 from bench.soak._plan import FaultKind, Shape
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -21,6 +21,11 @@
 # it may take until every gateway knows.
 ENDS_ALLOWED = 3
 KNOWN_WITHIN_S = 3.0
+# Requests that may reach a back end in a rest that it has asked for, from this time after it on.
+MOST_IN_A_REST = 2
+UNDER_WAY_S = 0.5
+# Seconds for which what says that it leaves may still get new requests.
+DRAIN_S = 2.0
 PLANNED = frozenset({FaultKind.STOP.value, FaultKind.STOP_AND_RELOAD.value})
 DISK_ENDS = frozenset({FaultKind.FULL_DISK.value})
 
@@ -50,6 +55,8 @@
         *_configuration(ledger),
         *_denials(ledger),
         *_deadly(ledger, shape),
+        *_rests(ledger),
+        *_said_leaving(ledger),
         *_processes(ledger),
     ]
 
@@ -183,6 +190,47 @@
             yield Violation("deadly requests are kept from back ends", evidence)
 
 
+def _arrivals(ledger: Ledger) -> dict[tuple[str, str], list[Arrival]]:
+    """Return what reached each life of a back end from each gateway."""
+    found: dict[tuple[str, str], list[Arrival]] = defaultdict(list)
+    for arrival in ledger.arrivals:
+        if arrival.id in ledger.sent:
+            found[arrival.life, ledger.sent[arrival.id].gateway].append(arrival)
+    return found
+
+
+def _rests(ledger: Ledger) -> Iterator[Violation]:
+    """Find gateways that went on sending to a back end that had asked them for rest."""
+    arrivals = _arrivals(ledger)
+    for asked in ledger.asked:
+        if asked.id not in ledger.sent or not ledger.was_heard(asked.id):
+            continue
+        gateway = ledger.sent[asked.id].gateway
+        if not ledger.is_calm(gateway, asked.at, asked.until):
+            continue
+        first = asked.at + UNDER_WAY_S
+        amid = [a for a in arrivals[asked.life, gateway] if first < a.at < asked.until]
+        if len(amid) > MOST_IN_A_REST:
+            rest = asked.until - asked.at
+            evidence = f"{len(amid)} from {gateway} at {asked.life} in {rest:.2f} s"
+            yield Violation("back ends that ask for rest get it", evidence)
+
+
+def _said_leaving(ledger: Ledger) -> Iterator[Violation]:
+    """Find gateways that sent new requests to a back end after its answers said that it leaves."""
+    arrivals = _arrivals(ledger)
+    first_said: dict[tuple[str, str], float] = {}
+    for said in ledger.said_leaving:
+        if said.id in ledger.sent and ledger.was_heard(said.id):
+            first_said.setdefault((said.life, ledger.sent[said.id].gateway), said.at)
+    for (life, gateway), said_at in first_said.items():
+        for arrival in arrivals[life, gateway]:
+            late = ledger.sent[arrival.id].at - said_at
+            if late > DRAIN_S and ledger.is_calm(gateway, said_at, arrival.at):
+                evidence = f"{arrival.id} at {life} from {gateway}, {late:.2f} s later"
+                yield Violation("nothing new for what says that it leaves", evidence)
+
+
 def _ended_well(ended: Ended) -> bool:
     """Tell whether a planned stop ended as it should.
 
--- a/bench/soak/_ledger.py
+++ b/bench/soak/_ledger.py
@@ -55,6 +55,31 @@
     at: float
 
 
+class Arrival(Struct, frozen=True):
+    """A request that reached a back end, whether or not it was run there."""
+
+    life: str
+    id: str
+    at: float
+
+
+class AskedRest(Struct, frozen=True):
+    """A refusal that asked the gateway of a request for rest."""
+
+    life: str
+    id: str
+    at: float
+    until: float
+
+
+class SaidLeaving(Struct, frozen=True):
+    """An answer that told the gateway of a request that the back end leaves."""
+
+    life: str
+    id: str
+    at: float
+
+
 class Left(Struct, frozen=True):
     """An upstream's leaving, or a zone's evacuation, that was acknowledged."""
 
@@ -98,6 +123,9 @@
         self.answers: dict[str, Answer] = {}
         self.runs: list[Run] = []
         self.ended_under: list[EndedUnder] = []
+        self.arrivals: list[Arrival] = []
+        self.asked: list[AskedRest] = []
+        self.said_leaving: list[SaidLeaving] = []
         self.left: list[Left] = []
         self.evacuated: list[Left] = []
         self.acknowledged: list[Held] = []
@@ -108,6 +136,11 @@
         self.ended: list[Ended] = []
         self.recovered: dict[str, bool] = {}
 
+    def was_heard(self, request_id: str) -> bool:
+        """Tell whether a caller got an answer, so that its gateway surely had its back end's."""
+        answer = self.answers.get(request_id)
+        return answer is not None and answer.status not in (None, NO_ANSWER)
+
     def is_calm(self, target: str, start: float, end: float) -> bool:
         """Tell whether no fault touched a process within a time."""
         return not any(
--- a/bench/soak/_plan.py
+++ b/bench/soak/_plan.py
@@ -55,7 +55,7 @@
 
 
 class Shape(Struct, frozen=True, kw_only=True):
-    """How large a run is."""
+    """How large a run is; `moods` tells whether back ends ask for rest and say that they leave."""
 
     replicas: int = 3
     gateways: int = 3
@@ -63,6 +63,7 @@
     callers: int = 12
     seconds: float = 30.0
     faults: int = 16
+    moods: bool = True
 
     @property
     def replica_names(self) -> list[str]:
--- a/bench/soak/_run.py
+++ b/bench/soak/_run.py
@@ -63,7 +63,8 @@
     """What a run showed; `statuses` counts the answers of callers, None where none came.
 
     `added_asked` counts the answered requests for routes that were added during the run, and
-    `ended` the back ends that ended under deadly requests.
+    `ended` the back ends that ended under deadly requests; `asked` counts the refusals that asked
+    for rest.
     """
 
     seed: int
@@ -74,6 +75,7 @@
     added_asked: int
     left: int
     ended: int
+    asked: int
     violations: list[Violation]
     folder: str
 
@@ -119,7 +121,7 @@
         machines.start_all()
         control = self._control = ControlClient(list(machines.api.values()), self._rng)
         callers = Callers(self._shape.callers, machines.callers_see, self._ledger, self._seed + 2)
-        fleet = Fleet(self._shape.upstreams, machines.zones, self._ledger, control, self._seed + 3)
+        fleet = Fleet(self._shape, machines.zones, self._ledger, control, self._seed + 3)
         operator = Operator(control, self._ledger, machines.zones, random.Random(self._seed + 4))
         with trio.fail_after(START_WITHIN_S):
             await self._until_voters(control)
@@ -268,6 +270,7 @@
             added_asked=sum(bool(ledger.sent[i].route) for i in ledger.answers),
             left=len(ledger.left),
             ended=len(ledger.ended_under),
+            asked=len(ledger.asked),
             violations=check(ledger, self._shape),
             folder=str(self._folder),
         )
--- a/bench/soak/_upstreams.py
+++ b/bench/soak/_upstreams.py
@@ -12,7 +12,9 @@
 
 from bench.soak._checks import expected_body
 from bench.soak._control import ControlClient
-from bench.soak._ledger import EndedUnder, Ledger, Left, Run
+from bench.soak._ledger import Arrival, AskedRest, EndedUnder, Ledger, Left, Run, SaidLeaving
+from bench.soak._moods import SAYS_FIRST_S, Moods
+from bench.soak._plan import Shape
 
 BEAT_S = 0.5
 SLOTS = 4
@@ -34,7 +36,9 @@
 class Upstream:
     """A back end; it starts again after a deadly request, under its id or another."""
 
-    def __init__(self, instance: str, zone: str, ledger: Ledger, rng: random.Random) -> None:
+    def __init__(
+        self, instance: str, zone: str, ledger: Ledger, rng: random.Random, has_moods: bool
+    ) -> None:
         self.instance = instance
         self.address = ""
         self._zone = zone
@@ -48,6 +52,8 @@
         self._is_up = True
         # A source of its own, so that what earlier seeds do stays as it is.
         self._deadly_rng = random.Random(instance)
+        self._moods = Moods(instance, has_moods)
+        self._says_leaving = False
 
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Serve until cancelled, one life after the other."""
@@ -70,6 +76,7 @@
     def _begin_life(self) -> None:
         self._lives += 1
         self._running = 0
+        self._says_leaving = False
         self._sequence = itertools.count(1)
         self._born = _now_ms()
         if self._deadly_rng.random() >= KEEPS_ID_SHARE:
@@ -110,6 +117,13 @@
                     if self._is_up:
                         await self.beat(control)
                     await trio.sleep(BEAT_S)
+            if self._moods.says_first:
+                self._says_leaving = True
+                with trio.move_on_after(SAYS_FIRST_S):
+                    while True:
+                        if self._is_up:
+                            await self.beat(control)
+                        await trio.sleep(BEAT_S)
             left = self._lives, self.instance
             while not (self._is_up and await self._leave(control)):
                 await trio.sleep(BEAT_S / 5)
@@ -160,12 +174,27 @@
         request_id = headers[b"finchway-request-id"].decode()
         if headers.get(b"finchway-expected-instance") != self.instance.encode():
             return await self._reply(stream, http, request_id, 421, b"", not_run=True)
+        now = trio.current_time()
+        self._ledger.arrivals.append(Arrival(self._life_name, request_id, now))
+        if self._moods.is_weary(now):
+            return await self._ask_for_rest(stream, http, request_id, now)
         if self._running >= SLOTS * 2 or self._rng.random() < REFUSED_SHARE:
             return await self._reply(stream, http, request_id, 503, b"", not_run=True)
         if DEADLY in request.target:
             await self._end_under(request_id, request.target.rpartition(b"/")[2].decode())
         return await self._work(stream, http, request_id, payload)
 
+    @property
+    def _life_name(self) -> str:
+        return f"{self.instance}@{self._born}"
+
+    async def _ask_for_rest(
+        self, stream: trio.SocketStream, http: h11.Connection, request_id: str, now: float
+    ) -> bool:
+        rest_s = self._moods.rest_s()
+        self._ledger.asked.append(AskedRest(self._life_name, request_id, now, now + rest_s))
+        return await self._reply(stream, http, request_id, 503, b"", not_run=True, rest_s=rest_s)
+
     async def _end_under(self, request_id: str, deadly: str) -> None:
         """End with everything that is under way, since a deadly request has begun."""
         now = trio.current_time()
@@ -205,6 +234,7 @@
         status: int,
         body: bytes,
         not_run: bool = False,
+        rest_s: float = 0.0,
     ) -> bool:
         headers = [
             ("Content-Length", str(len(body))),
@@ -214,6 +244,12 @@
         ]
         if not_run:
             headers.append(("Finchway-Not-Executed", "1"))
+        if rest_s:
+            headers.append(("Retry-After", str(rest_s)))
+        if self._says_leaving and status != 421:
+            headers.append(("Finchway-Leaving", "1"))
+            said = SaidLeaving(self._life_name, request_id, trio.current_time())
+            self._ledger.said_leaving.append(said)
         data = http.send(h11.Response(status_code=status, headers=headers))
         data += http.send(h11.Data(data=body)) + http.send(h11.EndOfMessage())
         await stream.send_all(data)
@@ -234,9 +270,10 @@
     """Keeps a number of back ends alive; each leaves after a while and another takes its place."""
 
     def __init__(
-        self, count: int, zones: list[str], ledger: Ledger, control: ControlClient, seed: int
+        self, shape: Shape, zones: list[str], ledger: Ledger, control: ControlClient, seed: int
     ) -> None:
-        self._count = count
+        self._count = shape.upstreams
+        self._has_moods = shape.moods
         self._zones = zones
         self._ledger = ledger
         self._control = control
@@ -253,7 +290,7 @@
         async with trio.open_nursery() as nursery:
             while True:
                 name = f"i-{next(self._numbers)}"
-                upstream = Upstream(name, zone, self._ledger, self._rng)
+                upstream = Upstream(name, zone, self._ledger, self._rng, self._has_moods)
                 life_s = self._rng.uniform(*LIFE_S)
                 nursery.start_soon(upstream.live, self._control, life_s)
                 await trio.sleep(life_s)
--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -8,8 +8,12 @@
 from bench.soak import Shape, soak
 
 SMALL = Shape(replicas=3, gateways=2, upstreams=4, callers=6, seconds=14.0, faults=8)
-MEDIUM = Shape(replicas=3, gateways=3, upstreams=4, callers=10, seconds=20.0, faults=16)
-LARGE = Shape(replicas=5, gateways=6, upstreams=15, callers=40, seconds=40.0, faults=70)
+MEDIUM = Shape(
+    replicas=3, gateways=3, upstreams=4, callers=10, seconds=20.0, faults=16, moods=False
+)
+LARGE = Shape(
+    replicas=5, gateways=6, upstreams=15, callers=40, seconds=40.0, faults=70, moods=False
+)
 
 # Each with what it found; `python -m bench.soak` with the same options plays it by hand.
 REGRESSIONS = [
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -4,7 +4,7 @@
 
 from bench.soak import Answer, FaultKind, FaultWindow, Ledger, Run, Sent, Shape, check, make_plan
 from bench.soak._checks import expected_body
-from bench.soak._ledger import NO_ANSWER, Ended, Held, Left
+from bench.soak._ledger import NO_ANSWER, Arrival, AskedRest, Ended, Held, Left, SaidLeaving
 from bench.soak._plan import Fault
 from bench.soak._proxy import Mode
 from bench.soak._run import _mode
@@ -145,3 +145,39 @@
     assert _mode(Fault(1.0, FaultKind.DELAY, "c1", 2.31)) is Mode.CROWDED
     assert _mode(Fault(1.0, FaultKind.DELAY, "c1", 2.3)) is Mode.DELAY
     assert _mode(Fault(1.0, FaultKind.SILENCE, "c1", 2.31)) is Mode.SILENCE
+
+
+def rested(arrivals, until=13.0):
+    """Return what is seen when a back end asks for rest at 10 s and some requests come after."""
+    subject = Ledger()
+    subject.asked.append(AskedRest("i-1@1", "r", 10.0, until))
+    for number, at in enumerate([10.0, *arrivals]):
+        name = "r" if number == 0 else f"r-{number}"
+        subject.sent[name] = Sent(name, "g1", True, at)
+        subject.answers[name] = Answer(name, at + 0.1, 503, b"", True)
+        subject.arrivals.append(Arrival("i-1@1", name, at))
+    return subject
+
+
+def test_requests_amid_a_rest_are_found():
+    promise = "back ends that ask for rest get it"
+    assert broken(rested([10.6, 11.0, 12.9])) == [promise]
+    assert broken(rested([10.1, 10.4, 11.0, 12.9, 13.1])) == []
+    assert broken(rested([10.6, 11.0, 12.9], until=11.5)) == []
+    struck = rested([10.6, 11.0, 12.9])
+    struck.faults.append(FaultWindow(FaultKind.KILL.value, "g1", 11.0, 11.5))
+    assert broken(struck) == []
+    others = rested([10.6, 11.0, 12.9])
+    others.sent["r-1"] = Sent("r-1", "g2", True, 10.6)
+    assert broken(others) == []
+
+
+def test_new_requests_for_what_says_that_it_leaves_are_found():
+    subject = rested([11.0, 12.5])
+    subject.said_leaving.append(SaidLeaving("i-1@1", "r", 10.0))
+    assert broken(subject) == ["nothing new for what says that it leaves"]
+    unheard = rested([11.0, 12.5])
+    unheard.said_leaving.append(SaidLeaving("i-1@1", "r", 10.0))
+    unheard.answers["r"] = Answer("r", 10.1, None)
+    unheard.faults.append(FaultWindow(FaultKind.KILL.value, "g1", 9.9, 10.0))
+    assert broken(unheard) == []
