--- a/tests/gateway/test_router.py
+++ b/tests/gateway/test_router.py
@@ -38,7 +38,7 @@
 class Subject:
     """A router in zone north-a and what it believes; must be used within a trio run."""
 
-    def __init__(self, upstreams, demand=None, target_latency=0.3, gateways=("g1",)):
+    def __init__(self, upstreams, demand=None, target_latency=0.3, gateways=("g1",), zones=ZONES):
         spec = {"backends": (Backend("s", 1.0),), "timeout": 2.0, "max_attempts": 2}
         self.route = Route(
             host="a.example",
@@ -70,8 +70,8 @@
         )
         self.writer = LogWriter()
         log = DecisionLog("g1", self.writer)
-        self.table = UpstreamTable("g1", lambda: ZONES, self.world, Bounds(), log)
-        self.router = Router("north-a", lambda: ZONES, self.world, self.table, Bounds())
+        self.table = UpstreamTable("g1", lambda: zones, self.world, Bounds(), log)
+        self.router = Router("north-a", lambda: zones, self.world, self.table, Bounds())
 
     def lines(self, event):
         """Return the log lines of one kind that were written since the last call."""
