Test that the platform's words for rest and leaving reach what keeps to them

Real processes with the platform's header names: a worker that answers 503 with Retry-After, or Server-Leaving, gets nothing more from the gateway that it told, and the other gateway is told nothing.

--- a/tests/adapter/test_processes.py
+++ b/tests/adapter/test_processes.py
@@ -160,6 +160,8 @@
         self.sequence = 0
         self.requests: list[bytes] = []
         self.address = ""
+        self.status = b"200 OK"
+        self.words = b""
 
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
         listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
@@ -169,8 +171,16 @@
     async def _serve(self, stream) -> None:
         while (request := await read_message(stream)) is not None:
             self.requests.append(request)
-            head = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + SIGNATURE + b": s\r\n"
-            head += ID + b": " + header_of(request, ID) + b"\r\n\r\nok"
+            head = b"HTTP/1.1 " + self.status + b"\r\nContent-Length: 2\r\n"
+            head += (
+                SIGNATURE
+                + b": s\r\n"
+                + self.words
+                + ID
+                + b": "
+                + header_of(request, ID)
+                + b"\r\n\r\nok"
+            )
             await stream.send_all(head)
 
     async def beat(self, state: str = "ready", ip: str = CORES[0]):
@@ -296,6 +306,42 @@
     run(check, tmp_path)
 
 
+@pytest.mark.parametrize(
+    ("status", "words"),
+    [
+        (b"503 Unavailable", b"X-Finchway-Not-Executed: 1\r\nRetry-After: 30\r\n"),
+        (b"200 OK", b"Server-Leaving: 1\r\n"),
+    ],
+)
+def test_a_worker_that_asks_for_rest_or_leaves_gets_nothing_more_from_whom_it_told(
+    tmp_path, status, words
+):
+    """The words of the platform reach what the product keeps to."""
+
+    async def check(folder):
+        async with deployment(folder) as subject, trio.open_nursery() as nursery:
+            worker = Worker(subject, "i-1")
+            await nursery.start(worker.run)
+            nursery.start_soon(worker.beat_forever)
+            for ip in EDGES:
+                await subject.ask_until(ip, 200)
+            worker.status, worker.words = status, words
+            await subject.ask(EDGES[0])
+            reached = len(worker.requests)
+            for _ in range(5):
+                answer = await subject.ask(EDGES[0])
+                assert answer[0] == 503
+            assert len(worker.requests) == reached
+            # The other gateway has been told nothing.
+            await subject.ask(EDGES[1])
+            assert len(worker.requests) == reached + 1
+            figures = (await subject.call(EDGES[0], "metrics", "GET", "/metrics"))[2].decode()
+            assert "finchway_gateway_asked_total{" in figures
+            nursery.cancel_scope.cancel()
+
+    run(check, tmp_path)
+
+
 def test_invalid_changes_are_refused_and_resends_are_taken(tmp_path):
     async def check(folder):
         async with deployment(folder) as subject:
