--- a/src/finchway/gateway/_forward.py
+++ b/src/finchway/gateway/_forward.py
@@ -393,6 +393,7 @@
             return
         out_of_time = trio.current_time() >= task.deadline
         if outcome.verdict is Verdict.NOT_RUN and not (out_of_time and task.attempts):
+            task.back_in = self._router.back_in(task, trio.current_time())
             reply = _come_back(503, task.back_in)
         else:
             reply = Reply(504 if out_of_time else 502)
--- a/src/finchway/gateway/_request_log.py
+++ b/src/finchway/gateway/_request_log.py
@@ -71,6 +71,7 @@
                 attempts=task.attempts,
                 ms=_ms(now - request.arrived_at),
                 budget_ms=_ms(task.deadline - request.arrived_at),
+                back_ms=_ms(task.back_in) or None,
                 digest="" if 0 < status < 400 else task.digest,
                 revision=self._world.steering.revision,
                 heard_ms=_ms(now - self._world.heard_at),
@@ -101,8 +102,8 @@
                 detail=outcome.detail,
                 digest=task.fingerprint if outcome.verdict is Verdict.UNKNOWN else "",
                 passed_over=choice.passed_over,
-                rest_left_ms=_ms(choice.rest_left),
-                asked_ms=_ms(task.asked.rest_s),
+                rest_left_ms=_ms(choice.rest_left) or None,
+                asked_ms=_ms(task.asked.rest_s) or None,
                 leaving=task.asked.leaving,
                 ms=_ms(trio.current_time() - started),
             )
--- a/src/finchway/gateway/_router.py
+++ b/src/finchway/gateway/_router.py
@@ -129,11 +129,7 @@
 
     def choose(self, task: Task, now: float) -> Choice | None:
         """Return the upstream for an attempt, or None with the reason in `task.refusal`."""
-        regions = {
-            name: upstreams
-            for name, upstreams in self._table.regions(task.service, now).items()
-            if not task.route.allowed_regions or name in task.route.allowed_regions
-        }
+        regions = self._allowed(task, now)
         task.choices = sum(len(upstreams.names) for upstreams in regions.values())
         if not regions:
             task.refusal = "no upstream"
@@ -145,17 +141,25 @@
                 return choice
             if region == order[0] and self._has_usable(regions[region], now):
                 break
-        self._explain_refusal(task, regions, now)
-        return None
-
-    def _explain_refusal(self, task: Task, regions: dict[str, RegionUpstreams], now: float) -> None:
-        """Note why no upstream was chosen, and when one will want requests if all of them rest."""
-        rests = self._table.rests
-        task.back_in = min(upstreams.back_in(rests, now) for upstreams in regions.values())
-        if task.back_in > 0:
+        if self.back_in(task, now) > 0:
             task.refusal = "all upstreams have asked for rest"
         else:
             task.refusal = "all upstreams for the key are full or resting"
+        return None
+
+    def back_in(self, task: Task, now: float) -> float:
+        """Return the seconds until an upstream for a request wants any; 0 unless all rest."""
+        rests = self._table.rests
+        regions = self._allowed(task, now).values()
+        return min((upstreams.back_in(rests, now) for upstreams in regions), default=0.0)
+
+    def _allowed(self, task: Task, now: float) -> dict[str, RegionUpstreams]:
+        """Return by region the upstreams that may serve a request."""
+        allowed = task.route.allowed_regions
+        regions = self._table.regions(task.service, now)
+        if not allowed:
+            return regions
+        return {name: upstreams for name, upstreams in regions.items() if name in allowed}
 
     def _has_usable(self, upstreams: RegionUpstreams, now: float) -> bool:
         """Tell whether any of a region's upstreams may get something now.
--- a/src/finchway/observe/_decisions.py
+++ b/src/finchway/observe/_decisions.py
@@ -31,6 +31,7 @@
     before any attempt also tell `up_ms`, the age of the process, and `lag_ms`, how late its
     event loop ran in the last second. `digest` is the same each time that a caller sends the
     same request; it is there for those that failed, once any is suspected of ending upstreams.
+    `back_ms` is the time until an upstream wants requests again, where all of them rest.
     """
 
     id: str
@@ -47,6 +48,7 @@
     known_ms: float = -1.0
     up_ms: float = -1.0
     lag_ms: float = -1.0
+    back_ms: float | None = None
     digest: str = ""
 
     @property
@@ -84,8 +86,8 @@
     detail: str = ""
     digest: str = ""
     passed_over: int = 0
-    rest_left_ms: float = 0.0
-    asked_ms: float = 0.0
+    rest_left_ms: float | None = None
+    asked_ms: float | None = None
     leaving: bool = False
     ms: float
 
--- a/tests/gateway/test_explain.py
+++ b/tests/gateway/test_explain.py
@@ -149,5 +149,22 @@
     trio.run(check)
     text = story(capsys, tmp_path / "log")
     assert "asked_ms=1500.0 leaving=True" in text
+    assert "rest_left_ms" not in text
     assert "subject=upstream/i-1 now=asks for rest source=its 503: 1.5 s" in text
     assert "subject=upstream/i-1 now=unreadable source=its retry-after: soon" in text
+
+
+def test_a_refusal_while_all_rest_tells_for_how_long(tmp_path, capsys):
+    async def ask_for_rest(upstream, stream, request):
+        await stream.send_all(answer(request, b"", b"503 Unavailable", b"Retry-After: 9\r\n"))
+
+    async def check():
+        async with gateway(Upstream("i-1", ask_for_rest)) as subject:
+            await (await subject.connect()).ask(request_id=b"id-0")
+            assert (await ask(subject, tmp_path / "log"))[0] == 503
+
+    trio.run(check)
+    text = story(capsys, tmp_path / "log")
+    assert "reason=all upstreams have asked for rest" in text
+    (told,) = [word for word in text.split() if word.startswith("back_ms=")]
+    assert 8_500 <= float(told.partition("=")[2]) <= 11_300
