--- a/src/finchway/entry/__init__.py
+++ b/src/finchway/entry/__init__.py
@@ -5,6 +5,7 @@
 from finchway.entry._claims import ClaimDesk
 from finchway.entry._dispatch import Dispatcher
 from finchway.entry._probe import Prober, platform_source
+from finchway.entry._role import EntryRole
 from finchway.entry._session import ControlSession, EntryIdentity
 from finchway.entry._upstream import UpstreamClient
 from finchway.entry._view import EntryView
@@ -19,6 +20,7 @@
     "Dispatcher",
     "EntryApp",
     "EntryIdentity",
+    "EntryRole",
     "EntryState",
     "EntryView",
     "Facts",
--- /dev/null
+++ b/src/finchway/entry/_role.py
@@ -0,0 +1,132 @@
+"""The entry role of one process: wiring, figures and the planned stop."""
+
+from __future__ import annotations
+
+import random
+import uuid
+
+import trio
+
+from finchway._settings import Settings
+from finchway.entry._app import EntryApp, EntryState
+from finchway.entry._claims import ClaimDesk
+from finchway.entry._dispatch import Dispatcher
+from finchway.entry._probe import Prober, platform_source
+from finchway.entry._session import ControlSession, EntryIdentity
+from finchway.entry._upstream import UpstreamClient
+from finchway.entry._view import EntryView
+from finchway.membership import LeaseTiming
+from finchway.observe import Metrics, Timeline
+from finchway.policy import Holder, LoanTiming
+from finchway.transport import Link
+
+# Seconds that an entry goes on serving beyond the time to live of steering answers, for those that
+# were on their way when it was withdrawn.
+STEER_LAG_S = 1.0
+
+
+class EntryRole:
+    """Serves callers by steering answers and slots, and leaves without cutting off a request."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        link: Link,
+        timeline: Timeline,
+        metrics: Metrics,
+        rng: random.Random,
+        lease: LeaseTiming,
+    ) -> None:
+        self._settings = settings
+        self._link = link
+        self._timeline = timeline
+        self._metrics = metrics
+        timing = LoanTiming(ttl=settings.loan_s, margin=settings.clock_margin_s)
+        holder = Holder(settings.instance, timing, trio.current_time())
+        self._view = EntryView(settings.instance, settings.zone, rng, holder)
+        self._client = UpstreamClient(self._rests)
+        identity = EntryIdentity(
+            settings.instance,
+            uuid.uuid4().hex[:12],
+            settings.entry_address,
+            settings.peer_address,
+            settings.zone,
+        )
+        self._identity = identity
+        self.session = ControlSession(
+            identity,
+            self._view,
+            link,
+            list(settings.control_peers) or [settings.peer_address],
+            lease,
+            timeline,
+            rng,
+            settings.isolated_after_s,
+            lambda: self._view.gate.in_flight,
+            settings.relay_above,
+        )
+        self.started = trio.Event()
+        self.app: EntryApp | None = None
+        self._dispatcher: Dispatcher | None = None
+        self._desk: ClaimDesk | None = None
+
+    def _rests(self, address: str) -> bool:
+        return self._view.directory.rest_left(address, trio.current_time()) > 0
+
+    async def run(self) -> None:
+        """Run the entry's loops until cancelled."""
+        settings = self._settings
+        platform = settings.platform_address
+        source = platform_source(platform) if platform else None
+        async with trio.open_nursery() as nursery:
+            self._desk = ClaimDesk(self._identity.holder, self.session.submit, nursery)
+            self._dispatcher = Dispatcher(
+                self._view,
+                self._client,
+                self._desk,
+                self._timeline,
+                self._metrics,
+                lambda: not self.session.is_isolated,
+            )
+            state = EntryState(
+                lambda: self.session.is_confirmed,
+                lambda: self.session.has_lease,
+                lambda: self.session.is_leaving or self._view.is_drained,
+                self._set_metrics,
+            )
+            self.app = EntryApp(self._view, self._dispatcher, self._metrics, state)
+            prober = Prober(
+                self._view,
+                self._client,
+                self._timeline,
+                source,
+                settings.instance,
+                lambda: self.session.is_in_touch,
+            )
+            nursery.start_soon(self.session.run)
+            nursery.start_soon(self._dispatcher.run)
+            nursery.start_soon(prober.run)
+            self.started.set()
+
+    async def leave(self, limit_s: float) -> None:
+        """Withdraw from steering answers, wait out cached ones, and finish what is in flight."""
+        self.session.start_leaving()
+        with trio.move_on_after(limit_s):
+            await self.session.beat()
+            longest = max(
+                (s.spec.steer_ttl_ms / 1000 for s in self._view.store.of_kind("service")),
+                default=0.0,
+            )
+            await trio.sleep(longest + STEER_LAG_S)
+            while self.app.concurrent or self._desk.unsettled:
+                await trio.sleep(0.05)
+        with trio.move_on_after(1.0):
+            await self.session.beat(stopped=True)
+
+    def _set_metrics(self) -> None:
+        self._metrics.set_state("revision", self._view.revision)
+        self._metrics.set_state("in_flight", self._view.gate.in_flight)
+        self._metrics.set_state("link_sent_bytes", self._link.sent_bytes)
+        self._metrics.set_state("link_received_bytes", self._link.received_bytes)
+        self._metrics.set_state("has_lease", float(self.session.has_lease))
+        self._metrics.set_state("unsettled_claims", self._desk.unsettled)
