Judge an attempt's failure in one place; look at queues for rests only while any upstream rests

An attempt that is held back since its upstream asked for rest while its connection came up is a failure of its own kind now, raised where connections are opened, so the forwarder needs no second path. A test for the entry's connections that come up too late.

--- a/src/finchway/gateway/_connection.py
+++ b/src/finchway/gateway/_connection.py
@@ -33,11 +33,13 @@
 class Failure(Enum):
     """How an attempt failed: before anything was sent, or after; `SILENT` for want of any sign.
 
-    `REFUSED` is a connection that was not made since nothing listens at the address.
+    `REFUSED` is a connection that was not made since nothing listens at the address. `UNWANTED` is
+    a request that did not go out since its upstream has asked for rest, or leaves, meanwhile.
     """
 
     NOT_CONNECTED = "not-connected"
     REFUSED = "refused"
+    UNWANTED = "unwanted"
     BROKEN = "broken"
     SILENT = "silent"
 
--- a/src/finchway/gateway/_forward.py
+++ b/src/finchway/gateway/_forward.py
@@ -42,7 +42,6 @@
 # The longest time that a caller is told to stay away while upstreams rest: others may come.
 COME_BACK_LATEST_S = 30.0
 CANCELLED = "cancelled: out of time, or the caller left"
-ASKED_MEANWHILE = "not sent: it asked for rest or began to leave meanwhile"
 # Seconds that must be left for a further attempt: a round trip within a region and some work.
 _LEAST_LEFT_S = 0.02
 
@@ -242,11 +241,6 @@
         outcome = Outcome(Verdict.UNKNOWN, CANCELLED)
         try:
             upstream = await self._table.connect(record, now)
-            if not self._table.may_still_get(record, trio.current_time()):
-                self._table.keep(record, upstream)
-                upstream = None
-                outcome = Outcome(Verdict.NOT_RUN, ASKED_MEANWHILE, record=record)
-                return outcome
             record.in_use.add(upstream)
             task.attempts += 1
             answer = await self._exchange(connection, task, record, upstream)
@@ -255,19 +249,7 @@
             streams = not whole and outcome.verdict is Verdict.ANSWERED
             return outcome
         except AttemptError as error:
-            now = trio.current_time()
-            self._router.note_broken(record)
-            if error.failure in (Failure.NOT_CONNECTED, Failure.REFUSED):
-                record.fail(now)
-                record.close_idle()
-                outcome = Outcome(Verdict.NOT_RUN, error.detail, record=record)
-            else:
-                record.rest(now, SHED_REST_S)
-                outcome = Outcome(Verdict.UNKNOWN, error.detail, record=record)
-                if error.failure is Failure.SILENT:
-                    record.close_idle()
-                else:
-                    self._suspects.note_broken(task, record)
+            outcome = self._judge_failure(task, record, error)
             return outcome
         finally:
             self._table.note_ended(record, task.request_id)
@@ -283,6 +265,27 @@
                 elif not streams:
                     upstream.close()
 
+    def _judge_failure(self, task: Task, record: UpstreamRecord, error: AttemptError) -> Outcome:
+        """Return how an attempt without an answer ended, and take in what it says."""
+        now = trio.current_time()
+        match error.failure:
+            case Failure.UNWANTED:
+                return Outcome(Verdict.NOT_RUN, error.detail, record=record)
+            case Failure.NOT_CONNECTED | Failure.REFUSED:
+                self._router.note_broken(record)
+                record.fail(now)
+                record.close_idle()
+                return Outcome(Verdict.NOT_RUN, error.detail, record=record)
+            case Failure.SILENT:
+                self._router.note_broken(record)
+                record.rest(now, SHED_REST_S)
+                record.close_idle()
+            case Failure.BROKEN:
+                self._router.note_broken(record)
+                record.rest(now, SHED_REST_S)
+                self._suspects.note_broken(task, record)
+        return Outcome(Verdict.UNKNOWN, error.detail, record=record)
+
     def _note_unanswered(
         self, task: Task, record: UpstreamRecord, upstream: UpstreamConnection | None
     ) -> None:
--- a/src/finchway/gateway/_table.py
+++ b/src/finchway/gateway/_table.py
@@ -11,7 +11,7 @@
 
 from finchway.feed import World
 from finchway.gateway._bounds import Bounds
-from finchway.gateway._connection import UpstreamConnection
+from finchway.gateway._connection import AttemptError, Failure, UpstreamConnection
 from finchway.gateway._record import UpstreamRecord
 from finchway.observe import BeliefChanged, DecisionLog
 from finchway.policy import Pacer, rank
@@ -204,13 +204,6 @@
             return False
         return self._cold_allows(record, now)
 
-    def may_still_get(self, record: UpstreamRecord, now: float) -> bool:
-        """Tell whether a request may go out to the upstream that was chosen for it.
-
-        It may have waited for a connection, and the upstream has asked for rest, or leaves, since.
-        """
-        return record.state == IN_USE and self._rests.left(record.registration.life, now) <= 0
-
     def note_sent(self, record: UpstreamRecord, request_id: str, key: str, now: float) -> None:
         """Count a request that is being sent."""
         record.in_flight += 1
@@ -225,13 +218,25 @@
         record.under_way.pop(request_id, None)
 
     async def connect(self, record: UpstreamRecord, now: float) -> UpstreamConnection:
-        """Return an idle connection or a new one; raises `AttemptError`."""
+        """Return an idle connection or a new one; raises `AttemptError`.
+
+        While a new one came up, the upstream may have asked for rest, or said that it leaves: then
+        nothing may go out on it.
+        """
         while record.idle:
             connection = record.idle.pop()
             if connection.is_usable(now):
                 return connection
             connection.close()
-        return await self.connect_anew(record)
+        connection = await self.connect_anew(record)
+        if self._still_wants(record):
+            return connection
+        self.keep(record, connection)
+        raise AttemptError(Failure.UNWANTED, "not sent: it asks for rest, or leaves, meanwhile")
+
+    def _still_wants(self, record: UpstreamRecord) -> bool:
+        life = record.registration.life
+        return record.state == IN_USE and self._rests.left(life, trio.current_time()) <= 0
 
     async def connect_anew(self, record: UpstreamRecord) -> UpstreamConnection:
         """Return a new connection; raises `AttemptError`."""
--- a/src/finchway/policy/_choice.py
+++ b/src/finchway/policy/_choice.py
@@ -107,6 +107,10 @@
         """Return the seconds until an upstream that asked for rest is tried again; else 0."""
         return self._rests.left(self._life(address), now)
 
+    def has_resting(self, now: float) -> bool:
+        """Tell whether any upstream rests since it has asked for it."""
+        return bool(self._rests.resting(now))
+
     def begin(self, address: str, now: float) -> bool:
         """Count a request that is being sent; tells whether it is the first after a rest."""
         return self._rests.begin(self._life(address), now)
--- a/src/finchway/policy/_gate.py
+++ b/src/finchway/policy/_gate.py
@@ -139,11 +139,8 @@
                 wait_s = lane.rate.wait_s(len(lane.queue), 1)
                 decided.append((late, Refusal(DEADLINE_REASON, retry_after(wait_s))))
             decided += self._serve(name, lane, now)
-            for ticket in list(lane.queue):
-                resting = self._refuse_resting(name, ticket, now)
-                if resting is not None:
-                    lane.queue.remove(ticket)
-                    decided.append((ticket, resting))
+            if self._directory.has_resting(now):
+                decided += self._expire_resting(name, lane, now)
         return decided
 
     def withdraw(self, service: str, ticket: Ticket) -> bool:
@@ -237,6 +234,16 @@
         held[address] = held.get(address, 0) + 1
         return Grant(service, region, address, rank, now, is_trial)
 
+    def _expire_resting(self, service: str, lane: _Lane, now: float) -> Decided:
+        """Refuse the waiting tickets whose upstreams all rest until after their deadlines."""
+        decided: Decided = []
+        for ticket in list(lane.queue):
+            refusal = self._refuse_resting(service, ticket, now)
+            if refusal is not None:
+                lane.queue.remove(ticket)
+                decided.append((ticket, refusal))
+        return decided
+
     def _refuse_resting(self, service: str, ticket: Ticket, now: float) -> Refusal | None:
         """Return a refusal if all upstreams rest until after a ticket's deadline.
 
--- a/tests/process/test_asked_rest.py
+++ b/tests/process/test_asked_rest.py
@@ -14,10 +14,13 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
+import trio
 
 from bench.deploy import fetch
 from finchway.cli._client import ApiClient
+from finchway.entry import UpstreamClient, UpstreamError
 from finchway.exceptions import UnavailableError
+from finchway.policy import Outcome
 from tests.process.conftest import Caller, header
 
 pytestmark = pytest.mark.xdist_group("asked-rest")
@@ -116,3 +119,28 @@
         amid = [at for at in came_at if UNDER_WAY_S < at - came_at[0] < REST_S]
         assert len(amid) <= MOST_AMID
         assert came_at
+
+
+def test_a_connection_that_comes_up_after_its_upstream_asked_for_rest_carries_nothing():
+    came: list[bytes] = []
+
+    async def serve(stream) -> None:
+        came.append(await stream.receive_some(1))
+
+    async def check() -> None:
+        async with trio.open_nursery() as nursery:
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            nursery.start_soon(trio.serve_listeners, serve, listeners)
+            address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+            client = UpstreamClient(lambda asked: asked == address)
+            with pytest.raises(UpstreamError) as caught:
+                async with client.open(address, "GET", "/", [(b"host", b"x")], b""):
+                    pass
+            assert caught.value.outcome is Outcome.NOT_RUN
+            assert caught.value.healthy
+            while not came:
+                await trio.sleep(0.01)
+            assert came == [b""]
+            nursery.cancel_scope.cancel()
+
+    trio.run(check)
