Have a life that had begun when its upstream asked keep the rest, and the leaving

Cause: what is asked was kept in the name of the life that the gateway knew, and on the wire two lives of an upstream cannot be told apart. A life that is new to the gateway now keeps what was asked last, unless it began after that by more than clocks differ (3 s). What upstreams have asked stands in a module of its own, out of the table.

Ruled out: to bind the id whatever its life (an upstream that starts again has asked for nothing); to bind only lives that began before the asking by both clocks (they differ).

--- a/src/finchway/gateway/_table.py
+++ b/src/finchway/gateway/_table.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from collections import Counter
 from collections.abc import Callable
 
@@ -10,12 +9,13 @@
 from msgspec import Struct
 
 from finchway.feed import World
+from finchway.gateway._askings import Askings
 from finchway.gateway._bounds import Bounds
 from finchway.gateway._connection import AttemptError, Failure, UpstreamConnection
 from finchway.gateway._record import UpstreamRecord
 from finchway.observe import BeliefChanged, DecisionLog
 from finchway.policy import Pacer, rank
-from finchway.pushback import Asked, LeavingLives, RestBook
+from finchway.pushback import Asked, RestBook
 from finchway.registry import Registration, UpstreamState
 
 # Part of the allowed rate that a cold upstream gets: two gateways may hold themselves for its only
@@ -28,8 +28,6 @@
 REPLACED = "over: started again"
 LEAVING = "leaving, as its answers say"
 POOR = "answering worse than its fellows"
-# Characters of a header that makes no sense which are logged.
-MOST_SHOWN = 40
 # Seconds after which the table is brought up to date without news, for what only time changes.
 _REFRESH_S = 0.5
 
@@ -86,8 +84,7 @@
         self._refreshed_at = float("-inf")
         self._seen_changes = -1
         self._opened = 0
-        self._rests = RestBook(random.Random())
-        self._leaving = LeavingLives()
+        self._askings = Askings(decisions)
 
     @property
     def decisions(self) -> DecisionLog:
@@ -102,7 +99,7 @@
     @property
     def rests(self) -> RestBook:
         """The rests that upstreams have asked of this gateway."""
-        return self._rests
+        return self._askings.rests
 
     def get(self, instance: str) -> UpstreamRecord | None:
         """Return the record of an upstream."""
@@ -172,19 +169,10 @@
         )
 
     def note_asked(self, record: UpstreamRecord, asked: Asked, now: float) -> None:
-        """Take in and log what an answer asks of this gateway."""
-        life = record.registration.life
-        if asked.rest_s > 0:
-            self._rests.ask(life, asked.rest_s, now)
-            self._log_asked(life, "asks for rest", f"its 503: {asked.rest_s:g} s")
-        if asked.unread:
-            self._log_asked(life, "unreadable", f"its retry-after: {asked.unread[:MOST_SHOWN]}")
-        if asked.leaving and self._leaving.add(life):
+        """Take in what an answer asks of this gateway."""
+        if self._askings.note(record.registration, asked, now):
             self.refresh(now)
 
-    def _log_asked(self, life: str, now: str, source: str) -> None:
-        self._decisions.write(BeliefChanged(subject=f"upstream/{life}", now=now, source=source))
-
     def watch_replaced(self, note: Callable[[UpstreamRecord], None]) -> None:
         """Have each life told that is over since a later one of the same upstream has begun."""
         self._note_replaced = note
@@ -195,12 +183,12 @@
 
     def resting(self, now: float) -> frozenset[str]:
         """Return the upstreams that rest since they have asked this gateway for it."""
-        lives = self._rests.resting(now)
+        lives = self.rests.resting(now)
         return frozenset(self._names[life] for life in lives if life in self._names)
 
     def may_get(self, record: UpstreamRecord, now: float) -> bool:
         """Tell whether an upstream may get a request at this moment."""
-        if record.resting_until > now or not self._rests.may_send(record.registration.life, now):
+        if record.resting_until > now or not self.rests.may_send(record.registration.life, now):
             return False
         return self._cold_allows(record, now)
 
@@ -236,7 +224,7 @@
 
     def _still_wants(self, record: UpstreamRecord) -> bool:
         life = record.registration.life
-        return record.state == IN_USE and self._rests.left(life, trio.current_time()) <= 0
+        return record.state == IN_USE and self.rests.left(life, trio.current_time()) <= 0
 
     async def connect_anew(self, record: UpstreamRecord) -> UpstreamConnection:
         """Return a new connection; raises `AttemptError`."""
@@ -272,6 +260,7 @@
             record = None
         if record is None:
             record = self._records[registration.instance] = UpstreamRecord(registration)
+            self._askings.pass_on(registration)
         record.registration = registration
         cold_until = heard_at + registration.cold_for if registration.cold_for > 0 else heard_at
         ended_at = self._world.evacuation_changed_at(registration.zone)
@@ -292,7 +281,7 @@
     def _state(self, registration: Registration) -> str:
         if registration.state is not UpstreamState.READY:
             return registration.state.value
-        if registration.life in self._leaving:
+        if self._askings.is_leaving(registration.life):
             return LEAVING
         mark = self._world.steering.mark_of(registration)
         if mark is not None:
--- a/src/finchway/pushback/_rests.py
+++ b/src/finchway/pushback/_rests.py
@@ -63,6 +63,12 @@
             del self._rests[min(self._rests, key=lambda name: self._rests[name].returns_at)]
         self._rests[life] = _Rest(until, until + self._rng.uniform(0.0, spread))
 
+    def pass_on(self, earlier: str, later: str) -> None:
+        """Have a later life rest as an earlier one does."""
+        rest = self._rests.get(earlier)
+        if rest is not None:
+            self._rests[later] = _Rest(rest.asked_until, rest.returns_at)
+
     def left(self, life: str, now: float) -> float:
         """Return the seconds until an upstream is tried again; 0 if it does not rest."""
         rest = self._rests.get(life)
