--- a/bench/rests.py
+++ b/bench/rests.py
@@ -2,10 +2,10 @@
 
     python -m bench.rests --seed 1
 
-Three gateways, one a region, in one process, and upstreams on loopback that work faster on keys that
-they remember. For 9 s all upstreams of the smallest region and four of the others ask for 3 s of
-rest with each refusal. Callers come back once, when they are told to or after a third of the time
-they have left.
+Three gateways, one a region, in one process, and upstreams on loopback that work faster on keys
+that they remember. For 9 s all upstreams of the smallest region and four of the others ask for 3 s
+of rest with each refusal. Callers come back once, when they are told to or after a third of the
+time they have left.
 """
 
 from __future__ import annotations
@@ -176,7 +176,7 @@
             for zone, count in UPSTREAMS.items()
             for n in range(count)
         ]
-        self._gateways = [Gateway(zone) for zone in REGIONS]
+        self._gateways: list[Gateway] = []
         self._started = 0.0
         self.ended: list[Ended] = []
 
@@ -187,6 +187,7 @@
 
     async def run(self) -> None:
         """Play it."""
+        self._gateways = [Gateway(zone) for zone in REGIONS]
         async with trio.open_nursery() as nursery:
             for part in (*self._upstreams, *self._gateways):
                 await nursery.start(part.run)
@@ -259,13 +260,15 @@
 async def _ask(address: str, name: str, key: bytes, left_s: float) -> tuple[int, float]:
     """Return the status of a request, and the seconds after which to come back."""
     host, _, port = address.rpartition(":")
-    head = (
-        b"GET /x/1 HTTP/1.1\r\nHost: a.example\r\n%s: %s\r\n%s: %d\r\n%s: %s\r\n\r\n"
-        % (NAMES.request_id, name.encode(), NAMES.deadline_ms, left_s * 1000)
-        + (NAMES.affinity_key, key)
-    )
+    headers = [
+        (b"Host", b"a.example"),
+        (NAMES.request_id, name.encode()),
+        (NAMES.affinity_key, key),
+        (NAMES.deadline_ms, b"%d" % (left_s * 1000)),
+    ]
+    lines = [b"GET /x/1 HTTP/1.1", *(b"%s: %s" % header for header in headers)]
     async with await trio.open_tcp_stream(host, int(port)) as stream:
-        await stream.send_all(head)
+        await stream.send_all(b"\r\n".join(lines) + b"\r\n\r\n")
         message = await read_message(stream)
     if message is None:
         return 0, 0.0
