--- a/tests/process/test_entry.py
+++ b/tests/process/test_entry.py
@@ -126,7 +126,8 @@
         if response.status == 200:
             assert msgspec.json.decode(response.content)["call"] == f"call{caller.calls}"
         else:
-            assert problem(response)["outcome"] == "unknown"
+            found = problem(response)
+            assert found["outcome"] == "unknown", found
 
 
 @pytest.mark.parametrize("mode", ["cut", "stall", "fail", "silent"])
