Move the steady calls of the gateway tests into their harness; let it run several gateways

Tests of what gateways do together need the same calls at a rate, and gateways that are told of each other as replicas would tell them. No test changes what it checks; they pass as before.

--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 from collections.abc import Awaitable, Callable
 from contextlib import asynccontextmanager
 
@@ -27,6 +28,7 @@
 NAMES = HeaderNames()
 ZONES = {"north-a": "north", "south-a": "south"}
 PATIENCE_S = 5.0
+CALLS_A_SECOND = 40
 
 
 class Upstream:
@@ -122,17 +124,47 @@
         return bool(part)
 
 
+class Calls:
+    """Calls at a steady rate, each on a connection of its own, and how they went."""
+
+    def __init__(self, subject) -> None:
+        self.subject = subject
+        self.statuses: list[int] = []
+        self.told: list[float] = []
+        self.took: list[float] = []
+
+    async def call(self, path=b"/x/1", **fields) -> None:
+        started = trio.current_time()
+        caller = await self.subject.connect()
+        status, head, _ = await caller.ask(path=path, **fields)
+        self.took.append(trio.current_time() - started)
+        self.statuses.append(status)
+        if status == 503:
+            self.told.append(float(header_of(head, b"retry-after")))
+        await trio.aclose_forcefully(caller.stream)
+
+    async def press(self, seconds: float, rate: float = CALLS_A_SECOND) -> None:
+        """Call for some seconds, whatever becomes of the calls."""
+        async with trio.open_nursery() as nursery:
+            for number in range(int(seconds * rate)):
+                identity = b"id-%d" % number
+                fields = {"request_id": identity, "affinity_key": b"k-%d" % (number % 7)}
+                nursery.start_soon(functools.partial(self.call, **fields))
+                await trio.sleep(1 / rate)
+
+
 class GatewayUnderTest:
     """The gateway and the means to tell it things."""
 
-    def __init__(self, nursery: trio.Nursery, bounds: Bounds) -> None:
+    def __init__(self, nursery: trio.Nursery, bounds: Bounds, name: str = "g1") -> None:
         self.nursery = nursery
+        self.name = name
         self.world = World()
         self.writer = LogWriter()
-        self.decisions = DecisionLog("g1", self.writer)
-        self.table = UpstreamTable("g1", lambda: ZONES, self.world, bounds, self.decisions)
+        self.decisions = DecisionLog(name, self.writer)
+        self.table = UpstreamTable(name, lambda: ZONES, self.world, bounds, self.decisions)
         router = Router("north-a", lambda: ZONES, self.world, self.table, bounds)
-        self.metrics = GatewayMetrics("g1")
+        self.metrics = GatewayMetrics(name)
         log = RequestLog(self.world, self.decisions, self.metrics, LoopLag())
         self.reports: list[RequestReport] = []
         self.suspects = SuspectDesk(self.world, self.table, log, self.reports.append)
@@ -141,6 +173,7 @@
         )
         self.steering = Steering()
         self.told = 0
+        self.names = [name]
         self.address = ("127.0.0.1", 0)
         self.server: HttpServer | None = None
 
@@ -196,6 +229,38 @@
         return Caller(await trio.open_tcp_stream(*self.address))
 
 
+TOLD_EVERY_S = 0.3
+
+
+@asynccontextmanager
+async def fellows(count: int, *upstreams: Upstream):
+    """Run gateways that are told of each other, `g1` and so on, with one route to the upstreams."""
+    with trio.fail_after(PATIENCE_S * 4):
+        async with trio.open_nursery() as nursery:
+            subjects = [
+                GatewayUnderTest(nursery, Bounds(), f"g{number + 1}") for number in range(count)
+            ]
+            for upstream in upstreams:
+                await nursery.start(upstream.run)
+            for subject in subjects:
+                subject.names = [fellow.name for fellow in subjects]
+                await subject.start()
+                subject.configure()
+            nursery.start_soon(_tell_all, subjects, upstreams)
+            await trio.sleep(0.05)
+            yield subjects
+            nursery.cancel_scope.cancel()
+
+
+async def _tell_all(subjects: list[GatewayUnderTest], upstreams: tuple[Upstream, ...]) -> None:
+    """Tell all gateways again and again what replicas would tell them."""
+    registrations = [upstream.registration() for upstream in upstreams]
+    while True:
+        for subject in subjects:
+            subject.tell(registrations, subject.names)
+        await trio.sleep(TOLD_EVERY_S)
+
+
 @asynccontextmanager
 async def gateway(*upstreams: Upstream, bounds: Bounds | None = None, **route):
     """Run a gateway with one route to the given upstreams."""
@@ -211,6 +276,14 @@
             nursery.cancel_scope.cancel()
 
 
+def on_trio(test):
+    @functools.wraps(test)
+    def runner(*args, **kwargs):
+        trio.run(functools.partial(test, *args, **kwargs))
+
+    return runner
+
+
 def run(test: Callable[[], Awaitable[None]]) -> None:
     """Run a test on trio."""
     trio.run(test)
--- a/tests/gateway/test_asked_rest.py
+++ b/tests/gateway/test_asked_rest.py
@@ -15,25 +15,16 @@
 import trio
 
 from finchway.gateway._http import BUFFERED_BODY_BYTES
-from tests.gateway.harness import NAMES, Upstream, answer, gateway, header_of, serve_well
+from tests.gateway.harness import NAMES, Calls, Upstream, answer, gateway, on_trio, serve_well
 
 RETRY_AFTER_S = 2
 # A rest binds from half a second after the answer that asked for it, since requests may be on their
 # way; two may come all the same.
 UNDER_WAY_S = 0.5
 MOST_AMID = 2
-CALLS_A_SECOND = 40
 NOT_EXECUTED = NAMES.not_executed + b": 1\r\n"
 
 
-def on_trio(test):
-    @functools.wraps(test)
-    def runner(*args, **kwargs):
-        trio.run(functools.partial(test, *args, **kwargs))
-
-    return runner
-
-
 class Weary(Upstream):
     """An upstream that asks for rest with its first answer, and serves once the rest is over.
 
@@ -70,35 +61,6 @@
         await stream.send_all(answer(request, b"", b"503 Unavailable", extra))
 
 
-class Calls:
-    """Calls at a steady rate, each on a connection of its own, and how they went."""
-
-    def __init__(self, subject) -> None:
-        self.subject = subject
-        self.statuses: list[int] = []
-        self.told: list[float] = []
-        self.took: list[float] = []
-
-    async def call(self, path=b"/x/1", **fields) -> None:
-        started = trio.current_time()
-        caller = await self.subject.connect()
-        status, head, _ = await caller.ask(path=path, **fields)
-        self.took.append(trio.current_time() - started)
-        self.statuses.append(status)
-        if status == 503:
-            self.told.append(float(header_of(head, b"retry-after")))
-        await trio.aclose_forcefully(caller.stream)
-
-    async def press(self, seconds: float) -> None:
-        """Call for some seconds, whatever becomes of the calls."""
-        async with trio.open_nursery() as nursery:
-            for number in range(int(seconds * CALLS_A_SECOND)):
-                identity = b"id-%d" % number
-                fields = {"request_id": identity, "affinity_key": b"k-%d" % (number % 7)}
-                nursery.start_soon(functools.partial(self.call, **fields))
-                await trio.sleep(1 / CALLS_A_SECOND)
-
-
 REFUSALS = {
     "with free slots": NOT_EXECUTED + NAMES.load + b": 0,0,4\r\n",
     "full": NOT_EXECUTED + NAMES.load + b": 4,2,4\r\n",
