Show the limit that upstreams name: in the lines of attempts, in beliefs, in a figure

Nothing told whether a gateway had been told of a limit, so the three hypotheses on the limit that was passed could not be told apart. An answer's head is now read for it, by the same reader as rests and leaving, with bounds; lines tell the figure that an answer names, the one that was known when its upstream was chosen, and how old that was. Nothing is decided by it yet.

Ruled out: reading it at each data plane by hand, as rests once were. Answers overtake each other, so an answer to an older request may lower a figure and never lift it.

--- a/src/finchway/cli/_client.py
+++ b/src/finchway/cli/_client.py
@@ -146,7 +146,7 @@
     def _note_asked(self, address: str, response: httpcore.Response) -> None:
         """Take in the rest that a replica asks for, up to what a person at a prompt waits."""
         headers = [(name.lower(), value) for name, value in response.headers]
-        asked = read_asked(response.status, headers, b"", time.time())
+        asked = read_asked(response.status, headers, b"", b"", time.time())
         self._rests.ask(address, min(asked.rest_s, _LONGEST_REST_S), time.monotonic())
 
 
--- a/src/finchway/entry/_upstream.py
+++ b/src/finchway/entry/_upstream.py
@@ -23,6 +23,7 @@
 _KEEPALIVE_S = 30.0
 _MAX_IDLE = 16
 _LEAVING = b"finchway-leaving"
+_LIMIT = b"finchway-limit"
 _NO_BODY_STATUSES = frozenset({204, 304})
 
 
@@ -167,7 +168,7 @@
                 load = _number(value)
             case b"finchway-outcome":
                 not_run = status == 503 and value == b"not-run"
-    asked = read_asked(status, lowered, _LEAVING, time.time())
+    asked = read_asked(status, lowered, _LEAVING, _LIMIT, time.time())
     return Facts(incarnation, load, asked.leaving, not_run, asked.rest_s, asked.unread)
 
 
--- a/src/finchway/gateway/_askings.py
+++ b/src/finchway/gateway/_askings.py
@@ -8,7 +8,7 @@
 from msgspec import Struct
 
 from finchway.observe import BeliefChanged, DecisionLog
-from finchway.pushback import Asked, LeavingLives, RestBook
+from finchway.pushback import Asked, LeavingLives, LimitWords, RestBook
 from finchway.registry import Registration
 
 # Seconds by which the clocks of an upstream and of this gateway may differ.
@@ -36,6 +36,7 @@
         self._decisions = decisions
         self._rests = RestBook(random.Random())
         self._leaving = LeavingLives()
+        self._limits = LimitWords()
         self._newest: dict[str, Asking] = {}
 
     @property
@@ -43,6 +44,11 @@
         """The rests that upstreams have asked for."""
         return self._rests
 
+    @property
+    def limits(self) -> LimitWords:
+        """The limits that upstreams have named."""
+        return self._limits
+
     def is_leaving(self, life: str) -> bool:
         """Tell whether a life has said that it leaves."""
         return life in self._leaving
@@ -59,6 +65,19 @@
             self._remember(upstream.instance, life)
         return asked.leaving and self._leaving.add(life)
 
+    def note_limit(self, life: str, asked: Asked, sent_at: float, now: float) -> None:
+        """Take in and log the limit that an answer names; one that makes no sense changes none."""
+        if asked.unread_limit is not None:
+            self._log(life, "unreadable", f"its limit: {asked.unread_limit[:MOST_SHOWN]}")
+            if asked.limit is None:
+                return
+        if not self._limits.hear(life, asked.limit, sent_at, now):
+            return
+        if asked.limit is None:
+            self._log(life, "names no limit any more", "its answer")
+        else:
+            self._log(life, "names a limit", f"its answer: {asked.limit:g} a second")
+
     def pass_on(self, upstream: Registration) -> None:
         """Have a life that is new here keep what its upstream asked, if it may have been the one.
 
--- a/src/finchway/gateway/_forward.py
+++ b/src/finchway/gateway/_forward.py
@@ -33,7 +33,7 @@
 from finchway.gateway._suspects import Clearance, SuspectDesk
 from finchway.gateway._table import UpstreamTable
 from finchway.gateway._task import Choice, Task
-from finchway.pushback import ASKED_NOTHING, read_asked
+from finchway.pushback import ASKED_NOTHING, is_own_answer, read_asked
 
 # Seconds after which refused callers are told to come back, drawn between the two: 0.25 s for all
 # brought them back into the same surge (docs/DESIGN.md, "Gateways").
@@ -243,7 +243,7 @@
             upstream = await self._table.connect(record, now)
             record.in_use.add(upstream)
             task.attempts += 1
-            answer = await self._exchange(connection, task, record, upstream)
+            answer = await self._exchange(connection, task, record, upstream, now)
             outcome = self._judge(task, choice, upstream, answer, now)
             whole = answer.complete
             streams = not whole and outcome.verdict is Verdict.ANSWERED
@@ -305,10 +305,11 @@
         task: Task,
         record: UpstreamRecord,
         upstream: UpstreamConnection,
+        sent_at: float,
     ) -> Answer:
         request = task.request
         headers = self._headers(task, record)
-        hear = functools.partial(self._hear, task, record)
+        hear = functools.partial(self._hear, task, record, sent_at)
         if not request.more:
             await upstream.send(request.method, request.target, headers, request.body)
             return await upstream.receive(self._names.request_id, task.request_id, hear)
@@ -319,13 +320,17 @@
         await upstream.send_end()
         return await upstream.receive(self._names.request_id, task.request_id, hear)
 
-    def _hear(self, task: Task, record: UpstreamRecord, answer: Answer) -> None:
+    def _hear(self, task: Task, record: UpstreamRecord, sent_at: float, answer: Answer) -> None:
         """Take in what the head of an answer asks of this gateway."""
-        asked = read_asked(answer.status, answer.headers, self._names.leaving, time.time())
+        names = self._names
+        now = trio.current_time()
+        asked = read_asked(answer.status, answer.headers, names.leaving, names.limit, time.time())
+        if is_own_answer(answer.status):
+            self._table.note_limit(record, asked, sent_at, now)
         if asked is ASKED_NOTHING:
             return
         task.asked = asked
-        self._table.note_asked(record, asked, trio.current_time())
+        self._table.note_asked(record, asked, now)
         self._log.note_asked(task)
 
     def _headers(self, task: Task, record: UpstreamRecord) -> Headers:
--- a/src/finchway/gateway/_names.py
+++ b/src/finchway/gateway/_names.py
@@ -18,6 +18,7 @@
     not_executed: bytes = b"finchway-not-executed"
     cold_ms: bytes = b"finchway-cold-ms"
     leaving: bytes = b"finchway-leaving"
+    limit: bytes = b"finchway-limit"
 
 
 HOP_HEADERS = frozenset(
--- a/src/finchway/gateway/_request_log.py
+++ b/src/finchway/gateway/_request_log.py
@@ -105,6 +105,9 @@
                 rest_left_ms=_ms(choice.rest_left) or None,
                 asked_ms=_ms(task.asked.rest_s) or None,
                 leaving=task.asked.leaving,
+                limit=choice.limit,
+                limit_ms=None if choice.limit is None else _ms(choice.limit_age),
+                named_limit=task.asked.limit,
                 ms=_ms(trio.current_time() - started),
             )
         )
@@ -116,7 +119,9 @@
             self._metrics.count_asked(task.service, "rest")
         if asked.leaving:
             self._metrics.count_asked(task.service, "leaving")
-        if asked.unread:
+        if asked.limit is not None:
+            self._metrics.count_asked(task.service, "limit")
+        if asked.unread or asked.unread_limit is not None:
             self._metrics.count_asked(task.service, "unreadable")
 
     def note_quarantined(self, task: Task) -> None:
--- a/src/finchway/gateway/_router.py
+++ b/src/finchway/gateway/_router.py
@@ -218,6 +218,8 @@
             plan.kept_part,
             rests.left(record.registration.life, now),
             passed_over,
+            self._table.limits.rate(record.registration.life),
+            self._table.limits.age(record.registration.life, now),
         )
 
     def _candidate(
--- a/src/finchway/gateway/_table.py
+++ b/src/finchway/gateway/_table.py
@@ -15,7 +15,7 @@
 from finchway.gateway._record import UpstreamRecord
 from finchway.observe import BeliefChanged, DecisionLog
 from finchway.policy import Pacer, rank
-from finchway.pushback import Asked, RestBook
+from finchway.pushback import Asked, LimitWords, RestBook
 from finchway.registry import Registration, UpstreamState
 
 # Part of the allowed rate that a cold upstream gets: two gateways may hold themselves for its only
@@ -101,6 +101,11 @@
         """The rests that upstreams have asked of this gateway."""
         return self._askings.rests
 
+    @property
+    def limits(self) -> LimitWords:
+        """The limits that upstreams have named."""
+        return self._askings.limits
+
     def get(self, instance: str) -> UpstreamRecord | None:
         """Return the record of an upstream."""
         return self._records.get(instance)
@@ -173,6 +178,10 @@
         if self._askings.note(record.registration, asked, now):
             self.refresh(now)
 
+    def note_limit(self, record: UpstreamRecord, asked: Asked, sent_at: float, now: float) -> None:
+        """Take in the limit that an answer to a request of `sent_at` names, or that it has none."""
+        self._askings.note_limit(record.registration.life, asked, sent_at, now)
+
     def watch_replaced(self, note: Callable[[UpstreamRecord], None]) -> None:
         """Have each life told that is over since a later one of the same upstream has begun."""
         self._note_replaced = note
--- a/src/finchway/gateway/_task.py
+++ b/src/finchway/gateway/_task.py
@@ -97,7 +97,8 @@
     `heard_age` is the age of the newest word of a replica, and `kept_part` the part of the
     service's requests that this region keeps at the moment. `passed_over` counts the upstreams that
     were passed over for the rest that they had asked for; `rest_left` is what was left of this
-    one's, in seconds.
+    one's, in seconds. `limit` are the requests a second that it has said it takes, if it has, and
+    `limit_age` how long ago.
     """
 
     record: UpstreamRecord
@@ -109,3 +110,5 @@
     kept_part: float
     rest_left: float = 0.0
     passed_over: int = 0
+    limit: float | None = None
+    limit_age: float = 0.0
--- a/src/finchway/observe/_decisions.py
+++ b/src/finchway/observe/_decisions.py
@@ -65,7 +65,9 @@
     before (-1: none); `heard_ms` the age of the newest word of a replica; `kept` the part of the
     service's requests that this region keeps; `passed_over` the upstreams that were passed over for
     the rest that they had asked for, and `rest_left_ms` what was left of this one's. `asked_ms` is
-    the rest that the answer asks for, `leaving` that it says that the upstream leaves. `digest`
+    the rest that the answer asks for, `leaving` that it says that the upstream leaves. `limit` are
+    the requests a second that the upstream had said it takes, `limit_ms` before, and `named_limit`
+    those that this answer names. `digest`
     names the request, whenever it is sent, where it is not known how the attempt ended.
     """
 
@@ -89,6 +91,9 @@
     rest_left_ms: float | None = None
     asked_ms: float | None = None
     leaving: bool = False
+    limit: float | None = None
+    limit_ms: float | None = None
+    named_limit: float | None = None
     ms: float
 
     @property
--- a/src/finchway/observe/_gateway_metrics.py
+++ b/src/finchway/observe/_gateway_metrics.py
@@ -60,7 +60,7 @@
         )
         self._asked = Counter(
             "finchway_gateway_asked_total",
-            "Answers of upstreams that asked for rest or said that they leave, or were unreadable",
+            "Answers of upstreams that ask something, by what they ask; unreadable ones too",
             labels,
             registry,
         )
--- a/src/finchway/observe/_metrics.py
+++ b/src/finchway/observe/_metrics.py
@@ -22,7 +22,7 @@
         self._retries = Counter("finchway_retries_total", "Retries by service", labels, registry)
         self._asked = Counter(
             "finchway_asked_total",
-            "Answers of upstreams that asked for rest or said that they leave, or were unreadable",
+            "Answers of upstreams that ask something, by what they ask; unreadable ones too",
             labels,
             registry,
         )
--- a/src/finchway/pushback/_retry_after.py
+++ b/src/finchway/pushback/_retry_after.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-import re
 from datetime import UTC
 from email.utils import parsedate_to_datetime
 
-# Digits of a number that is read at all: a day has five before the point.
-_SECONDS = re.compile(r"\d{1,9}(\.\d{0,9})?|\.\d{1,9}")
+from finchway.pushback._decimal import read_decimal
 
 
 def read_retry_after(value: str, now_unix: float, date: str | None = None) -> float | None:
@@ -21,9 +19,9 @@
         >>> read_retry_after("-3", 0.0) is None
         True
     """
-    value = value.strip()
-    if _SECONDS.fullmatch(value) and value.isascii():
-        return float(value)
+    seconds = read_decimal(value)
+    if seconds is not None:
+        return seconds
     until = _read_date(value)
     if until is None:
         return None
--- a/tests/gateway/test_explain.py
+++ b/tests/gateway/test_explain.py
@@ -154,6 +154,26 @@
     assert "subject=upstream/i-1 now=unreadable source=its retry-after: soon" in text
 
 
+def test_the_limit_that_an_upstream_names_stands_in_the_lines(tmp_path, capsys):
+    async def name_limit(upstream, stream, request):
+        extra = NAMES.limit + b": 0.5\r\n" + NAMES.limit + b": many\r\n"
+        await stream.send_all(answer(request, b"", extra=extra))
+
+    async def check():
+        async with gateway(Upstream("i-1", name_limit)) as subject:
+            assert (await ask(subject, tmp_path / "log"))[0] == 200
+            figures = subject.metrics.render(STATE).decode()
+            for what in ("limit", "unreadable"):
+                assert f'service="s",what="{what}"}} 1' in figures
+
+    trio.run(check)
+    text = story(capsys, tmp_path / "log")
+    assert "named_limit=0.5" in text
+    assert "limit_ms" not in text
+    assert "subject=upstream/i-1 now=names a limit source=its answer: 0.5 a second" in text
+    assert "subject=upstream/i-1 now=unreadable source=its limit: many" in text
+
+
 def test_a_refusal_while_all_rest_tells_for_how_long(tmp_path, capsys):
     async def ask_for_rest(upstream, stream, request):
         await stream.send_all(answer(request, b"", b"503 Unavailable", b"Retry-After: 9\r\n"))
--- a/tests/unit/test_pushback.py
+++ b/tests/unit/test_pushback.py
@@ -14,17 +14,20 @@
     RETURN_SPREAD,
     Asked,
     LeavingLives,
+    LimitWords,
     RestBook,
     read_asked,
     read_retry_after,
 )
 
+MOST_LIMITS = 4_096
 NOW = 1_796_000_000.0
 LEAVING = b"leaves"
+LIMIT = b"takes"
 
 
 def asked(status, *headers):
-    return read_asked(status, list(headers), LEAVING, NOW)
+    return read_asked(status, list(headers), LEAVING, LIMIT, NOW)
 
 
 @pytest.mark.parametrize(
@@ -72,8 +75,10 @@
 
 @given(st.integers(100, 599), st.lists(st.tuples(st.binary(max_size=20), st.binary(max_size=40))))
 def test_any_head_is_read(status, headers):
-    found = read_asked(status, [*headers, *((b"retry-after", v) for _, v in headers)], LEAVING, NOW)
+    words = [(name, value) for _, value in headers for name in (b"retry-after", LIMIT)]
+    found = asked(status, *headers, *words)
     assert math.isfinite(found.rest_s)
+    assert found.limit is None or (math.isfinite(found.limit) and found.limit >= 0)
     assert found.rest_s == 0 or status == 503
 
 
@@ -96,6 +101,43 @@
         assert not asked(200, (LEAVING, value)).leaving
 
 
+def test_every_answer_may_name_a_limit_but_one_of_another_upstream():
+    for status in (200, 204, 404, 429, 500, 503):
+        assert asked(status, (LIMIT, b" 7.2 ")).limit == 7.2
+    assert asked(421, (LIMIT, b"7.2")) == Asked()
+    assert asked(200, (LIMIT, b"0")).limit == 0.0
+
+
+def test_of_several_limits_the_lowest_counts_and_what_makes_no_sense_is_told():
+    found = asked(200, (LIMIT, b"3"), (LIMIT, b"-1"), (LIMIT, b"2.5"))
+    assert found == Asked(limit=2.5, unread_limit="-1")
+    for value in (b"nan", b"1,2", b"1e3", b"", b"Mon, 23 Nov 2026 00:00:00 GMT"):
+        assert asked(200, (LIMIT, value)).limit is None
+        assert asked(200, (LIMIT, value)).unread_limit == value.decode()
+
+
+def test_only_an_answer_to_what_was_sent_since_lifts_a_limit():
+    words = LimitWords()
+    assert not words.hear("i-1", None, 0.0, 1.0)
+    assert words.hear("i-1", 5.0, 0.0, 1.0)
+    assert not words.hear("i-1", None, 0.5, 1.1)
+    assert not words.hear("i-1", 9.0, 0.5, 1.1)
+    assert words.hear("i-1", 2.0, 0.5, 1.2)
+    assert (words.rate("i-1"), round(words.age("i-1", 2.0), 6)) == (2.0, 0.8)
+    assert words.hear("i-1", None, 1.3, 1.4)
+    assert (words.rate("i-1"), words.limited()) == (None, [])
+    # One that was sent before the limit ended may still be answered with it.
+    assert words.hear("i-1", 2.0, 1.35, 1.5)
+
+
+def test_limits_that_are_remembered_are_bounded():
+    words = LimitWords()
+    for number in range(MOST_LIMITS + 10):
+        words.hear(f"i-{number}", 1.0, 0.0, 1.0)
+    assert len(words.limited()) == MOST_LIMITS
+    assert words.rate("i-0") is None
+
+
 def test_the_latest_end_of_a_rest_counts_whichever_was_asked_last():
     rests = book()
     rests.ask("i-1", 3.0, 10.0)
