Have gateways keep together to the limit that an upstream names

What callers saw: nothing; upstreams in need got what they would have got without any limit, 13 and 7 requests a second where they had named 7.2 and 2.7. Cause: no gateway acted on the figure, and none could have kept it alone, since each sees only its own requests. Class: a bound on a sum over all gateways, where each acts on what it sees itself.

Now each word of an upstream reaches all gateways, by what gateways say of themselves to the replicas and by the feed, as soft state with its age; whoever heard it repeats it for 10 s. All gateways work out the same few holders among those of the upstream's region, by the same rank as the cold pace uses, so many that what they may send at once takes half of the room that the bound leaves; a gateway that is not named any more counts for 3 s more, since replicas that have just started name few. Each holder lets requests through at its part's pace. What is reserved and not sent goes back; what waited for a connection is looked at again; an upstream that takes nothing is asked once in 5 s, as only an answer tells that a limit has ended. Who finds no other upstream is refused at once and told when one may come. Why this holds: the sum in any 4 s is 4 x limit plus one burst of each holder, and holders are bounded by limit and slack, not by the number of gateways.

--- a/src/finchway/control/_feed.py
+++ b/src/finchway/control/_feed.py
@@ -17,6 +17,7 @@
     ShareHeard,
     Subscribe,
 )
+from finchway.pushback import LimitNews
 from finchway.registry import AddressHolders, Heard, Registration, Registry
 from finchway.transport import Link
 
@@ -50,6 +51,7 @@
         self._life = uuid.uuid4().hex[:12]
         self._registry = Registry(FORGET_UPSTREAM_AFTER_S, AddressHolders(self._silent_after))
         self._gateways = GatewayBook(GATEWAY_SILENT_AFTER_S)
+        self._limits = LimitNews()
         self._fresh: list[str] = []
         self._roster = Roster(version=1)
         self._silent_shared_at = float("-inf")
@@ -86,6 +88,7 @@
         """Answer a gateway: at once if something committed is new, else after a short while."""
         arrived_at = trio.current_time()
         self._gateways.record(question.beat, arrived_at)
+        self._limits.learn(question.beat.limits, arrived_at)
         known = question.life == self._life
         steering = self._runner.machine.steering
         if known and not question.rest and steering.revision <= question.revision:
@@ -128,6 +131,7 @@
             demand=self._gateways.demand(now) if question.demand else None,
             held=round(now - arrived_at, 3),
             age=round(now - runner.covered_at, 3),
+            limits=self._limits.since(question.limits, now),
         )
 
     def _renew_roster(self, silent: list[Heard] | None, now: float) -> None:
--- a/src/finchway/feed/_book.py
+++ b/src/finchway/feed/_book.py
@@ -52,7 +52,7 @@
         """Return the live gateways that take callers, in order of their names."""
         self._forget(now)
         return [
-            GatewayPeer(name, beat.peer)
+            GatewayPeer(name, beat.peer, beat.region)
             for name, (beat, _) in sorted(self._heard.items())
             if beat.ready and not beat.leaving
         ]
--- a/src/finchway/feed/_messages.py
+++ b/src/finchway/feed/_messages.py
@@ -4,6 +4,7 @@
 
 from msgspec import Struct
 
+from finchway.pushback import LimitsHeard, LimitsKnown, NamedLimit
 from finchway.registry import Registration
 from finchway.state import RequestReport, SteeringImage
 
@@ -21,6 +22,7 @@
     `address` is for callers and `peer` for finchway's processes. `leaving` means that it must not
     be named to callers any more; `revision` is the steering revision that it has in force.
     `pressed` tells that its link is full: even the quickest answer of control is long on the way.
+    `limits` are what upstreams have told it that they take.
     """
 
     name: str
@@ -35,6 +37,7 @@
     sequence: int = 0
     rates: list[ServiceRate] = []
     pressed: bool = False
+    limits: list[NamedLimit] = []
 
 
 class RegionDemand(Struct, frozen=True, array_like=True):
@@ -53,10 +56,11 @@
 
 
 class GatewayPeer(Struct, frozen=True, array_like=True):
-    """A gateway and where it is reached by other processes."""
+    """A gateway, where it is reached by other processes, and its region."""
 
     name: str
     address: str
+    region: str = ""
 
 
 class ReplicaAddress(Struct, frozen=True, array_like=True):
@@ -84,7 +88,7 @@
 
     `life` names the replica process that `order` and `roster` belong to; another process starts
     anew. `demand` asks for the regions' demand as well, and `rest` for what the last answer left
-    out, at once.
+    out, at once. `limits` tells which news of upstreams' limits are known.
     """
 
     beat: GatewayBeat
@@ -94,6 +98,7 @@
     roster: int = 0
     demand: bool = True
     rest: bool = False
+    limits: LimitsKnown = LimitsKnown()
 
 
 class Feed(Struct, frozen=True, kw_only=True, tag=True):
@@ -104,6 +109,7 @@
     question waited for news. What was accepted `age` seconds before the answer was sent, and
     earlier, is in the replica's state for sure; infinite if no leader has confirmed it yet.
     `more` tells that there are further upstreams, which the next answer goes on with after `order`.
+    `limits` are what upstreams have newly told any gateway that they take.
     """
 
     life: str
@@ -115,6 +121,7 @@
     more: bool = False
     roster: Roster | None = None
     demand: list[RegionDemand] | None = None
+    limits: LimitsHeard = LimitsHeard()
 
 
 class ReportedRequests(Struct, frozen=True, kw_only=True, tag=True):
--- a/src/finchway/feed/_world.py
+++ b/src/finchway/feed/_world.py
@@ -6,6 +6,7 @@
 
 from msgspec import Struct
 
+from finchway.feed._fellows import Fellows
 from finchway.feed._messages import Feed, RegionDemand, Roster
 from finchway.registry import Registry
 from finchway.state import Steering
@@ -56,6 +57,7 @@
         self._silent_since: dict[str, float] = {}
         self._serving: tuple[str, ...] = ()
         self._peers: dict[str, str] = {}
+        self._fellows = Fellows()
         self._counts: deque[tuple[float, int]] = deque()
         self._changes = 0
 
@@ -118,6 +120,11 @@
         """Where the serving gateways are reached by other processes, by name."""
         return self._peers
 
+    @property
+    def fellows(self) -> Fellows:
+        """The gateways that a sum over all of them is divided among."""
+        return self._fellows
+
     def serving_count(self, now: float) -> int:
         """Return the largest number of serving gateways that was known lately, at least one.
 
@@ -204,6 +211,8 @@
     def _merge_rosters(self, now: float) -> None:
         rosters = [word.roster for word in self._fresh()]
         self._peers = {peer.name: peer.address for roster in rosters for peer in roster.serving}
+        regions = {peer.name: peer.region for roster in rosters for peer in roster.serving}
+        self._fellows.note(regions, now)
         serving = tuple(sorted(self._peers))
         if serving != self._serving or not self._counts:
             self._serving = serving
--- a/src/finchway/gateway/_askings.py
+++ b/src/finchway/gateway/_askings.py
@@ -4,11 +4,20 @@
 
 import random
 import time
+from collections.abc import Callable
 
 from msgspec import Struct
 
 from finchway.observe import BeliefChanged, DecisionLog
-from finchway.pushback import Asked, LeavingLives, LimitWords, RestBook
+from finchway.pushback import (
+    Allowances,
+    Asked,
+    LeavingLives,
+    LimitWords,
+    NamedLimit,
+    Part,
+    RestBook,
+)
 from finchway.registry import Registration
 
 # Seconds by which the clocks of an upstream and of this gateway may differ.
@@ -27,16 +36,21 @@
 
 
 class Askings:
-    """The rests and the leaving of upstreams, apart from their records.
+    """The rests, the limits and the leaving of upstreams, apart from their records.
 
     An upstream that is not heard of for a moment loses its record, and has asked all the same.
+    `part_of` tells this gateway's part of what a life takes.
     """
 
-    def __init__(self, decisions: DecisionLog) -> None:
+    def __init__(
+        self, decisions: DecisionLog, part_of: Callable[[str, float, float], Part]
+    ) -> None:
+        rng = random.Random()
         self._decisions = decisions
-        self._rests = RestBook(random.Random())
+        self._rests = RestBook(rng)
         self._leaving = LeavingLives()
         self._limits = LimitWords()
+        self._allowances = Allowances(self._limits, rng, part_of)
         self._newest: dict[str, Asking] = {}
 
     @property
@@ -49,6 +63,11 @@
         """The limits that upstreams have named."""
         return self._limits
 
+    @property
+    def allowances(self) -> Allowances:
+        """What this gateway may send to upstreams that have named a limit."""
+        return self._allowances
+
     def is_leaving(self, life: str) -> bool:
         """Tell whether a life has said that it leaves."""
         return life in self._leaving
@@ -61,7 +80,7 @@
             self._log(life, "asks for rest", f"its 503: {asked.rest_s:g} s")
         if asked.unread:
             self._log(life, "unreadable", f"its retry-after: {asked.unread[:MOST_SHOWN]}")
-        if asked.rest_s > 0 or asked.leaving:
+        if asked.rest_s > 0 or asked.leaving or asked.limit is not None:
             self._remember(upstream.instance, life)
         return asked.leaving and self._leaving.add(life)
 
@@ -71,12 +90,14 @@
             self._log(life, "unreadable", f"its limit: {asked.unread_limit[:MOST_SHOWN]}")
             if asked.limit is None:
                 return
-        if not self._limits.hear(life, asked.limit, sent_at, now):
-            return
-        if asked.limit is None:
-            self._log(life, "names no limit any more", "its answer")
-        else:
-            self._log(life, "names a limit", f"its answer: {asked.limit:g} a second")
+        if self._limits.hear(life, asked.limit, sent_at, now):
+            self._log_limit(life, asked.limit, "its answer")
+
+    def learn_limits(self, words: list[NamedLimit], now: float) -> None:
+        """Take in and log what upstreams have told other gateways."""
+        for named in words:
+            if self._limits.learn(named, now):
+                self._log_limit(named.life, named.rate, "control")
 
     def pass_on(self, upstream: Registration) -> None:
         """Have a life that is new here keep what its upstream asked, if it may have been the one.
@@ -90,6 +111,7 @@
         if upstream.born / 1000 > newest.at + CLOCKS_APART_S:
             return
         self._rests.pass_on(newest.life, upstream.life)
+        self._limits.pass_on(newest.life, upstream.life)
         if newest.life in self._leaving:
             self._leaving.add(upstream.life)
 
@@ -99,5 +121,11 @@
         if len(self._newest) > MOST_ASKED:
             del self._newest[next(iter(self._newest))]
 
+    def _log_limit(self, life: str, rate: float | None, source: str) -> None:
+        if rate is None:
+            self._log(life, "names no limit any more", source)
+        else:
+            self._log(life, "names a limit", f"{source}: {rate:g} a second")
+
     def _log(self, life: str, now: str, source: str) -> None:
         self._decisions.write(BeliefChanged(subject=f"upstream/{life}", now=now, source=source))
--- a/src/finchway/gateway/_forward.py
+++ b/src/finchway/gateway/_forward.py
@@ -233,14 +233,13 @@
         record = choice.record
         task.asked = ASKED_NOTHING
         now = started = trio.current_time()
-        life = record.registration.life
-        is_trial = self._table.rests.begin(life, now)
-        self._table.note_sent(record, task.request_id, task.key, now)
+        reserved = self._table.reserve(record, task.request_id, task.key, now)
         upstream = None
         whole = streams = False
         outcome = Outcome(Verdict.UNKNOWN, CANCELLED)
         try:
-            upstream = await self._table.connect(record, now)
+            upstream = await self._table.connect(reserved, now)
+            reserved.is_sent = True
             record.in_use.add(upstream)
             task.attempts += 1
             answer = await self._exchange(connection, task, record, upstream, now)
@@ -252,9 +251,7 @@
             outcome = self._judge_failure(task, record, error)
             return outcome
         finally:
-            self._table.note_ended(record, task.request_id)
-            if is_trial:
-                self._table.rests.end_trial(life, outcome.verdict is Verdict.ANSWERED)
+            self._table.release(reserved, outcome.verdict is Verdict.ANSWERED)
             if outcome.detail == CANCELLED and trio.current_time() >= task.deadline:
                 self._note_unanswered(task, record, upstream)
             self._log.note_attempt(task, choice, outcome, started)
--- a/src/finchway/gateway/_question.py
+++ b/src/finchway/gateway/_question.py
@@ -5,6 +5,7 @@
 import trio
 
 from finchway.feed import Feed
+from finchway.pushback import LimitsKnown
 
 
 class Turn:
@@ -30,15 +31,16 @@
     """The replica process that answered last at an address, and what has been had of it.
 
     `life` names the process and `order` is up to where its upstreams are known; `rest` tells that
-    its last answer left further ones out.
+    its last answer left further ones out. `limits` tells which of its news of limits are known.
     """
 
-    __slots__ = ("life", "order", "rest")
+    __slots__ = ("life", "limits", "order", "rest")
 
     def __init__(self) -> None:
         self.life = ""
         self.order = 0
         self.rest = False
+        self.limits = LimitsKnown()
 
     def note(self, answer: Feed) -> None:
         """Take in an answer; a late one of the same process takes nothing back."""
@@ -46,3 +48,6 @@
             self.life, self.order = answer.life, answer.order
         if answer.order >= self.order:
             self.order, self.rest = answer.order, answer.more
+        known = answer.limits.known
+        if known.book != self.limits.book or known.order > self.limits.order:
+            self.limits = known
--- a/src/finchway/gateway/_request_log.py
+++ b/src/finchway/gateway/_request_log.py
@@ -107,6 +107,9 @@
                 leaving=task.asked.leaving,
                 limit=choice.limit,
                 limit_ms=None if choice.limit is None else _ms(choice.limit_age),
+                limit_part=None if choice.part is None else round(choice.part.rate, 3),
+                limit_holders=0 if choice.part is None else choice.part.holders,
+                at_limit=choice.at_limit,
                 named_limit=task.asked.limit,
                 ms=_ms(trio.current_time() - started),
             )
--- a/src/finchway/gateway/_role.py
+++ b/src/finchway/gateway/_role.py
@@ -85,6 +85,8 @@
             router.rates,
             FeedLog(decisions, self._metrics, self._lag),
             self._suspects.learn,
+            self._table.told_limits,
+            self._table.learn_limits,
         )
         self._server = HttpServer(
             settings.address,
--- a/src/finchway/gateway/_router.py
+++ b/src/finchway/gateway/_router.py
@@ -141,17 +141,27 @@
                 return choice
             if region == order[0] and self._has_usable(regions[region], now):
                 break
-        if self.back_in(task, now) > 0:
+        if self.back_in(task, now) <= 0:
+            task.refusal = "all upstreams for the key are full or resting"
+        elif self._all_rest(task, now):
             task.refusal = "all upstreams have asked for rest"
         else:
-            task.refusal = "all upstreams for the key are full or resting"
+            task.refusal = "all upstreams rest or are at the limits that they have named"
         return None
 
     def back_in(self, task: Task, now: float) -> float:
-        """Return the seconds until an upstream for a request wants any; 0 unless all rest."""
-        rests = self._table.rests
+        """Return the seconds until an upstream for a request wants any; 0 if one does now."""
         regions = self._allowed(task, now).values()
-        return min((upstreams.back_in(rests, now) for upstreams in regions), default=0.0)
+        wanted_in = self._table.wanted_in
+        return min((upstreams.back_in(wanted_in, now) for upstreams in regions), default=0.0)
+
+    def _all_rest(self, task: Task, now: float) -> bool:
+        """Tell whether all upstreams for a request have asked for rest."""
+        return all(
+            self._table.rests.left(record.registration.life, now) > 0
+            for upstreams in self._allowed(task, now).values()
+            for record in upstreams.records.values()
+        )
 
     def _allowed(self, task: Task, now: float) -> dict[str, RegionUpstreams]:
         """Return by region the upstreams that may serve a request."""
@@ -178,7 +188,7 @@
         plan = self._plan(task)
         poor = plan.poor(now)
         rests = self._table.rests
-        passed_over = 0
+        passed_over = at_limit = 0
         candidates: list[Candidate] = []
         for name in plan.upstreams_for(task, region, upstreams.names):
             record = upstreams.records[name]
@@ -186,6 +196,7 @@
                 continue
             if not self._table.may_get(record, now):
                 passed_over += rests.left(record.registration.life, now) > 0
+                at_limit += self._table.allowances.wait(record.registration.life, now) > 0
                 continue
             if name in poor and not record.standing.may_try(now):
                 continue
@@ -199,6 +210,7 @@
         if chosen is None:
             return None
         record = upstreams.records[chosen.instance]
+        life = record.registration.life
         if chosen.instance in poor:
             record.standing.note_trial(now)
             reason = ChoiceReason.TRIAL
@@ -216,10 +228,12 @@
             now - record.reported_at,
             now - self._world.heard_at,
             plan.kept_part,
-            rests.left(record.registration.life, now),
+            rests.left(life, now),
             passed_over,
-            self._table.limits.rate(record.registration.life),
-            self._table.limits.age(record.registration.life, now),
+            self._table.limits.rate(life),
+            self._table.limits.age(life, now),
+            self._table.allowances.part(life, now),
+            at_limit,
         )
 
     def _candidate(
--- a/src/finchway/gateway/_session.py
+++ b/src/finchway/gateway/_session.py
@@ -16,6 +16,7 @@
 from finchway.gateway._feed_log import FeedLog
 from finchway.gateway._question import HeardReplica, Turn
 from finchway.gateway._transit import TransitMeter
+from finchway.pushback import NamedLimit
 from finchway.state import Suspect
 from finchway.transport import Link
 
@@ -51,9 +52,13 @@
         rates: Callable[[], list[ServiceRate]],
         log: FeedLog,
         learn_suspects: Callable[[list[Suspect]], None] = lambda suspects: None,
+        limits: Callable[[], list[NamedLimit]] = list,
+        learn_limits: Callable[[list[NamedLimit]], None] = lambda words: None,
     ) -> None:
         self._log = log
         self._learn_suspects = learn_suspects
+        self._limits = limits
+        self._learn_limits = learn_limits
         self._beat = beat
         self._link = link
         self._world = world
@@ -190,6 +195,7 @@
             roster=self._world.roster_version(replica.life),
             demand=self._wants_demand(),
             rest=replica.rest,
+            limits=replica.limits,
         )
         asked_at = trio.current_time()
         try:
@@ -220,6 +226,7 @@
         return True
 
     def _learn(self, feed: Feed, asked_at: float) -> None:
+        self._learn_limits(feed.limits.words)
         before = self._world.steering.revision
         if self._world.learn(feed, trio.current_time(), asked_at):
             self._log.note_learned(feed, before, self._world.steering.revision)
@@ -241,4 +248,5 @@
             sequence=self._sequence,
             rates=self._rates(),
             pressed=self._transits.is_pressed(trio.current_time()),
+            limits=self._limits(),
         )
--- a/src/finchway/gateway/_table.py
+++ b/src/finchway/gateway/_table.py
@@ -13,9 +13,10 @@
 from finchway.gateway._bounds import Bounds
 from finchway.gateway._connection import AttemptError, Failure, UpstreamConnection
 from finchway.gateway._record import UpstreamRecord
+from finchway.gateway._reservation import Reservation
 from finchway.observe import BeliefChanged, DecisionLog
-from finchway.policy import Pacer, rank
-from finchway.pushback import Asked, LimitWords, RestBook
+from finchway.policy import Pacer, part_of_limit, rank
+from finchway.pushback import Allowances, Asked, LimitWords, NamedLimit, Part, RestBook
 from finchway.registry import Registration, UpstreamState
 
 # Part of the allowed rate that a cold upstream gets: two gateways may hold themselves for its only
@@ -38,11 +39,11 @@
     names: tuple[str, ...]
     records: dict[str, UpstreamRecord]
 
-    def back_in(self, rests: RestBook, now: float) -> float:
-        """Return the seconds until one of them wants requests again; 0 unless all rest."""
+    def back_in(self, wanted_in: Callable[[UpstreamRecord, float], float], now: float) -> float:
+        """Return the seconds until one of them wants requests again; 0 unless none does now."""
         least = float("inf")
         for record in self.records.values():
-            least = min(least, rests.left(record.registration.life, now))
+            least = min(least, wanted_in(record, now))
             if least <= 0:
                 break
         return least
@@ -84,7 +85,9 @@
         self._refreshed_at = float("-inf")
         self._seen_changes = -1
         self._opened = 0
-        self._askings = Askings(decisions)
+        self._askings = Askings(decisions, self._part_of)
+        self._parts: dict[str, tuple[float, Part]] = {}
+        self._parts_of = -1
 
     @property
     def decisions(self) -> DecisionLog:
@@ -106,6 +109,19 @@
         """The limits that upstreams have named."""
         return self._askings.limits
 
+    @property
+    def allowances(self) -> Allowances:
+        """What this gateway may send to upstreams that have named a limit."""
+        return self._askings.allowances
+
+    def told_limits(self) -> list[NamedLimit]:
+        """Return the limits that upstreams have told this gateway lately, for the others."""
+        return self.limits.told(trio.current_time())
+
+    def learn_limits(self, words: list[NamedLimit]) -> None:
+        """Take in the limits that upstreams have told other gateways."""
+        self._askings.learn_limits(words, trio.current_time())
+
     def get(self, instance: str) -> UpstreamRecord | None:
         """Return the record of an upstream."""
         return self._records.get(instance)
@@ -197,43 +213,65 @@
 
     def may_get(self, record: UpstreamRecord, now: float) -> bool:
         """Tell whether an upstream may get a request at this moment."""
-        if record.resting_until > now or not self.rests.may_send(record.registration.life, now):
+        life = record.registration.life
+        if record.resting_until > now or not self.rests.may_send(life, now):
             return False
-        return self._cold_allows(record, now)
+        return self.allowances.may_send(life, now) and self._cold_allows(record, now)
+
+    def wanted_in(self, record: UpstreamRecord, now: float) -> float:
+        """Return the seconds until an upstream that rests, or is at its limit, wants a request."""
+        life = record.registration.life
+        return max(self.rests.left(life, now), self.allowances.wait(life, now))
 
-    def note_sent(self, record: UpstreamRecord, request_id: str, key: str, now: float) -> None:
-        """Count a request that is being sent."""
+    def reserve(self, record: UpstreamRecord, request_id: str, key: str, now: float) -> Reservation:
+        """Count a request that is to be sent."""
+        reserved = Reservation(record, request_id)
+        reserved.is_trial = self.rests.begin(reserved.life, now)
+        reserved.is_counted = self.allowances.take(reserved.life, now)
         record.in_flight += 1
         if record.remembers(key, now):
             record.under_way[request_id] = now
         if record.pacer is not None and record.cold_until > now:
             record.pacer.take(now)
+        return reserved
 
-    def note_ended(self, record: UpstreamRecord, request_id: str) -> None:
-        """Count a request that is not under way any more."""
+    def release(self, reserved: Reservation, was_taken: bool) -> None:
+        """Count a request that is not under way any more, or has never been sent."""
+        record = reserved.record
         record.in_flight -= 1
-        record.under_way.pop(request_id, None)
+        record.under_way.pop(reserved.request_id, None)
+        if reserved.is_trial:
+            self.rests.end_trial(reserved.life, was_taken)
+        if reserved.is_counted and not reserved.is_sent:
+            self.allowances.give_back(reserved.life)
 
-    async def connect(self, record: UpstreamRecord, now: float) -> UpstreamConnection:
+    async def connect(self, reserved: Reservation, now: float) -> UpstreamConnection:
         """Return an idle connection or a new one; raises `AttemptError`.
 
-        While a new one came up, the upstream may have asked for rest, or said that it leaves: then
-        nothing may go out on it.
+        While a new one came up, the upstream may have asked for rest, named a limit, or said that
+        it leaves: then nothing may go out on it.
         """
+        record = reserved.record
         while record.idle:
             connection = record.idle.pop()
             if connection.is_usable(now):
                 return connection
             connection.close()
         connection = await self.connect_anew(record)
-        if self._still_wants(record):
+        if self._still_wants(reserved, trio.current_time()):
             return connection
         self.keep(record, connection)
-        raise AttemptError(Failure.UNWANTED, "not sent: it asks for rest, or leaves, meanwhile")
+        raise AttemptError(Failure.UNWANTED, "not sent: it has asked for less meanwhile, or leaves")
 
-    def _still_wants(self, record: UpstreamRecord) -> bool:
-        life = record.registration.life
-        return record.state == IN_USE and self.rests.left(life, trio.current_time()) <= 0
+    def _still_wants(self, reserved: Reservation, now: float) -> bool:
+        if reserved.record.state != IN_USE or self.rests.left(reserved.life, now) > 0:
+            return False
+        if reserved.is_counted:
+            return True
+        if not self.allowances.may_send(reserved.life, now):
+            return False
+        reserved.is_counted = self.allowances.take(reserved.life, now)
+        return True
 
     async def connect_anew(self, record: UpstreamRecord) -> UpstreamConnection:
         """Return a new connection; raises `AttemptError`."""
@@ -262,6 +300,24 @@
         for record in self._records.values():
             record.close_idle()
 
+    def _part_of(self, life: str, limit: float, now: float) -> Part:
+        """Return this gateway's part of the limit that a life has named."""
+        fellows = self._world.fellows
+        regions = fellows.held(now)
+        if fellows.changes != self._parts_of:
+            self._parts_of = fellows.changes
+            self._parts = {}
+        held = self._parts.get(life)
+        if held is not None and held[0] == limit:
+            return held[1]
+        record = self._records.get(self._names.get(life, ""))
+        zone = record.registration.zone if record is not None else ""
+        region = self._zones().get(zone, zone)
+        near = [name for name, where in regions.items() if where == region]
+        part = part_of_limit(self._name, life, limit, near, regions)
+        self._parts[life] = (limit, part)
+        return part
+
     def _record(self, registration: Registration, heard_at: float) -> UpstreamRecord:
         record = self._records.get(registration.instance)
         if record is not None and record.registration.life != registration.life:
--- a/src/finchway/gateway/_task.py
+++ b/src/finchway/gateway/_task.py
@@ -11,7 +11,7 @@
 from finchway.gateway._fingerprint import fingerprint
 from finchway.gateway._http import CallerRequest
 from finchway.gateway._record import UpstreamRecord
-from finchway.pushback import ASKED_NOTHING, Asked
+from finchway.pushback import ASKED_NOTHING, Asked, Part
 
 
 class Evidence(Struct):
@@ -98,7 +98,8 @@
     service's requests that this region keeps at the moment. `passed_over` counts the upstreams that
     were passed over for the rest that they had asked for; `rest_left` is what was left of this
     one's, in seconds. `limit` are the requests a second that it has said it takes, if it has, and
-    `limit_age` how long ago.
+    `limit_age` how long ago; `part` is what this gateway may send of them. `at_limit` counts the
+    upstreams that were passed over for their limits.
     """
 
     record: UpstreamRecord
@@ -112,3 +113,5 @@
     passed_over: int = 0
     limit: float | None = None
     limit_age: float = 0.0
+    part: Part | None = None
+    at_limit: int = 0
--- a/src/finchway/observe/_decisions.py
+++ b/src/finchway/observe/_decisions.py
@@ -66,8 +66,10 @@
     service's requests that this region keeps; `passed_over` the upstreams that were passed over for
     the rest that they had asked for, and `rest_left_ms` what was left of this one's. `asked_ms` is
     the rest that the answer asks for, `leaving` that it says that the upstream leaves. `limit` are
-    the requests a second that the upstream had said it takes, `limit_ms` before, and `named_limit`
-    those that this answer names. `digest`
+    the requests a second that the upstream had said it takes, `limit_ms` before, `limit_part` those
+    that this gateway may send of them and `limit_holders` among how many they are divided;
+    `at_limit` counts the upstreams that were passed over for their limits, and `named_limit` is
+    what this answer names. `digest`
     names the request, whenever it is sent, where it is not known how the attempt ended.
     """
 
@@ -93,6 +95,9 @@
     leaving: bool = False
     limit: float | None = None
     limit_ms: float | None = None
+    limit_part: float | None = None
+    limit_holders: int = 0
+    at_limit: int = 0
     named_limit: float | None = None
     ms: float
 
--- a/src/finchway/policy/__init__.py
+++ b/src/finchway/policy/__init__.py
@@ -29,6 +29,7 @@
 from finchway.policy._key_map import KeyMap
 from finchway.policy._lender import Lender
 from finchway.policy._outliers import Standing, find_poor
+from finchway.policy._parts import part_of_limit
 from finchway.policy._placement import HOMES, Candidate, UpstreamOrders, choose_home
 from finchway.policy._recall import KeepLimit
 from finchway.policy._retries import MAX_ATTEMPTS, Attempt, Outcome, RetryBudget, may_retry
@@ -117,6 +118,7 @@
     "next_move_status",
     "owned_by",
     "owned_in_force",
+    "part_of_limit",
     "position",
     "rank",
     "rank_weighted",
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -22,6 +22,7 @@
     UpstreamTable,
 )
 from finchway.observe import DecisionLog, GatewayMetrics, LogWriter, LoopLag
+from finchway.pushback import LimitNews, LimitsKnown
 from finchway.registry import Registration, UpstreamState
 from finchway.state import ChangeItems, RequestReport, Steering
 
@@ -202,6 +203,7 @@
             **fields,
         )
         self.world.learn(feed, trio.current_time())
+        self.table.learn_limits(feed.limits.words)
         self.table.refresh(trio.current_time())
 
     def configure(self, version: int = 1, limits: Limits | None = None, **fields) -> None:
@@ -255,9 +257,16 @@
 async def _tell_all(subjects: list[GatewayUnderTest], upstreams: tuple[Upstream, ...]) -> None:
     """Tell all gateways again and again what replicas would tell them."""
     registrations = [upstream.registration() for upstream in upstreams]
+    news = LimitNews()
+    known = dict.fromkeys(subjects, LimitsKnown())
     while True:
+        now = trio.current_time()
         for subject in subjects:
-            subject.tell(registrations, subject.names)
+            news.learn(subject.table.told_limits(), now)
+        for subject in subjects:
+            heard = news.since(known[subject], now)
+            known[subject] = heard.known
+            subject.tell(registrations, subject.names, limits=heard)
         await trio.sleep(TOLD_EVERY_S)
 
 
