Plan with what upstreams take that name a limit; say over all regions what was passed over

What callers saw: with three of a region's five upstreams at limits of 2 requests a second, its gateways planned with the slots of all five, kept everything at home, and refused what the other two had no room for. A limited upstream now bears its limit at most, so the spread passes the rest on, at the speed that the cap on shifts allows, and takes it back when the limit ends.

A line's passed_over and at_limit now count all regions that were tried, not the chosen one alone. Ruled out: hurrying, since what names a limit may be overloaded with its fellows; the cap holds as for rests.

--- a/src/finchway/gateway/_request_log.py
+++ b/src/finchway/gateway/_request_log.py
@@ -101,7 +101,7 @@
                 result=outcome.verdict.value,
                 detail=outcome.detail,
                 digest=task.fingerprint if outcome.verdict is Verdict.UNKNOWN else "",
-                passed_over=choice.passed_over,
+                passed_over=choice.passed.resting,
                 rest_left_ms=_ms(choice.rest_left) or None,
                 asked_ms=_ms(task.asked.rest_s) or None,
                 leaving=task.asked.leaving,
@@ -109,7 +109,7 @@
                 limit_ms=None if choice.limit is None else _ms(choice.limit_age),
                 limit_part=None if choice.part is None else round(choice.part.rate, 3),
                 limit_holders=0 if choice.part is None else choice.part.holders,
-                at_limit=choice.at_limit,
+                at_limit=choice.passed.at_limit,
                 named_limit=task.asked.limit,
                 ms=_ms(trio.current_time() - started),
             )
--- a/src/finchway/gateway/_router.py
+++ b/src/finchway/gateway/_router.py
@@ -13,7 +13,7 @@
 from finchway.gateway._record import UpstreamRecord
 from finchway.gateway._service import ServicePlan
 from finchway.gateway._table import RegionUpstreams, UpstreamTable
-from finchway.gateway._task import Choice, ChoiceReason, Task
+from finchway.gateway._task import Choice, ChoiceReason, PassedOver, Task
 from finchway.policy import HOMES, AttemptBudget, Candidate, choose_home
 
 # Requests that a gateway may always have at an upstream, however small its part of the flow is.
@@ -135,8 +135,10 @@
             task.refusal = "no upstream"
             return None
         order = self._plan(task).regions_for(task, list(regions), now)
+        passed = PassedOver()
         for region in order:
-            choice = self._choose_in(task, region, regions[region], now, region != order[0])
+            is_spilled = region != order[0]
+            choice = self._choose_in(task, region, regions[region], now, is_spilled, passed)
             if choice is not None:
                 return choice
             if region == order[0] and self._has_usable(regions[region], now):
@@ -182,21 +184,26 @@
         return any(self._table.may_get(record, now) for record in upstreams.records.values())
 
     def _choose_in(
-        self, task: Task, region: str, upstreams: RegionUpstreams, now: float, spilled: bool
+        self,
+        task: Task,
+        region: str,
+        upstreams: RegionUpstreams,
+        now: float,
+        spilled: bool,
+        passed: PassedOver,
     ) -> Choice | None:
         """Return the best home of a key in one region; None if none has room."""
         plan = self._plan(task)
         poor = plan.poor(now)
         rests = self._table.rests
-        passed_over = at_limit = 0
         candidates: list[Candidate] = []
         for name in plan.upstreams_for(task, region, upstreams.names):
             record = upstreams.records[name]
             if name in task.tried:
                 continue
             if not self._table.may_get(record, now):
-                passed_over += rests.left(record.registration.life, now) > 0
-                at_limit += self._table.allowances.wait(record.registration.life, now) > 0
+                passed.resting += rests.left(record.registration.life, now) > 0
+                passed.at_limit += self._table.allowances.wait(record.registration.life, now) > 0
                 continue
             if name in poor and not record.standing.may_try(now):
                 continue
@@ -229,11 +236,10 @@
             now - self._world.heard_at,
             plan.kept_part,
             rests.left(life, now),
-            passed_over,
+            passed,
             self._table.limits.rate(life),
             self._table.limits.age(life, now),
             self._table.allowances.part(life, now),
-            at_limit,
         )
 
     def _candidate(
--- a/src/finchway/gateway/_service.py
+++ b/src/finchway/gateway/_service.py
@@ -201,17 +201,17 @@
             for asked in self._world.demand
             if asked.service == self._service
         }
-        # Demand that stayed with upstreams that rest would be refused: a region that has only such
-        # ones served 0.91 of its requests without this, 0.97 with it (two seeds of one trial each).
+        # Demand that stayed with upstreams that rest, or beyond the limits that upstreams name,
+        # would be refused.
         left_out = self.poor(now) | self._table.resting(now)
-        slots = {
-            region: found.slots_without(left_out)
+        a_slot = USE_OF_SLOTS / self._estimate.work
+        capacity = {
+            region: found.capacity(a_slot, left_out, self._table.limits)
             for region, found in self._table.regions(self._service, now).items()
         }
-        a_slot = USE_OF_SLOTS / self._estimate.work
         loads = {
-            region: RegionLoad(demand.get(region, 0.0), slots.get(region, 0.0) * a_slot)
-            for region in {*demand, *slots}
+            region: RegionLoad(demand.get(region, 0.0), capacity.get(region, 0.0))
+            for region in {*demand, *capacity}
         }
         home = loads.get(self._home)
         if home is not None and self._most_kept < 1.0:
--- a/src/finchway/gateway/_table.py
+++ b/src/finchway/gateway/_table.py
@@ -51,15 +51,21 @@
     @property
     def slots(self) -> int:
         """How many requests they work on at once."""
-        return self.slots_without(frozenset())
-
-    def slots_without(self, left_out: frozenset[str]) -> int:
-        """How many requests they work on at once, some upstreams left out."""
-        return sum(
-            record.registration.slots
-            for name, record in self.records.items()
-            if name not in left_out
-        )
+        return sum(record.registration.slots for record in self.records.values())
+
+    def capacity(self, a_slot: float, left_out: frozenset[str], limits: LimitWords) -> float:
+        """Return how many requests a second they bear, some upstreams left out.
+
+        `a_slot` is what one slot bears; an upstream that names a limit bears no more than that.
+        """
+        total = 0.0
+        for name, record in self.records.items():
+            if name in left_out:
+                continue
+            limit = limits.rate(record.registration.life)
+            borne = record.registration.slots * a_slot
+            total += borne if limit is None else min(borne, limit)
+        return total
 
 
 class UpstreamTable:
--- a/src/finchway/gateway/_task.py
+++ b/src/finchway/gateway/_task.py
@@ -90,16 +90,24 @@
     OTHER_REGION = "other-region"
 
 
+class PassedOver(Struct):
+    """How many upstreams were passed over before one was chosen, in all regions that were tried.
+
+    `resting` for the rest that they had asked for, `at_limit` for the limits that they name.
+    """
+
+    resting: int = 0
+    at_limit: int = 0
+
+
 class Choice(Struct):
     """An upstream for one attempt, and what decided for it.
 
     `busy` is the estimated requests at it, from a report that was `report_age` seconds old;
     `heard_age` is the age of the newest word of a replica, and `kept_part` the part of the
-    service's requests that this region keeps at the moment. `passed_over` counts the upstreams that
-    were passed over for the rest that they had asked for; `rest_left` is what was left of this
-    one's, in seconds. `limit` are the requests a second that it has said it takes, if it has, and
-    `limit_age` how long ago; `part` is what this gateway may send of them. `at_limit` counts the
-    upstreams that were passed over for their limits.
+    service's requests that this region keeps at the moment. `rest_left` is what was left of the
+    rest that it had asked for, in seconds. `limit` are the requests a second that it has said it
+    takes, if it has, `limit_age` how long ago, and `part` what this gateway may send of them.
     """
 
     record: UpstreamRecord
@@ -110,8 +118,7 @@
     heard_age: float
     kept_part: float
     rest_left: float = 0.0
-    passed_over: int = 0
+    passed: PassedOver = field(default_factory=PassedOver)
     limit: float | None = None
     limit_age: float = 0.0
     part: Part | None = None
-    at_limit: int = 0
