--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -88,6 +88,7 @@
         self.peak = 0
         self.refused = 0
         self.rest_s = 0
+        self.limit = ""
         self.mode = "normal"
         self.mode_left = -1
         self.leaving = False
@@ -103,10 +104,12 @@
     def headers(self) -> list[tuple[str, str]]:
         """What every answer says of this upstream."""
         leaving = self.leaving and self.mode != "mislead"
+        limit = [("finchway-limit", self.limit)] if self.limit else []
         return [
             ("finchway-incarnation", self.incarnation),
             ("finchway-load", f"{self.load:.3f}"),
             ("finchway-leaving", "1" if leaving else "0"),
+            *limit,
         ]
 
     def take_mode(self) -> str:
@@ -142,6 +145,7 @@
         self.mode_left = wanted.get("count", -1)
         self.leaving = wanted.get("leaving", self.leaving)
         self.rest_s = wanted.get("rest_s", 0)
+        self.limit = wanted.get("limit", "")
         if wanted.get("restart"):
             self.incarnation = f"{self.rng.getrandbits(48):012x}"
             self.leaving = False
