Have entries keep together to the limit that an upstream names

What callers saw: upstreams that named 1 request a second ran 36 to 48 in 4 s from two entries, where 11 are bearable. Cause: as in gateways, nothing acted on the figure. The same words, allowances and division now serve entries: what one has heard goes to the leader with its heartbeats and comes back to all with the answers; the holders of an upstream's limit are the first of the share's members in the order in which its slots are dealt, so that a holder has slots there. At its limit an upstream is not usable; a ticket waits by its rank while the limits of all upstreams let it through before its deadline, and is refused at once otherwise, or where this entry has no part. A grant that was not sent leaves its part to others; what waited for a connection is looked at again, attempt by attempt, so that a connection which comes up for one that was counted is not closed.

Why it holds: as for gateways, the sum is bounded by the parts, whatever an entry sees itself. Ruled out: a limit as fewer slots, since slots bound what is under way at once and not what comes a second.

--- a/bench/surroundings.py
+++ b/bench/surroundings.py
@@ -278,7 +278,9 @@
         self._region = region
 
     @asynccontextmanager
-    async def open(self, address, method, target, headers, body) -> AsyncIterator[WorldReply]:
+    async def open(
+        self, address, method, target, headers, body, still_wants=None
+    ) -> AsyncIterator[WorldReply]:
         """Send a request to a fake upstream."""
         upstream = self._world.upstreams[address]
         shape = self._world.shape
--- a/src/finchway/entry/_call.py
+++ b/src/finchway/entry/_call.py
@@ -64,6 +64,8 @@
     not_run: bool = False
     rest_s: float = 0.0
     unread: str = ""
+    limit: float | None = None
+    unread_limit: str | None = None
 
 
 class CallError(Exception):
@@ -86,10 +88,16 @@
 
 
 class UpstreamError(Exception):
-    """An attempt at an upstream failed; `outcome` says what is known of the request."""
+    """An attempt at an upstream failed; `outcome` says what is known of the request.
 
-    def __init__(self, outcome: Outcome, detail: str, healthy: bool = False) -> None:
+    `was_sent` tells whether the upstream may have had it at all.
+    """
+
+    def __init__(
+        self, outcome: Outcome, detail: str, healthy: bool = False, was_sent: bool = True
+    ) -> None:
         super().__init__(detail)
         self.outcome = outcome
         self.detail = detail
         self.healthy = healthy
+        self.was_sent = was_sent
--- a/src/finchway/entry/_dispatch.py
+++ b/src/finchway/entry/_dispatch.py
@@ -6,9 +6,11 @@
 
 from __future__ import annotations
 
+import functools
 import itertools
 from collections.abc import AsyncIterator, Callable
 
+import msgspec
 import trio
 
 from finchway.entry._call import (
@@ -37,6 +39,7 @@
     may_retry,
     retry_after,
 )
+from finchway.pushback import is_own_answer
 from finchway.resources import Service
 
 HOLD_BYTES = 65_536
@@ -222,7 +225,7 @@
 
     def _give_back(self, decision: Grant | Refusal | None) -> None:
         if isinstance(decision, Grant):
-            self._view.gate.release(decision, trio.current_time(), False)
+            self._view.gate.release(decision, trio.current_time(), False, was_sent=False)
             self.pump(decision.service)
 
     def _decide(self, ticket: Ticket, decision: Grant | Refusal) -> None:
@@ -233,25 +236,34 @@
 
     async def _attempt(self, call: Call, grant: Grant, body: Body, respond, begun: _Begun) -> None:
         succeeded = False
+        hold = _Hold(grant)
         try:
             with trio.move_on_at(call.deadline) as scope:
-                await self._exchange(call, grant, body, respond, begun)
+                await self._exchange(call, hold, body, respond, begun)
                 succeeded = True
             if scope.cancelled_caught:
                 raise UpstreamError(Outcome.UNKNOWN, f"{grant.address} did not answer in time")
         except UpstreamError as error:
+            hold.was_sent = error.was_sent
             self._note_failure(grant.address, error)
             raise
         finally:
-            self._view.gate.release(grant, trio.current_time(), succeeded)
+            self._view.gate.release(hold.grant, trio.current_time(), succeeded, hold.was_sent)
             self.pump(call.service)
 
-    async def _exchange(self, call: Call, grant: Grant, body: Body, respond, begun: _Begun) -> None:
+    async def _exchange(self, call: Call, hold: _Hold, body: Body, respond, begun: _Begun) -> None:
+        grant = hold.grant
+        sent_at = trio.current_time()
         content = body.held if body.is_whole else body.stream()
         headers = self._forwarded(call, body)
-        opened = self._client.open(grant.address, call.method, call.target, headers, content)
+        still_wants = functools.partial(self._still_wants, hold)
+        opened = self._client.open(
+            grant.address, call.method, call.target, headers, content, still_wants
+        )
         async with opened as reply:
             self._note_facts(call.service, grant.address, reply.facts)
+            if is_own_answer(reply.status):
+                self._note_limit(call.service, grant.address, reply.facts, sent_at)
             if reply.facts.not_run:
                 self._view.directory.record_refusal(grant.address, trio.current_time())
                 raise UpstreamError(
@@ -274,6 +286,20 @@
             if rest is not None:
                 self._note_success(grant.address)
 
+    def _still_wants(self, hold: _Hold) -> bool:
+        """Look again at what an upstream has asked for while a connection came up."""
+        directory = self._view.directory
+        address, now = hold.grant.address, trio.current_time()
+        if directory.rest_left(address, now) > 0:
+            return False
+        if hold.grant.is_counted:
+            return True
+        if not directory.may_take(address, now):
+            return False
+        is_counted = directory.take(address, now)
+        hold.grant = msgspec.structs.replace(hold.grant, is_counted=is_counted)
+        return True
+
     def _forwarded(self, call: Call, body: Body) -> Headers:
         left_ms = max(1, int((call.deadline - trio.current_time()) * 1000))
         headers = [(n, v) for n, v in call.headers if n.lower() not in _HOP_HEADERS]
@@ -301,9 +327,20 @@
             detail = f"asks for {facts.rest_s:g} s of rest"
             self._timeline.record(EventKind.UPSTREAM_RESTING, address, detail)
             self._metrics.count_asked(service, "rest")
-        if facts.unread:
+        if facts.unread or facts.unread_limit is not None:
             self._metrics.count_asked(service, "unreadable")
 
+    def _note_limit(self, service: str, address: str, facts: Facts, sent_at: float) -> None:
+        """Take in the limit that an answer names; one that makes no sense changes none."""
+        if facts.limit is not None:
+            self._metrics.count_asked(service, "limit")
+        elif facts.unread_limit is not None:
+            return
+        now = trio.current_time()
+        if self._view.directory.record_limit(address, facts.limit, sent_at, now):
+            limit = "no limit any more" if facts.limit is None else f"{facts.limit:g} a second"
+            self._timeline.record(EventKind.UPSTREAM_LIMITED, address, f"names {limit}")
+
     def _note_success(self, address: str) -> None:
         _, changed = self._view.record_result(address, True, trio.current_time())
         if changed:
@@ -329,6 +366,16 @@
         self.decision: Grant | Refusal | None = None
 
 
+class _Hold:
+    """A slot that one attempt holds, and whether its upstream may have had the request."""
+
+    __slots__ = ("grant", "was_sent")
+
+    def __init__(self, grant: Grant) -> None:
+        self.grant = grant
+        self.was_sent = True
+
+
 class _Begun:
     """Whether the caller may have seen a part of the answer already."""
 
--- a/src/finchway/entry/_probe.py
+++ b/src/finchway/entry/_probe.py
@@ -129,7 +129,10 @@
         with trio.move_on_after(PROBE_TIMEOUT_S):
             try:
                 headers = [(b"host", b"health")]
-                async with self._client.open(address, "GET", HEALTH_PATH, headers, b"") as reply:
+                opened = self._client.open(
+                    address, "GET", HEALTH_PATH, headers, b"", lambda: self._is_awake(address)
+                )
+                async with opened as reply:
                     body = b"".join([chunk async for chunk in reply.chunks()])
                     if reply.status != 200 or len(body) > MAX_HEALTH_BYTES:
                         return None
@@ -138,6 +141,9 @@
                 _LOG.debug("health of %s: %s", address, error)
         return None
 
+    def _is_awake(self, address: str) -> bool:
+        return self._view.directory.rest_left(address, trio.current_time()) <= 0
+
     async def _poll_platform(self, source: Callable[[], Awaitable[PlatformList]]) -> None:
         while True:
             try:
--- a/src/finchway/entry/_role.py
+++ b/src/finchway/entry/_role.py
@@ -44,7 +44,7 @@
         timing = LoanTiming(ttl=settings.loan_s, margin=settings.clock_margin_s)
         holder = Holder(settings.instance, timing, trio.current_time())
         self._view = EntryView(settings.instance, settings.zone, rng, holder)
-        self._client = UpstreamClient(self._rests)
+        self._client = UpstreamClient()
         identity = EntryIdentity(
             settings.instance,
             uuid.uuid4().hex[:12],
@@ -70,9 +70,6 @@
         self._dispatcher: Dispatcher | None = None
         self._desk: ClaimDesk | None = None
 
-    def _rests(self, address: str) -> bool:
-        return self._view.directory.rest_left(address, trio.current_time()) > 0
-
     async def run(self) -> None:
         """Run the entry's loops until cancelled."""
         settings = self._settings
--- a/src/finchway/entry/_session.py
+++ b/src/finchway/entry/_session.py
@@ -21,6 +21,7 @@
 from finchway.exceptions import FinchwayError, NotLeaderError
 from finchway.membership import Heartbeat, HeartbeatReply, LeaseTiming, RateReport, full_state
 from finchway.observe import EventKind, Timeline
+from finchway.pushback import LimitsKnown
 from finchway.resources import Change
 from finchway.state import AnyCommand, AnyResult
 from finchway.transport import AnyBody, Changes, FetchChanges, HeartbeatBatch, Link, Submit
@@ -82,6 +83,7 @@
         self._relay = RelayDesk(identity.instance, self._ask_control)
         self._sequence = 0
         self._loans_applied = 0
+        self._limits_known = LimitsKnown()
         self._lease_until = float("-inf")
         self._contact_at = float("-inf")
         self._direct_at = float("-inf")
@@ -201,6 +203,8 @@
             loads=view.loads(now),
             marks=view.marks(),
             rates=[RateReport(o, s, rate) for o, s, rate in view.busy_rates(now)],
+            limits=view.directory.limits.told(now),
+            limits_known=self._limits_known,
         )
 
     async def _ask_relay(self, heartbeat: Heartbeat) -> HeartbeatReply | None:
@@ -289,6 +293,8 @@
             self._install(reply.snapshot, reply.snapshot_revision)
         else:
             self._take(reply.changes)
+        self._view.directory.learn_limits(reply.limits.words, self._contact_at)
+        self._limits_known = reply.limits.known
         if self._view.revision < reply.revision:
             return
         self._lease_until = max(self._lease_until, sent_at + reply.lease_s)
--- a/src/finchway/entry/_upstream.py
+++ b/src/finchway/entry/_upstream.py
@@ -49,23 +49,26 @@
 
 
 class _AskedMeanwhileError(httpcore.ConnectError):
-    """The upstream asked for rest while a connection to it came up."""
+    """The upstream asked for less while a connection to it came up."""
 
 
 class _Connector(httpcore.AsyncNetworkBackend):
-    """Opens connections, and closes those whose upstream has asked for rest meanwhile."""
+    """Opens connections, and closes those whose upstream has asked for less meanwhile.
 
-    def __init__(self, rests: Callable[[str], bool]) -> None:
+    `still_wants` is asked once more when a connection is up.
+    """
+
+    def __init__(self, still_wants: Callable[[], bool]) -> None:
         self._backend = httpcore.TrioBackend()
-        self._rests = rests
+        self._still_wants = still_wants
 
     async def connect_tcp(self, host, port, **options) -> httpcore.AsyncNetworkStream:
         """Connect to an upstream."""
         stream = await self._backend.connect_tcp(host, port, **options)
-        if not self._rests(f"{host}:{port}"):
+        if self._still_wants():
             return stream
         await stream.aclose()
-        raise _AskedMeanwhileError("it asked for rest meanwhile")
+        raise _AskedMeanwhileError("it has asked for less meanwhile")
 
     async def sleep(self, seconds: float) -> None:
         """Sleep between two tries."""
@@ -73,14 +76,10 @@
 
 
 class UpstreamClient:
-    """Sends requests to upstreams; keeps idle connections to each.
-
-    `rests` tells whether an upstream wants nothing now.
-    """
+    """Sends requests to upstreams; keeps idle connections to each."""
 
-    def __init__(self, rests: Callable[[str], bool] = lambda address: False) -> None:
+    def __init__(self) -> None:
         self._idle: dict[str, list[httpcore.AsyncHTTPConnection]] = {}
-        self._connector = _Connector(rests)
 
     @asynccontextmanager
     async def open(
@@ -90,12 +89,15 @@
         target: str,
         headers: Headers,
         body: AsyncIterator[bytes] | bytes,
+        still_wants: Callable[[], bool] = lambda: True,
     ) -> AsyncIterator[Reply]:
         """Send a request and yield the answer once its head has come.
 
-        Raises `UpstreamError`: `not-run` if no connection was made, `unknown` after that.
+        While a new connection came up, the upstream may have asked for rest, or named a limit:
+        `still_wants` tells then whether the request may go out. Raises `UpstreamError`: `not-run`
+        if no connection was made or wanted, `unknown` after that.
         """
-        connection, origin = await self._take(address)
+        connection, origin = await self._take(address, still_wants)
         url = httpcore.URL(
             scheme=b"http", host=origin.host, port=origin.port, target=target.encode("latin-1")
         )
@@ -109,9 +111,11 @@
         try:
             response = await connection.handle_async_request(request)
         except _AskedMeanwhileError as error:
-            raise UpstreamError(Outcome.NOT_RUN, f"{address}: {error}", healthy=True) from error
+            detail = f"{address}: {error}"
+            raise UpstreamError(Outcome.NOT_RUN, detail, True, was_sent=False) from error
         except (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout) as error:
-            raise UpstreamError(Outcome.NOT_RUN, f"no connection to {address}: {error}") from error
+            detail = f"no connection to {address}: {error}"
+            raise UpstreamError(Outcome.NOT_RUN, detail, was_sent=False) from error
         except (httpcore.ProtocolError, httpcore.NetworkError, httpcore.TimeoutException) as error:
             detail = f"{address} broke off before it answered: {error}"
             raise UpstreamError(Outcome.UNKNOWN, detail) from error
@@ -133,7 +137,9 @@
         for address in [a for a in self._idle if a not in addresses]:
             await self.forget(address)
 
-    async def _take(self, address: str) -> tuple[httpcore.AsyncHTTPConnection, httpcore.Origin]:
+    async def _take(
+        self, address: str, still_wants: Callable[[], bool]
+    ) -> tuple[httpcore.AsyncHTTPConnection, httpcore.Origin]:
         """Return an idle connection that still stands, the latest used first, or a new one."""
         host, _, port = address.rpartition(":")
         origin = httpcore.Origin(b"http", host.strip("[]").encode(), int(port))
@@ -144,7 +150,7 @@
                 return connection, origin
             await connection.aclose()
         connection = httpcore.AsyncHTTPConnection(
-            origin, keepalive_expiry=_KEEPALIVE_S, network_backend=self._connector
+            origin, keepalive_expiry=_KEEPALIVE_S, network_backend=_Connector(still_wants)
         )
         return connection, origin
 
@@ -169,7 +175,16 @@
             case b"finchway-outcome":
                 not_run = status == 503 and value == b"not-run"
     asked = read_asked(status, lowered, _LEAVING, _LIMIT, time.time())
-    return Facts(incarnation, load, asked.leaving, not_run, asked.rest_s, asked.unread)
+    return Facts(
+        incarnation,
+        load,
+        asked.leaving,
+        not_run,
+        asked.rest_s,
+        asked.unread,
+        asked.limit,
+        asked.unread_limit,
+    )
 
 
 def _number(value: bytes) -> float | None:
--- a/src/finchway/entry/_view.py
+++ b/src/finchway/entry/_view.py
@@ -24,14 +24,17 @@
     drained_instances,
     drained_upstreams,
     inbound_part,
+    part_of_limit,
     rank,
 )
+from finchway.pushback import Part
 from finchway.resources import (
     Capacity,
     Change,
     Contract,
     InstanceState,
     Phase,
+    Resource,
     ResourceStore,
     Service,
 )
@@ -58,6 +61,7 @@
         self._holder = holder or Holder(instance)
         self._directory = directory or Directory(rng)
         self._gate = Gate(self._holder, self._directory)
+        self._directory.divide_limits(self._part_of)
         self._organisations: dict[str, str] = {}
         self._capacities: dict[tuple[str, str], Capacity] = {}
         self._active_moves: set[tuple[str, str]] = set()
@@ -284,6 +288,23 @@
                 sums.setdefault(f"{key[0]}.{key[1]}", []).append(state.report.load)
         return {name: sum(values) / len(values) for name, values in sums.items()}
 
+    def _part_of(self, address: str, limit: float) -> Part:
+        """Return this entry's part of an upstream's limit.
+
+        Its holders are the first of those that its slots are dealt to, who own most of them.
+        """
+        members: list[str] = []
+        for share in self._shares_of(address):
+            members += share.spec.current.members
+        return part_of_limit(self._instance, address, limit, members, ())
+
+    def _shares_of(self, address: str) -> list[Resource]:
+        key = self._pool_of.get(address)
+        if key is None:
+            return []
+        shares = self._store.of_kind("share")
+        return [share for share in shares if (share.spec.service, share.spec.region) == key]
+
     def _is_down(self, service: str, region: str) -> bool:
         health = self._health.get((service, region))
         if health is not None and health.is_down:
--- a/src/finchway/membership/_coordinator.py
+++ b/src/finchway/membership/_coordinator.py
@@ -29,6 +29,7 @@
     share_name,
     usable_slots,
 )
+from finchway.pushback import LimitNews
 from finchway.resources import (
     Division,
     Instance,
@@ -64,6 +65,7 @@
         self._lease = lease or LeaseTiming()
         self._registry = Registry(self._lease, now)
         self._platform = PlatformView()
+        self._limits = LimitNews()
         self._longest = _longest_requests(machine.store)
         self._lender = Lender(loans or LoanTiming(), now)
         self._unheard = {
@@ -99,6 +101,7 @@
         """
         self._compile()
         fresh = self._registry.record(heartbeat, now)
+        self._limits.learn(heartbeat.limits, now)
         self._unheard.discard(heartbeat.holder)
         if not self._unheard:
             self._lender.learn_all()
@@ -125,6 +128,7 @@
             snapshot_revision=self._machine.revision,
             loans=loans,
             rates=self._rates(heartbeat),
+            limits=self._limits.since(heartbeat.limits_known, now),
         )
 
     def _is_registered(self, heartbeat: Heartbeat) -> bool:
--- a/src/finchway/membership/_heartbeat.py
+++ b/src/finchway/membership/_heartbeat.py
@@ -9,6 +9,7 @@
 from msgspec import Struct
 
 from finchway.policy import Demand, DrainReport, Loan
+from finchway.pushback import LimitsHeard, LimitsKnown, NamedLimit
 from finchway.resources import Change
 
 
@@ -34,7 +35,8 @@
     `sequence` numbers the heartbeats of one incarnation; `loans_applied` is the newest answer
     whose loans are in use; `shrunk` maps shares to the epoch that the entry's work fits. `loads`
     gives the busy part of each share's region, from fresh reports only. `stopped` says that the
-    entry will never send again.
+    entry will never send again. `limits` are what upstreams have told it that they take, and
+    `limits_known` tells which news of the leader's on that it has.
     """
 
     instance: str
@@ -54,6 +56,8 @@
     loads: dict[str, float] = {}
     rates: list[RateReport] = []
     marks: list[UpstreamMark] = []
+    limits: list[NamedLimit] = []
+    limits_known: LimitsKnown = LimitsKnown()
 
     @property
     def holder(self) -> str:
@@ -67,7 +71,8 @@
     `changes` follow the revision that the entry has; `snapshot`, the state at
     `snapshot_revision`, replaces them when it is too far behind. The lease runs for `lease_s`
     from the moment the heartbeat was sent. `rates` gives the part of each paid rate that this
-    entry may let through, by organisation and service.
+    entry may let through, by organisation and service; `limits` are what upstreams have newly told
+    any entry that they take.
     """
 
     sequence: int
@@ -78,6 +83,7 @@
     snapshot_revision: int = 0
     loans: list[Loan] = []
     rates: dict[str, float] = {}
+    limits: LimitsHeard = LimitsHeard()
 
 
 def rate_key(organisation: str, service: str) -> str:
--- a/src/finchway/observe/_events.py
+++ b/src/finchway/observe/_events.py
@@ -38,6 +38,7 @@
     LEASE_REGAINED = "lease-regained"
     UPSTREAM_LEAVING = "upstream-leaving"
     UPSTREAM_RESTING = "upstream-resting"
+    UPSTREAM_LIMITED = "upstream-limited"
     UPSTREAM_EJECTED = "upstream-ejected"
     UPSTREAM_RETURNED = "upstream-returned"
     REGION_DOWN = "region-down"
--- a/src/finchway/policy/_choice.py
+++ b/src/finchway/policy/_choice.py
@@ -8,10 +8,11 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 
 from msgspec import Struct
 
-from finchway.pushback import RestBook
+from finchway.pushback import Allowances, LimitWords, NamedLimit, Part, RestBook
 
 FAILURES_TO_EJECT = 3
 EJECTION_S = 2.0
@@ -58,6 +59,11 @@
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         self._rests = RestBook(rng)
+        self._limits = LimitWords()
+        self._part_of: Callable[[str, float], Part] = lambda address, limit: Part(limit)
+        self._allowances = Allowances(
+            self._limits, rng, lambda life, limit, now: self._part_of(_address_of(life), limit)
+        )
         self._states: dict[str, UpstreamState] = {}
 
     def __iter__(self):
@@ -99,6 +105,44 @@
             state.rests_until = now + min(MAX_REST_S, REST_S * 2**state.refusals)
             state.refusals += 1
 
+    @property
+    def limits(self) -> LimitWords:
+        """The limits that upstreams have named, by life."""
+        return self._limits
+
+    def divide_limits(self, part_of: Callable[[str, float], Part]) -> None:
+        """Have each upstream's limit divided, by its address and what it names."""
+        self._part_of = part_of
+
+    def record_limit(self, address: str, limit: float | None, sent_at: float, now: float) -> bool:
+        """Take in the limit that an answer to a request of `sent_at` names; True if it is news."""
+        return self._limits.hear(self._life(address), limit, sent_at, now)
+
+    def learn_limits(self, words: list[NamedLimit], now: float) -> None:
+        """Take in the limits that upstreams have told other entries."""
+        for named in words:
+            self._limits.learn(named, now)
+
+    def part(self, address: str, now: float) -> Part | None:
+        """Return this entry's part of what an upstream takes; None if it names no limit."""
+        return self._allowances.part(self._life(address), now)
+
+    def wanted_in(self, address: str, now: float) -> float:
+        """Return the seconds until an upstream that rests, or is at its limit, wants a request."""
+        return max(self.rest_left(address, now), self._allowances.wait(self._life(address), now))
+
+    def take(self, address: str, now: float) -> bool:
+        """Count a request against its upstream's limit; False if it names none."""
+        return self._allowances.take(self._life(address), now)
+
+    def give_back(self, address: str) -> None:
+        """Take in that a request which was counted has not been sent."""
+        self._allowances.give_back(self._life(address))
+
+    def may_take(self, address: str, now: float) -> bool:
+        """Tell whether an upstream's limit leaves room for one more request from this entry."""
+        return self._allowances.may_send(self._life(address), now)
+
     def ask_rest(self, address: str, seconds: float, now: float) -> None:
         """Take in that an upstream wants nothing from this entry for some time."""
         self._rests.ask(self._life(address), seconds, now)
@@ -190,14 +234,15 @@
     def is_usable(self, address: str, now: float) -> bool:
         """Tell whether an upstream is known and may get a request now.
 
-        It may not while it leaves, is ejected, or rests.
+        It may not while it leaves, is ejected, rests, or is at the limit that it names.
         """
         state = self._states.get(address)
         if state is None or state.leaving or state.drained:
             return False
         if now < max(state.ejected_until, state.rests_until):
             return False
-        return self._rests.may_send(self._life(address), now)
+        life = self._life(address)
+        return self._rests.may_send(life, now) and self._allowances.may_send(life, now)
 
     def _life(self, address: str) -> str:
         """Return the name of the upstream's present life, as far as its answers tell it."""
@@ -213,3 +258,8 @@
 
     def _score(self, address: str, limit: int, now: float) -> float:
         return self._states[address].in_flight / max(1, limit)
+
+
+def _address_of(life: str) -> str:
+    """Return the address in the name of a life."""
+    return life.partition("@")[0]
--- a/src/finchway/policy/_gate.py
+++ b/src/finchway/policy/_gate.py
@@ -25,13 +25,15 @@
 SPILL_RANKS = 1_000
 NO_SLOT_REASON = "this entry has no slots of the service and cannot borrow any now"
 NO_REGION_REASON = "no region serves this request now"
+LIMIT_REASON = "what all upstreams take comes too late for the deadline"
 RESTING_REASON = "all upstreams have asked for rest beyond the deadline"
 
 
 class Grant(Struct, frozen=True):
     """A slot of an upstream, held from `at` until it is released.
 
-    `is_trial` tells that its request is the first one after a rest of the upstream.
+    `is_trial` tells that its request is the first one after a rest of the upstream, and
+    `is_counted` that it was counted against the limit that the upstream names.
     """
 
     service: str
@@ -40,6 +42,7 @@
     rank: int
     at: float
     is_trial: bool = False
+    is_counted: bool = False
 
 
 Decision = Grant | Refusal
@@ -67,6 +70,11 @@
         self._held: dict[ShareKey, Slots] = {}
         self._in_flight = 0
 
+    @property
+    def directory(self) -> Directory:
+        """What is known of the upstreams."""
+        return self._directory
+
     @property
     def in_flight(self) -> int:
         """How many slots are held."""
@@ -102,6 +110,9 @@
         wait_s = lane.rate.wait_s(ahead, slots)
         if not slots and not self._has_prospect(service, ticket.regions, now):
             return Refusal(NO_SLOT_REASON, 1.0), []
+        limited = self._refuse_limited(service, ticket, ahead, now)
+        if limited is not None:
+            return limited, []
         resting = self._refuse_resting(service, ticket, now) if not slots else None
         if resting is not None:
             return resting, []
@@ -115,8 +126,10 @@
             return refusal, []
         return None, [(evicted, refusal)]
 
-    def release(self, grant: Grant, now: float, succeeded: bool) -> None:
+    def release(self, grant: Grant, now: float, succeeded: bool, was_sent: bool = True) -> None:
         """Give a slot back; a success tells how long slots are held."""
+        if grant.is_counted and not was_sent:
+            self._directory.give_back(grant.address)
         lane = self._lane(grant.service)
         self._in_flight -= 1
         lane.in_flight_by_rank[grant.region, grant.rank] -= 1
@@ -150,9 +163,9 @@
     def back_in(
         self, service: str, regions: tuple[str, ...], now: float, excluded: frozenset[str]
     ) -> float:
-        """Return the seconds until an upstream wants requests again; 0 unless all of them rest."""
+        """Return the seconds until an upstream wants requests again; 0 if one does now."""
         lefts = [
-            self._directory.rest_left(address, now)
+            self._directory.wanted_in(address, now)
             for region in regions
             for address in self._holder.limits((service, region), now)
             if address not in excluded
@@ -232,7 +245,8 @@
         is_trial = self._directory.begin(address, now)
         held = self._held.setdefault((service, region), {})
         held[address] = held.get(address, 0) + 1
-        return Grant(service, region, address, rank, now, is_trial)
+        is_counted = self._directory.take(address, now)
+        return Grant(service, region, address, rank, now, is_trial, is_counted)
 
     def _expire_resting(self, service: str, lane: _Lane, now: float) -> Decided:
         """Refuse the waiting tickets whose upstreams all rest until after their deadlines."""
@@ -254,6 +268,29 @@
             return None
         return Refusal(RESTING_REASON, retry_after(back_in))
 
+    def _refuse_limited(
+        self, service: str, ticket: Ticket, ahead: int, now: float
+    ) -> Refusal | None:
+        """Return a refusal if the limits of all upstreams have a ticket wait beyond its deadline.
+
+        One that this entry has no part of takes nothing from here, however long a ticket waits.
+        """
+        addresses = {
+            address
+            for region in ticket.regions
+            for address in self._holder.limits((service, region), now)
+            if address not in ticket.excluded
+        }
+        parts = [self._directory.part(address, now) for address in addresses]
+        if not parts or None in parts:
+            return None
+        rate = sum(part.rate for part in parts)
+        back_in = self.back_in(service, ticket.regions, now, ticket.excluded)
+        wait_s = back_in + ahead / rate if rate > 0 else back_in
+        if rate > 0 and now + wait_s <= ticket.deadline:
+            return None
+        return Refusal(LIMIT_REASON, retry_after(wait_s))
+
     def _has_prospect(self, service: str, regions: tuple[str, ...], now: float) -> bool:
         """Tell whether waiting makes sense: slots may be lent, or upstreams only rest."""
         held = any(self._holder.limits((service, region), now) for region in regions)
--- a/tests/process/test_asked_rest.py
+++ b/tests/process/test_asked_rest.py
@@ -132,12 +132,14 @@
             listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
             nursery.start_soon(trio.serve_listeners, serve, listeners)
             address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
-            client = UpstreamClient(lambda asked: asked == address)
+            client = UpstreamClient()
+            opened = client.open(address, "GET", "/", [(b"host", b"x")], b"", lambda: False)
             with pytest.raises(UpstreamError) as caught:
-                async with client.open(address, "GET", "/", [(b"host", b"x")], b""):
+                async with opened:
                     pass
             assert caught.value.outcome is Outcome.NOT_RUN
             assert caught.value.healthy
+            assert not caught.value.was_sent
             while not came:
                 await trio.sleep(0.01)
             assert came == [b""]
--- a/tests/unit/test_policy.py
+++ b/tests/unit/test_policy.py
@@ -32,7 +32,7 @@
     next_move_status,
     recent_percent,
 )
-from finchway.pushback import RETURN_SPREAD
+from finchway.pushback import RETURN_SPREAD, Part
 from finchway.resources import Division, DrainStatus, Move, MoveStatus, Phase, Share
 
 POOL = [f"10.0.0.{n}:80" for n in range(4)]
@@ -103,6 +103,48 @@
         lost = Ticket(1, 0, 10.0, 0.0, ())
         assert isinstance(gate().offer("s", lost, 0.0)[0], Refusal)
 
+    def test_while_upstreams_are_at_their_limits_the_best_rank_waits_and_what_cannot_is_refused(
+        self,
+    ):
+        made = gate()
+        for address in POOL:
+            assert made.directory.record_limit(address, 0.25, 0.0, 0.0)
+        number = 0
+        while isinstance(made.offer("s", ticket(number), 0.0)[0], Grant):
+            number += 1
+        assert number <= len(POOL)
+        for place, rank in ((40, 2), (41, 1)):
+            assert made.offer("s", ticket(place, rank), 0.0)[0] is None
+        # They take one a second together: whoever would wait for longer is refused.
+        decision, _ = made.offer("s", ticket(42, rank=3, deadline=0.2), 0.0)
+        assert isinstance(decision, Refusal) and "take" in decision.reason
+        assert decision.retry_after_s > 0
+        decided = [t.sequence for t, d in made.pump(9.0) if isinstance(d, Grant)]
+        assert decided[:2] == [number, 41]
+
+    def test_an_entry_without_a_part_of_any_limit_refuses_at_once(self):
+        made = gate()
+        made.directory.divide_limits(lambda address, limit: Part(0.0))
+        for address in POOL:
+            made.directory.record_limit(address, 2.0, 0.0, 0.0)
+        decision, _ = made.offer("s", ticket(1), 0.0)
+        assert isinstance(decision, Refusal) and "take" in decision.reason
+        made.directory.record_limit(POOL[0], None, 0.5, 1.0)
+        assert isinstance(made.offer("s", ticket(2), 1.0)[0], Grant)
+
+    def test_a_grant_that_is_not_sent_leaves_its_part_of_the_limit_to_others(self):
+        made = gate()
+        made.directory.divide_limits(
+            lambda address, limit: Part(limit if address == POOL[0] else 0.0)
+        )
+        for address in POOL:
+            made.directory.record_limit(address, 0.1, 0.0, 0.0)
+        made.offer("s", ticket(1, deadline=0.1), 0.0)
+        grant = made.offer("s", ticket(2), 20.0)[0]
+        assert isinstance(grant, Grant) and grant.is_counted
+        made.release(grant, 20.1, False, was_sent=False)
+        assert isinstance(made.offer("s", ticket(3), 20.2)[0], Grant)
+
     def test_a_withdrawn_ticket_takes_no_slot(self):
         made = gate()
         grants = [made.offer("s", ticket(n), 0.0)[0] for n in range(4)]
