--- a/src/finchway/gateway/_role.py
+++ b/src/finchway/gateway/_role.py
@@ -122,6 +122,7 @@
             reports_waiting=self._reports.waiting,
             reports_dropped=self._reports.dropped,
             upstreams_resting=len(self._table.rests.resting(now)),
+            limits=self._table.limit_totals(now),
         )
         return self._metrics.render(state)
 
--- a/src/finchway/gateway/_table.py
+++ b/src/finchway/gateway/_table.py
@@ -14,7 +14,7 @@
 from finchway.gateway._connection import AttemptError, Failure, UpstreamConnection
 from finchway.gateway._record import UpstreamRecord
 from finchway.gateway._reservation import Reservation
-from finchway.observe import BeliefChanged, DecisionLog
+from finchway.observe import BeliefChanged, DecisionLog, LimitTotals
 from finchway.policy import Pacer, part_of_limit, rank
 from finchway.pushback import Allowances, Asked, LimitWords, NamedLimit, Part, RestBook
 from finchway.registry import Registration, UpstreamState
@@ -94,6 +94,7 @@
         self._askings = Askings(decisions, self._part_of)
         self._parts: dict[str, tuple[float, Part]] = {}
         self._parts_of = -1
+        self._limit_totals: dict[str, LimitTotals] = {}
 
     @property
     def decisions(self) -> DecisionLog:
@@ -120,6 +121,24 @@
         """What this gateway may send to upstreams that have named a limit."""
         return self._askings.allowances
 
+    def limit_totals(self, now: float) -> dict[str, LimitTotals]:
+        """Return by service what upstreams that name a limit take, and what falls to this gateway.
+
+        A service that has had such an upstream stays, with zeros once there is none.
+        """
+        for totals in self._limit_totals.values():
+            totals.upstreams, totals.named, totals.part = 0, 0.0, 0.0
+        for record in self._records.values():
+            life = record.registration.life
+            limit, part = self.limits.rate(life), self.allowances.part(life, now)
+            if limit is None or part is None:
+                continue
+            totals = self._limit_totals.setdefault(record.registration.service, LimitTotals())
+            totals.upstreams += 1
+            totals.named += limit
+            totals.part += part.rate
+        return self._limit_totals
+
     def told_limits(self) -> list[NamedLimit]:
         """Return the limits that upstreams have told this gateway lately, for the others."""
         return self.limits.told(trio.current_time())
--- a/src/finchway/observe/__init__.py
+++ b/src/finchway/observe/__init__.py
@@ -16,7 +16,7 @@
     UpstreamEnded,
 )
 from finchway.observe._events import Event, EventKind, LogicalClock, Timeline, merge
-from finchway.observe._gateway_metrics import GatewayMetrics, GatewayState
+from finchway.observe._gateway_metrics import GatewayMetrics, GatewayState, LimitTotals
 from finchway.observe._lag import LoopLag
 from finchway.observe._logs import configure_logs
 from finchway.observe._metrics import Metrics
@@ -34,6 +34,7 @@
     "FeedOutcome",
     "GatewayMetrics",
     "GatewayState",
+    "LimitTotals",
     "LogWriter",
     "LogicalClock",
     "LoopLag",
--- a/src/finchway/observe/_gateway_metrics.py
+++ b/src/finchway/observe/_gateway_metrics.py
@@ -12,6 +12,14 @@
 LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.75, 1.0, 2.0, 5.0, float("inf"))
 
 
+class LimitTotals(Struct):
+    """What the upstreams of one service that name a limit take, and this gateway's part of it."""
+
+    upstreams: int = 0
+    named: float = 0.0
+    part: float = 0.0
+
+
 class GatewayState(Struct, frozen=True, kw_only=True):
     """What a gateway holds at the moment of a scrape."""
 
@@ -29,6 +37,7 @@
     reports_waiting: int = 0
     reports_dropped: int = 0
     upstreams_resting: int = 0
+    limits: dict[str, LimitTotals] = {}
 
 
 class GatewayMetrics:
@@ -85,6 +94,12 @@
         self._upstreams = Gauge(
             "finchway_gateway_upstreams", "Upstreams by state", labels, registry
         )
+        self._limits = Gauge(
+            "finchway_gateway_limits",
+            "Upstreams that name a limit, the requests a second that they take, and the part here",
+            labels,
+            registry,
+        )
 
     def count_request(self, service: str, priority: int, status: int, seconds: float) -> None:
         """Count one request that has been answered."""
@@ -141,5 +156,9 @@
             self._gauge.set({"name": name}, value)
         for name, count in state.upstreams.items():
             self._upstreams.set({"state": name}, count)
+        for service, totals in state.limits.items():
+            self._limits.set({"service": service, "what": "upstreams"}, totals.upstreams)
+            self._limits.set({"service": service, "what": "named"}, totals.named)
+            self._limits.set({"service": service, "what": "part"}, totals.part)
         content, _ = render(self._registry, ["text/plain"])
         return content
--- a/tests/gateway/test_explain.py
+++ b/tests/gateway/test_explain.py
@@ -161,17 +161,28 @@
 
     async def check():
         async with gateway(Upstream("i-1", name_limit)) as subject:
-            assert (await ask(subject, tmp_path / "log"))[0] == 200
+            caller = await subject.connect()
+            assert (await caller.ask(request_id=b"id-0"))[0] == 200
+            while (await caller.ask(request_id=b"id-7"))[0] != 200:
+                await trio.sleep(0.05)
+            assert (await ask(subject, tmp_path / "log"))[0] == 503
             figures = subject.metrics.render(STATE).decode()
             for what in ("limit", "unreadable"):
-                assert f'service="s",what="{what}"}} 1' in figures
+                assert f'service="s",what="{what}"}} 2' in figures
+            totals = subject.table.limit_totals(trio.current_time())["s"]
+            assert (totals.upstreams, totals.named, totals.part) == (1, 0.5, 0.5)
 
     trio.run(check)
     text = story(capsys, tmp_path / "log")
-    assert "named_limit=0.5" in text
-    assert "limit_ms" not in text
     assert "subject=upstream/i-1 now=names a limit source=its answer: 0.5 a second" in text
     assert "subject=upstream/i-1 now=unreadable source=its limit: many" in text
+    assert "reason=all upstreams rest or are at the limits that they have named" in text
+    assert "back_ms=" in text
+    assert run(["explain", "id-7", str(tmp_path / "log")]) == 0
+    text = capsys.readouterr().out
+    assert "limit=0.5 limit_ms=" in text
+    assert "limit_part=0.5 limit_holders=1" in text
+    assert "named_limit=0.5" in text
 
 
 def test_a_refusal_while_all_rest_tells_for_how_long(tmp_path, capsys):
