Test that a limit named to one gateway binds all, by way of the replicas, also while these restart

With real processes: one gateway of three is told, and the other two send no more than the upstream bears and serve it in full once the limit has ended; all replicas are killed and started anew while three gateways press an upstream at a limit.

--- a/tests/process/mortal.py
+++ b/tests/process/mortal.py
@@ -29,6 +29,7 @@
 
     def __init__(self, name: str, control: ControlClient, keeps_instance: bool) -> None:
         self.back_after_s = BACK_AFTER_S
+        self.limit = ""
         self._name = name
         self._control = control
         self._keeps_instance = keeps_instance
@@ -92,6 +93,8 @@
         identity = dict(request.headers)[b"finchway-request-id"]
         headers = [("Finchway-Request-Id", identity), ("Finchway-Signature", "s")]
         headers.append(("Content-Length", "0"))
+        if self.limit:
+            headers.append(("Finchway-Limit", self.limit))
         data = http.send(h11.Response(status_code=200, headers=headers))
         await stream.send_all(data + (http.send(h11.EndOfMessage()) or b""))
         return True
@@ -159,6 +162,25 @@
             nursery.start_soon(upstream.run)
         await self.until_served()
 
+    async def press(self, names: list[str], seconds: float, rate: float) -> list[int | None]:
+        """Call some gateways in turn at a steady rate; returns the statuses."""
+        statuses: list[int | None] = []
+
+        async def call(name: str) -> None:
+            statuses.append(await self.ask(name, "/safe/well"))
+
+        async with trio.open_nursery() as nursery:
+            for _, name in zip(range(int(seconds * rate)), itertools.cycle(names), strict=False):
+                nursery.start_soon(call, name)
+                await trio.sleep(1 / rate)
+        return statuses
+
+    async def restart_replicas(self) -> None:
+        for name in self.replicas:
+            self.machines.kill(name)
+        for name in self.replicas:
+            self.machines.start(name)
+
     async def restart_all(self) -> None:
         everyone = self.replicas + self.names
         for name in everyone:
