Have back ends of the soak name limits, change them and stop, while gateways come and go

Three fifths of the back ends name figures of 0 to 7.2 a second for 8 s to 16 s, with new figures amid; the check counts arrivals in any 4 s from gateways that were told, as the aim says it, and excuses a gateway that a fault touched. Broken on paper, it is found.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -39,7 +39,7 @@
         f"seed {report.seed}: {answers}; {report.runs} runs at back ends, "
         f"{report.changes} changes, {report.added_asked} answers on added routes, "
         f"{report.left} back ends left, {report.ended} ended under requests, "
-        f"{report.asked} refusals asked for rest",
+        f"{report.asked} refusals asked for rest, {report.limited} answers named a limit",
         flush=True,
     )
     if not report.violations:
--- a/bench/soak/_checks.py
+++ b/bench/soak/_checks.py
@@ -8,7 +8,16 @@
 
 from msgspec import Struct
 
-from bench.soak._ledger import NO_ANSWER, Arrival, Ended, EndedUnder, Ledger, Left, Run
+from bench.soak._ledger import (
+    NO_ANSWER,
+    Arrival,
+    Ended,
+    EndedUnder,
+    Ledger,
+    Left,
+    LimitChanged,
+    Run,
+)
 from bench.soak._plan import FaultKind, Shape
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -24,6 +33,11 @@
 # Requests that may reach a back end in a rest that it has asked for, from this time after it on.
 MOST_IN_A_REST = 2
 UNDER_WAY_S = 0.5
+# What a back end bears that names a limit: in any `LIMIT_WINDOW_S` so many times as much and some
+# more, from `KNOWN_WITHIN_S` after it was first named, of gateways that it has told.
+LIMIT_WINDOW_S = 4.0
+LIMIT_OVERAGE = 1.5
+LIMIT_SLACK = 5
 # Seconds for which what says that it leaves may still get new requests.
 DRAIN_S = 2.0
 PLANNED = frozenset({FaultKind.STOP.value, FaultKind.STOP_AND_RELOAD.value})
@@ -56,6 +70,7 @@
         *_denials(ledger),
         *_deadly(ledger, shape),
         *_rests(ledger),
+        *_limits(ledger),
         *_said_leaving(ledger),
         *_processes(ledger),
     ]
@@ -216,6 +231,87 @@
             yield Violation("back ends that ask for rest get it", evidence)
 
 
+class _Limited(Struct, frozen=True):
+    """A time in which a back end named limits, one after the other."""
+
+    life: str
+    since: float
+    until: float
+    figures: list[LimitChanged]
+
+    def highest(self, start: float, end: float) -> float:
+        """Return the highest figure that was named within a time."""
+        named = [f.rate for f in self.figures if start <= f.at <= end]
+        before = [f.rate for f in self.figures if f.at < start]
+        return max(named + before[-1:], default=0.0)
+
+
+def _limited_times(ledger: Ledger) -> list[_Limited]:
+    by_life: dict[str, list[LimitChanged]] = defaultdict(list)
+    for change in ledger.limits:
+        by_life[change.life].append(change)
+    found = []
+    for life, changes in by_life.items():
+        named: list[LimitChanged] = []
+        for change in changes:
+            if change.rate is not None:
+                named.append(change)
+            elif named:
+                found.append(_Limited(life, named[0].at, change.at, named))
+                named = []
+        if named:
+            found.append(_Limited(life, named[0].at, float("inf"), named))
+    return found
+
+
+def _limits(ledger: Ledger) -> Iterator[Violation]:
+    """Find back ends that got more than they bear from gateways that they had told of a limit."""
+    arrivals: dict[str, list[Arrival]] = defaultdict(list)
+    for arrival in ledger.arrivals:
+        if arrival.id in ledger.sent:
+            arrivals[arrival.life].append(arrival)
+    for limited in _limited_times(ledger):
+        told = _told_of(ledger, limited)
+        first = limited.since + KNOWN_WITHIN_S
+        counted = [
+            arrival
+            for arrival in arrivals[limited.life]
+            if first <= arrival.at < limited.until
+            and told.get(ledger.sent[arrival.id].gateway, float("inf")) + UNDER_WAY_S < arrival.at
+        ]
+        yield from _over_limit(ledger, limited, counted)
+
+
+def _told_of(ledger: Ledger, limited: _Limited) -> dict[str, float]:
+    """Return when each gateway was first told in a time in which a back end named limits."""
+    told: dict[str, float] = {}
+    for said in ledger.said_limit:
+        in_time = limited.since <= said.at < limited.until
+        if said.life == limited.life and in_time and ledger.was_heard(said.id):
+            told.setdefault(ledger.sent[said.id].gateway, said.at)
+    return told
+
+
+def _over_limit(ledger: Ledger, limited: _Limited, counted: list[Arrival]) -> Iterator[Violation]:
+    for place, arrival in enumerate(counted):
+        end = arrival.at + LIMIT_WINDOW_S
+        if end > limited.until:
+            return
+        within = [
+            other
+            for other in counted[place:]
+            if other.at < end
+            and ledger.is_calm(ledger.sent[other.id].gateway, arrival.at - IN_TOUCH_S, end)
+        ]
+        figure = limited.highest(arrival.at - KNOWN_WITHIN_S, end)
+        borne = LIMIT_OVERAGE * LIMIT_WINDOW_S * figure + LIMIT_SLACK
+        if len(within) > borne:
+            gateways = sorted({ledger.sent[other.id].gateway for other in within})
+            evidence = f"{len(within)} at {limited.life} in 4 s at {figure:g} a second; {gateways}"
+            yield Violation("back ends that name a limit are kept to it", evidence)
+            return
+
+
 def _said_leaving(ledger: Ledger) -> Iterator[Violation]:
     """Find gateways that sent new requests to a back end after its answers said that it leaves."""
     arrivals = _arrivals(ledger)
--- a/bench/soak/_ledger.py
+++ b/bench/soak/_ledger.py
@@ -80,6 +80,22 @@
     at: float
 
 
+class LimitChanged(Struct, frozen=True):
+    """A back end names another limit from now on, or none."""
+
+    life: str
+    at: float
+    rate: float | None
+
+
+class SaidLimit(Struct, frozen=True):
+    """An answer that told the gateway of a request what the back end takes."""
+
+    life: str
+    id: str
+    at: float
+
+
 class Left(Struct, frozen=True):
     """An upstream's leaving, or a zone's evacuation, that was acknowledged."""
 
@@ -126,6 +142,8 @@
         self.arrivals: list[Arrival] = []
         self.asked: list[AskedRest] = []
         self.said_leaving: list[SaidLeaving] = []
+        self.limits: list[LimitChanged] = []
+        self.said_limit: list[SaidLimit] = []
         self.left: list[Left] = []
         self.evacuated: list[Left] = []
         self.acknowledged: list[Held] = []
--- a/bench/soak/_moods.py
+++ b/bench/soak/_moods.py
@@ -1,4 +1,4 @@
-"""When a back end asks for rest, and whether it says in its answers first that it leaves.
+"""When a back end asks for rest, names a limit, and says in its answers first that it leaves.
 
 Each has a source of its own, so that what earlier seeds do stays as it is.
 """
@@ -11,6 +11,13 @@
 WEARY_S = (0.3, 2.0)
 REST_S = (0.3, 3.0)
 SAYS_FIRST_SHARE = 0.5
+# Part of the back ends that name limits now and then; for how long they name none and some, how
+# long a figure stands, and the figures in requests a second.
+LIMITS_SHARE = 0.6
+UNLIMITED_S = (0.3, 2.0)
+LIMITED_S = (8.0, 16.0)
+FIGURE_S = (2.0, 12.0)
+FIGURES = (0.0, 0.3, 0.7, 1.5, 2.7, 5.0, 7.2)
 # Seconds for which a back end says in its answers alone that it leaves, before its heartbeats do.
 SAYS_FIRST_S = 3.0
 
@@ -23,6 +30,7 @@
         self._rng = random.Random(f"moods of {name}")
         self._weary_at: float | None = None
         self._well_at = 0.0
+        self._limits = _Limits(name)
         self.says_first = has_any and self._rng.random() < SAYS_FIRST_SHARE
 
     def is_weary(self, now: float) -> bool:
@@ -37,3 +45,37 @@
     def rest_s(self) -> float:
         """Return the rest that a refusal asks for."""
         return round(self._rng.uniform(*REST_S), 2)
+
+    def limit(self, now: float) -> float | None:
+        """Return the requests a second that the back end says it takes; None if it names none."""
+        return self._limits.figure(now) if self._has_any else None
+
+
+class _Limits:
+    """The limits that one back end names, one after the other."""
+
+    def __init__(self, name: str) -> None:
+        self._rng = random.Random(f"limits of {name}")
+        self._names_any = self._rng.random() < LIMITS_SHARE
+        self._figure: float | None = None
+        self._figure_until: float | None = None
+        self._named_until = 0.0
+
+    def figure(self, now: float) -> float | None:
+        if not self._names_any:
+            return None
+        if self._figure_until is None:
+            self._figure_until = now + self._rng.uniform(*UNLIMITED_S)
+        while now >= self._figure_until:
+            self._change(self._figure_until)
+        return self._figure
+
+    def _change(self, at: float) -> None:
+        if self._figure is not None and at >= self._named_until:
+            self._figure = None
+            self._figure_until = at + self._rng.uniform(*UNLIMITED_S)
+            return
+        if self._figure is None:
+            self._named_until = at + self._rng.uniform(*LIMITED_S)
+        self._figure = self._rng.choice(FIGURES)
+        self._figure_until = min(self._named_until, at + self._rng.uniform(*FIGURE_S))
--- a/bench/soak/_plan.py
+++ b/bench/soak/_plan.py
@@ -55,7 +55,10 @@
 
 
 class Shape(Struct, frozen=True, kw_only=True):
-    """How large a run is; `moods` tells whether back ends ask for rest and say that they leave."""
+    """How large a run is.
+
+    `moods` tells whether back ends ask for rest, name limits and say that they leave.
+    """
 
     replicas: int = 3
     gateways: int = 3
--- a/bench/soak/_run.py
+++ b/bench/soak/_run.py
@@ -64,7 +64,7 @@
 
     `added_asked` counts the answered requests for routes that were added during the run, and
     `ended` the back ends that ended under deadly requests; `asked` counts the refusals that asked
-    for rest.
+    for rest, `limited` the answers that named a limit.
     """
 
     seed: int
@@ -76,6 +76,7 @@
     left: int
     ended: int
     asked: int
+    limited: int
     violations: list[Violation]
     folder: str
 
@@ -271,6 +272,7 @@
             left=len(ledger.left),
             ended=len(ledger.ended_under),
             asked=len(ledger.asked),
+            limited=len(ledger.said_limit),
             violations=check(ledger, self._shape),
             folder=str(self._folder),
         )
--- a/bench/soak/_upstreams.py
+++ b/bench/soak/_upstreams.py
@@ -12,7 +12,17 @@
 
 from bench.soak._checks import expected_body
 from bench.soak._control import ControlClient
-from bench.soak._ledger import Arrival, AskedRest, EndedUnder, Ledger, Left, Run, SaidLeaving
+from bench.soak._ledger import (
+    Arrival,
+    AskedRest,
+    EndedUnder,
+    Ledger,
+    Left,
+    LimitChanged,
+    Run,
+    SaidLeaving,
+    SaidLimit,
+)
 from bench.soak._moods import SAYS_FIRST_S, Moods
 from bench.soak._plan import Shape
 
@@ -54,6 +64,7 @@
         self._deadly_rng = random.Random(instance)
         self._moods = Moods(instance, has_moods)
         self._says_leaving = False
+        self._limit: float | None = None
 
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Serve until cancelled, one life after the other."""
@@ -77,6 +88,7 @@
         self._lives += 1
         self._running = 0
         self._says_leaving = False
+        self._limit = None
         self._sequence = itertools.count(1)
         self._born = _now_ms()
         if self._deadly_rng.random() >= KEEPS_ID_SHARE:
@@ -176,6 +188,7 @@
             return await self._reply(stream, http, request_id, 421, b"", not_run=True)
         now = trio.current_time()
         self._ledger.arrivals.append(Arrival(self._life_name, request_id, now))
+        self._renew_limit(now)
         if self._moods.is_weary(now):
             return await self._ask_for_rest(stream, http, request_id, now)
         if self._running >= SLOTS * 2 or self._rng.random() < REFUSED_SHARE:
@@ -184,6 +197,13 @@
             await self._end_under(request_id, request.target.rpartition(b"/")[2].decode())
         return await self._work(stream, http, request_id, payload)
 
+    def _renew_limit(self, now: float) -> None:
+        """Take the limit of the moment; all answers from now on name it."""
+        limit = self._moods.limit(now)
+        if limit != self._limit:
+            self._limit = limit
+            self._ledger.limits.append(LimitChanged(self._life_name, now, limit))
+
     @property
     def _life_name(self) -> str:
         return f"{self.instance}@{self._born}"
@@ -250,6 +270,10 @@
             headers.append(("Finchway-Leaving", "1"))
             said = SaidLeaving(self._life_name, request_id, trio.current_time())
             self._ledger.said_leaving.append(said)
+        if self._limit is not None and status != 421:
+            headers.append(("Finchway-Limit", f"{self._limit:g}"))
+            said = SaidLimit(self._life_name, request_id, trio.current_time())
+            self._ledger.said_limit.append(said)
         data = http.send(h11.Response(status_code=status, headers=headers))
         data += http.send(h11.Data(data=body)) + http.send(h11.EndOfMessage())
         await stream.send_all(data)
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -4,7 +4,17 @@
 
 from bench.soak import Answer, FaultKind, FaultWindow, Ledger, Run, Sent, Shape, check, make_plan
 from bench.soak._checks import expected_body
-from bench.soak._ledger import NO_ANSWER, Arrival, AskedRest, Ended, Held, Left, SaidLeaving
+from bench.soak._ledger import (
+    NO_ANSWER,
+    Arrival,
+    AskedRest,
+    Ended,
+    Held,
+    Left,
+    LimitChanged,
+    SaidLeaving,
+    SaidLimit,
+)
 from bench.soak._plan import Fault
 from bench.soak._proxy import Mode
 from bench.soak._run import _mode
@@ -181,3 +191,50 @@
     unheard.answers["r"] = Answer("r", 10.1, None)
     unheard.faults.append(FaultWindow(FaultKind.KILL.value, "g1", 9.9, 10.0))
     assert broken(unheard) == []
+
+
+def limited(count, rate=2.0, until=None, told=True, over_s=3.5):
+    """Return what is seen when a back end names a limit and gets requests a while later."""
+    subject = Ledger()
+    subject.limits.append(LimitChanged("i-1", 10.0, rate))
+    if until is not None:
+        subject.limits.append(LimitChanged("i-1", until, None))
+    for number in range(count + 1):
+        name = f"r-{number}"
+        at = 20.0 + over_s * number / count
+        subject.sent[name] = Sent(name, f"g{number % 2 + 1}", True, at)
+        subject.answers[name] = Answer(name, at + 0.1, 502)
+        subject.arrivals.append(Arrival("i-1", name, at))
+    if told:
+        for name in ("r-0", "r-1"):
+            subject.said_limit.append(SaidLimit("i-1", name, 11.0))
+    return subject
+
+
+PROMISE = "back ends that name a limit are kept to it"
+
+
+def test_more_than_a_back_end_bears_that_named_a_limit_is_found():
+    # 1.5 x 4 s x 2 + 5 = 17 are bearable.
+    assert broken(limited(16)) == []
+    assert broken(limited(18)) == [PROMISE]
+    assert broken(limited(18, rate=4.0)) == []
+
+
+def test_what_does_not_count_against_a_limit():
+    assert broken(limited(18, told=False)) == []
+    assert broken(limited(18, until=23.0)) == []
+    assert broken(limited(18, until=30.0)) == [PROMISE]
+    assert broken(limited(18, over_s=12.0)) == []
+    subject = limited(30)
+    subject.faults.append(FaultWindow(FaultKind.PAUSE.value, "g1", 18.0, 20.6))
+    assert broken(subject) == []
+
+
+def test_the_highest_figure_of_the_last_moments_counts():
+    subject = limited(18, rate=4.0)
+    subject.limits.append(LimitChanged("i-1", 19.0, 1.0))
+    assert broken(subject) == []
+    subject = limited(18, rate=4.0)
+    subject.limits.append(LimitChanged("i-1", 12.0, 1.0))
+    assert broken(subject) == [PROMISE]
