Work out the gateways that count once a change, not at each look at a limited upstream

Every look at an upstream that names a limit merged two maps of all gateways: at 1,300 of them that is paid for each candidate of each request. They are merged now when a gateway comes or goes. Nothing is decided otherwise; the tests of limits pass as before.

--- a/src/finchway/feed/_fellows.py
+++ b/src/finchway/feed/_fellows.py
@@ -13,6 +13,7 @@
     def __init__(self) -> None:
         self._named: dict[str, str] = {}
         self._gone: dict[str, tuple[str, float]] = {}
+        self._held: dict[str, str] = {}
         self._changes = 0
 
     @property
@@ -24,15 +25,19 @@
         """Take in which gateways are named now, with their regions."""
         if named == self._named:
             return
-        gone = {name: (region, now) for name, region in self._named.items() if name not in named}
+        gone = {name: (region, now) for name, region in self._named.items()}
         self._gone = {n: held for n, held in (self._gone | gone).items() if n not in named}
         self._named = named
-        self._changes += 1
+        self._renew()
 
     def held(self, now: float) -> dict[str, str]:
         """Return the regions of the gateways that count, by name."""
         over = [name for name, (_, since) in self._gone.items() if now - since > HELD_S]
-        for name in over:
-            del self._gone[name]
-        self._changes += bool(over)
-        return self._named | {name: region for name, (region, _) in self._gone.items()}
+        if over:
+            self._gone = {n: held for n, held in self._gone.items() if n not in over}
+            self._renew()
+        return self._held
+
+    def _renew(self) -> None:
+        self._held = self._named | {name: region for name, (region, _) in self._gone.items()}
+        self._changes += 1
