--- a/bench/rests.py
+++ b/bench/rests.py
@@ -1,11 +1,12 @@
-"""What callers get while a third of the upstreams turn everything away and ask for rest.
+"""What callers get while a third of the upstreams ask for rest, or name a limit.
 
     python -m bench.rests --seed 1
+    python -m bench.rests --seed 1 --limit 3
 
 Three gateways, one a region, in one process, and upstreams on loopback that work faster on keys
 that they remember. For 9 s all upstreams of the smallest region and four of the others ask for 3 s
-of rest with each refusal. Callers come back once, when they are told to or after a third of the
-time they have left.
+of rest with each refusal, or name the limit in requests a second with each answer. Callers come
+back once, when they are told to or after a third of the time they have left.
 """
 
 from __future__ import annotations
@@ -31,6 +32,7 @@
     UpstreamTable,
 )
 from finchway.observe import DecisionLog, GatewayMetrics, LogWriter, LoopLag
+from finchway.pushback import LimitNews, LimitsKnown
 from finchway.registry import Registration, UpstreamState
 from finchway.state import ChangeItems, Steering
 
@@ -55,7 +57,9 @@
         self.zone = zone
         self.address = ""
         self.is_weary = False
+        self.limit: float | None = None
         self.refused = 0
+        self.came_at: list[float] = []
         self._rng = rng
         self._slots = trio.Semaphore(SLOTS)
         self._running = 0
@@ -76,6 +80,7 @@
             return
 
     async def _answer(self, request: bytes) -> bytes:
+        self.came_at.append(trio.current_time())
         if self.is_weary or self._waiting >= QUEUED:
             self.refused += 1
             words = NAMES.not_executed + b": 1\r\n" + self._load()
@@ -102,7 +107,10 @@
         return seconds * self._rng.uniform(0.85, 1.15)
 
     def _load(self) -> bytes:
-        return NAMES.load + b": %d,%d,%d\r\n" % (self._running, self._waiting, SLOTS)
+        words = NAMES.load + b": %d,%d,%d\r\n" % (self._running, self._waiting, SLOTS)
+        if self.limit is not None:
+            words += NAMES.limit + b": %g\r\n" % self.limit
+        return words
 
     def registration(self) -> Registration:
         """Return its heartbeat."""
@@ -127,7 +135,8 @@
         self.world = World()
         self.writer = LogWriter()
         decisions = DecisionLog(name, self.writer)
-        table = UpstreamTable(name, lambda: REGIONS, self.world, Bounds(), decisions)
+        self.known = LimitsKnown()
+        self.table = table = UpstreamTable(name, lambda: REGIONS, self.world, Bounds(), decisions)
         router = Router(zone, lambda: REGIONS, self.world, table, Bounds())
         log = RequestLog(self.world, decisions, GatewayMetrics(name), LoopLag())
         self._suspects = SuspectDesk(self.world, table, log, lambda report: None)
@@ -167,7 +176,9 @@
 class Trial:
     """One run with a seed."""
 
-    def __init__(self, seed: int, rate: float) -> None:
+    def __init__(self, seed: int, rate: float, limit: float | None) -> None:
+        self._limit = limit
+        self._news = LimitNews()
         self._rng = random.Random(seed)
         self._rate = rate
         self._steering = _steering()
@@ -180,6 +191,17 @@
         self._started = 0.0
         self.ended: list[Ended] = []
 
+    def most_in_4_s(self) -> int:
+        """Return the most requests that a limited upstream got in 4 s, once all could know it."""
+        first = self._started + WEARY_FROM_S + 2.5
+        until = self._started + WEARY_FROM_S + WEARY_FOR_S
+        most = 0
+        for zone, count in WEARY.items():
+            for upstream in [u for u in self._upstreams if u.zone == zone][:count]:
+                came = [at for at in upstream.came_at if first <= at < until]
+                most = max(most, *(sum(at <= one < at + 4.0 for one in came) for at in came), 0)
+        return most
+
     @property
     def refusals(self) -> int:
         """How often an upstream has turned a request away."""
@@ -207,7 +229,12 @@
             for gateway in self._gateways:
                 while gateway.writer._take():
                     pass
-                gateway.world.learn(self._feed(version), trio.current_time())
+                now = trio.current_time()
+                gateway.world.learn(self._feed(version), now)
+                self._news.learn(gateway.table.told_limits(), now)
+                heard = self._news.since(gateway.known, now)
+                gateway.known = heard.known
+                gateway.table.learn_limits(heard.words)
             await trio.sleep(0.5)
 
     def _feed(self, version: int) -> Feed:
@@ -217,7 +244,7 @@
             image=self._steering.image(),
             age=0.0,
             roster=Roster(
-                version=version, serving=[GatewayPeer(f"g-{zone}", "") for zone in REGIONS]
+                version=version, serving=[GatewayPeer(f"g-{z}", "", r) for z, r in REGIONS.items()]
             ),
             upstreams=[HeardUpstream(u.registration(), 0.0) for u in self._upstreams],
             demand=[RegionDemand(region, "s", self._rate) for region in REGIONS.values()],
@@ -231,10 +258,12 @@
             for upstream in [u for u in self._upstreams if u.zone == zone][:count]
         ]
         for upstream in chosen:
-            upstream.is_weary = True
+            upstream.is_weary = self._limit is None
+            upstream.limit = self._limit
         await trio.sleep(WEARY_FOR_S)
         for upstream in chosen:
             upstream.is_weary = False
+            upstream.limit = None
 
     async def _call_forever(self, gateway: Gateway, callers: trio.Nursery) -> None:
         number = 0
@@ -308,8 +337,9 @@
     parser = argparse.ArgumentParser(prog="python -m bench.rests", description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--rate", type=float, default=44.0, help="requests a second and region")
+    parser.add_argument("--limit", type=float, help="name this limit instead of asking for rest")
     chosen = parser.parse_args()
-    trial = Trial(chosen.seed, chosen.rate)
+    trial = Trial(chosen.seed, chosen.rate, chosen.limit)
     trio.run(trial.run)
     until = WEARY_FROM_S + WEARY_FOR_S
     amid = [one for one in trial.ended if WEARY_FROM_S <= one.at < until]
@@ -318,6 +348,8 @@
     show("the smallest region", [one for one in amid if one.zone == "n"])
     show("after", [one for one in trial.ended if one.at >= until])
     print(f"{trial.refusals} refusals by upstreams")
+    if chosen.limit is not None:
+        print(f"{trial.most_in_4_s()} requests in 4 s at most at an upstream with a limit")
 
 
 if __name__ == "__main__":
