Have some of the soak's back ends name limits, others with each seed; suspend machines in it

Half of them do now, by name and seed. Every second pause stands still as a suspended machine does, its steady clock with it, which no soak did; seeds without moods play as before.

--- a/bench/soak/_moods.py
+++ b/bench/soak/_moods.py
@@ -11,9 +11,9 @@
 WEARY_S = (0.3, 2.0)
 REST_S = (0.3, 3.0)
 SAYS_FIRST_SHARE = 0.5
-# Part of the back ends that name limits now and then; for how long they name none and some, how
-# long a figure stands, and the figures in requests a second.
-LIMITS_SHARE = 0.6
+# Part of the back ends that name limits now and then, others with each seed; for how long they
+# name none and some, how long a figure stands, and the figures in requests a second.
+LIMITS_SHARE = 0.5
 UNLIMITED_S = (0.3, 2.0)
 LIMITED_S = (8.0, 16.0)
 FIGURE_S = (2.0, 12.0)
@@ -25,12 +25,12 @@
 class Moods:
     """The moods of one back end."""
 
-    def __init__(self, name: str, has_any: bool) -> None:
+    def __init__(self, name: str, has_any: bool, seed: int) -> None:
         self._has_any = has_any
         self._rng = random.Random(f"moods of {name}")
         self._weary_at: float | None = None
         self._well_at = 0.0
-        self._limits = _Limits(name)
+        self._limits = _Limits(name, seed)
         self.says_first = has_any and self._rng.random() < SAYS_FIRST_SHARE
 
     def is_weary(self, now: float) -> bool:
@@ -54,8 +54,8 @@
 class _Limits:
     """The limits that one back end names, one after the other."""
 
-    def __init__(self, name: str) -> None:
-        self._rng = random.Random(f"limits of {name}")
+    def __init__(self, name: str, seed: int) -> None:
+        self._rng = random.Random(f"limits of {name} in {seed}")
         self._names_any = self._rng.random() < LIMITS_SHARE
         self._figure: float | None = None
         self._figure_until: float | None = None
--- a/bench/soak/_run.py
+++ b/bench/soak/_run.py
@@ -206,9 +206,7 @@
                 machines.wipe(name)
                 await self._start_after(name, fault.for_s)
             case FaultKind.PAUSE:
-                machines.signal(name, signal.SIGSTOP)
-                await trio.sleep(fault.for_s)
-                machines.signal(name, signal.SIGCONT)
+                await self._pause(fault)
             case FaultKind.RESET:
                 self._break_connections(name, _silenced(fault))
             case FaultKind.CLOCK:
@@ -226,6 +224,19 @@
                 await trio.sleep(fault.for_s)
                 machines.proxies[name].set_mode(Mode.PASS)
 
+    async def _pause(self, fault: Fault) -> None:
+        """Have a process stand still; every second time as if its machine were suspended.
+
+        Which ones follows from the fault's length, so that the plans of earlier seeds stay.
+        """
+        machines, name = self._machines, fault.target
+        if self._shape.moods and round(fault.for_s * 100) % 2:
+            await machines.suspend(name, fault.for_s)
+            return
+        machines.signal(name, signal.SIGSTOP)
+        await trio.sleep(fault.for_s)
+        machines.signal(name, signal.SIGCONT)
+
     async def _stop(self, name: str, away_s: float) -> None:
         if not self._machines.is_running(name):
             return
--- a/bench/soak/_upstreams.py
+++ b/bench/soak/_upstreams.py
@@ -47,7 +47,12 @@
     """A back end; it starts again after a deadly request, under its id or another."""
 
     def __init__(
-        self, instance: str, zone: str, ledger: Ledger, rng: random.Random, has_moods: bool
+        self,
+        instance: str,
+        zone: str,
+        ledger: Ledger,
+        rng: random.Random,
+        moods: Moods,
     ) -> None:
         self.instance = instance
         self.address = ""
@@ -62,7 +67,7 @@
         self._is_up = True
         # A source of its own, so that what earlier seeds do stays as it is.
         self._deadly_rng = random.Random(instance)
-        self._moods = Moods(instance, has_moods)
+        self._moods = moods
         self._says_leaving = False
         self._limit: float | None = None
 
@@ -301,6 +306,7 @@
         self._zones = zones
         self._ledger = ledger
         self._control = control
+        self._seed = seed
         self._rng = random.Random(seed)
         self._numbers = itertools.count(1)
 
@@ -314,7 +320,8 @@
         async with trio.open_nursery() as nursery:
             while True:
                 name = f"i-{next(self._numbers)}"
-                upstream = Upstream(name, zone, self._ledger, self._rng, self._has_moods)
+                moods = Moods(name, self._has_moods, self._seed)
+                upstream = Upstream(name, zone, self._ledger, self._rng, moods)
                 life_s = self._rng.uniform(*LIFE_S)
                 nursery.start_soon(upstream.live, self._control, life_s)
                 await trio.sleep(life_s)
