Test entries, lent slots, allowances and the agreement core across a suspension

These read ages by the loop's clock or by the time they are given, and had no test of their own across a jump: an entry's lease and touch are over when it wakes, slots that were lent are not used, a part of a limit does not pile up, a leader steps down before it confirms anything and a follower has not heard it lately. All passed on the code as it is; none found a fault.

--- a/tests/unit/test_clock.py
+++ b/tests/unit/test_clock.py
@@ -1,5 +1,6 @@
 """The event loop's clock across a suspension of the machine: a jump between two of its steps."""
 
+import random
 import time
 
 import pytest
@@ -7,7 +8,13 @@
 
 from finchway._clock import LONGEST_SLEEP_S, BootClock, read_since_boot
 from finchway.control._feed import FeedDesk
+from finchway.entry import ControlSession, EntryIdentity, EntryView
 from finchway.feed import Feed, GatewayBeat, Subscribe, World
+from finchway.membership import HeartbeatReply, LeaseTiming
+from finchway.observe import LogicalClock, Timeline
+from finchway.policy import Holder, Loan, LoanTiming
+from finchway.pushback import Allowances, LimitWords, Part
+from finchway.resources import Division, Share
 from finchway.state import SteeringImage
 from tests.unit.test_feed_desk import QuietRunner
 
@@ -90,3 +97,67 @@
         assert desk.gateways.serving(trio.current_time()) == []
 
     play(check)
+
+
+class AnsweringLink:
+    """A link whose every heartbeat the leader confirms."""
+
+    async def request(self, address, body, timeout):
+        return HeartbeatReply(sequence=body.sequence, revision=body.revision, lease_s=3.0)
+
+
+def test_an_entry_that_wakes_has_no_lease_and_is_not_in_touch():
+    async def check(machine):
+        session = ControlSession(
+            EntryIdentity("e1", "1", "127.0.0.1:1", "127.0.0.1:2", "z"),
+            EntryView("e1", "z", random.Random(1)),
+            AnsweringLink(),
+            ["127.0.0.1:3"],
+            LeaseTiming(),
+            Timeline("e1", LogicalClock(), lambda: 0),
+            random.Random(1),
+            10.0,
+            lambda: 0,
+        )
+        assert await session.beat()
+        assert session.has_lease and session.is_in_touch
+        machine.suspended += 5.0
+        assert not session.has_lease
+        assert not session.is_in_touch
+        assert await session.beat()
+        assert session.has_lease
+
+    play(check)
+
+
+def test_slots_that_were_lent_before_a_suspension_are_not_used_after_it():
+    async def check(machine):
+        share = Share(
+            service="s",
+            region="r",
+            epoch=1,
+            current=Division(members=["e1", "e2"], slots={"u": 4}, floor_fraction=0.5),
+        )
+        holder = Holder("e1", LoanTiming(), trio.current_time())
+        holder.set_shares([share], {"s": 2.0})
+        holder.set_loans([Loan("s", "r", {"u": 2}, 1.0)], trio.current_time())
+        before = holder.limits(("s", "r"), trio.current_time())["u"]
+        machine.suspended += 1.5
+        assert holder.limits(("s", "r"), trio.current_time())["u"] < before
+
+    play(check)
+
+
+def test_what_a_limit_allows_does_not_pile_up_over_a_suspension():
+    async def check(machine):
+        words = LimitWords()
+        allowances = Allowances(words, random.Random(1), lambda life, limit, now: Part(limit, 2.0))
+        words.hear("i-1", 1.0, trio.current_time(), trio.current_time())
+        machine.suspended += 60.0
+        sent = 0
+        while allowances.may_send("i-1", trio.current_time()):
+            allowances.take("i-1", trio.current_time())
+            sent += 1
+        assert sent <= 2
+
+    play(check)
--- a/tests/unit/test_replication.py
+++ b/tests/unit/test_replication.py
@@ -15,6 +15,8 @@
 from finchway.replication import Core, Member, Members, Restored, RoleName, Snapshot
 from tests.raft import Cluster
 
+# Seconds by which the clock of a replica jumps when its machine wakes.
+SUSPENDED_S = 5.0
 FAULTS = ("crash", "torn", "cut", "one-way", "loss", "heal-net", "restart", "compact", "read")
 
 
@@ -420,3 +422,28 @@
             cluster.run(1.5)
         assert cluster.leader() is leader
         assert leader.core.term == term
+
+
+def test_a_leader_that_was_suspended_leads_no_more_and_confirms_nothing_by_itself(tmp_path):
+    cluster = Cluster(tmp_path, 7)
+    cluster.run_until(cluster.leader)
+    cluster.run(1.0)
+    leader = cluster.leader()
+    # Nothing from the others can reach it before it goes on.
+    cluster.isolate(leader.member.id)
+    leader.core.read(99)
+    cluster.pump(leader)
+    assert 99 not in [token for token, _ in cluster.finished_reads]
+    leader.core.tick(cluster.now + SUSPENDED_S)
+    assert not leader.core.is_leader
+    assert 99 not in [token for token, _ in cluster.finished_reads]
+
+
+def test_a_follower_that_was_suspended_has_not_heard_the_leader_lately(tmp_path):
+    cluster = Cluster(tmp_path, 8)
+    cluster.run_until(cluster.leader)
+    cluster.run(1.0)
+    follower = next(n for n in cluster.nodes.values() if not n.core.is_leader)
+    assert follower.core.heard_leader_within(1.5)
+    follower.core.tick(cluster.now + SUSPENDED_S)
+    assert not follower.core.heard_leader_within(1.5)
