Tell all gateways of a limit at once, not with the next question of each

A gateway passed a limit on with its next question, up to 0.6 s after it heard it, and the others were told with theirs, up to 0.6 s later; until then they sent the upstream what they always had. A limit that is named, or lowered, now has the gateway ask all replicas anew at once (twice a second at most), and a replica answers its open questions for such news (every 0.3 s at most), so that figures which change with each answer fill no link. Ruled out: waking for every word, which would be one message to each gateway an answer.

--- a/src/finchway/control/_feed.py
+++ b/src/finchway/control/_feed.py
@@ -27,6 +27,9 @@
 # A gateway that serves nobody yet waits for a word that a leader is known, which is no news of the
 # steering state: it is answered soon, so that it can ask again.
 HOLD_UNREADY_S = 0.1
+# Seconds between two times that open questions are answered for news of limits: what upstreams name
+# must be known everywhere soon, and figures that change with each answer must not fill the links.
+LIMITS_EVERY_S = 0.3
 # Seconds between two messages to fellow replicas with the heartbeats heard here, and between two
 # that tell again who is silent.
 SHARE_EVERY_S = 0.1
@@ -52,6 +55,9 @@
         self._registry = Registry(FORGET_UPSTREAM_AFTER_S, AddressHolders(self._silent_after))
         self._gateways = GatewayBook(GATEWAY_SILENT_AFTER_S)
         self._limits = LimitNews()
+        self._limits_told = trio.Event()
+        self._limits_told_at = float("-inf")
+        self._limits_wait = False
         self._fresh: list[str] = []
         self._roster = Roster(version=1)
         self._silent_shared_at = float("-inf")
@@ -88,7 +94,8 @@
         """Answer a gateway: at once if something committed is new, else after a short while."""
         arrived_at = trio.current_time()
         self._gateways.record(question.beat, arrived_at)
-        self._limits.learn(question.beat.limits, arrived_at)
+        self._limits_wait |= self._limits.learn(question.beat.limits, arrived_at)
+        self._tell_limits(arrived_at)
         known = question.life == self._life
         steering = self._runner.machine.steering
         if known and not question.rest and steering.revision <= question.revision:
@@ -105,10 +112,27 @@
             silent = self._registry.silent(now, self._silent_after)
             self._renew_roster(silent, now)
             self._share(silent or [], now)
+            self._tell_limits(now)
 
     async def _wait_for_news(self, revision: int, hold: float) -> None:
         with trio.move_on_after(hold):
-            await self._runner.wait_steering(revision)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._wait_for_limits, nursery.cancel_scope)
+                await self._runner.wait_steering(revision)
+                nursery.cancel_scope.cancel()
+
+    async def _wait_for_limits(self, scope: trio.CancelScope) -> None:
+        await self._limits_told.wait()
+        scope.cancel()
+
+    def _tell_limits(self, now: float) -> None:
+        """Have open questions answered if there are news of limits, now and then at most."""
+        if not self._limits_wait or now - self._limits_told_at < LIMITS_EVERY_S:
+            return
+        self._limits_wait = False
+        self._limits_told_at = now
+        self._limits_told.set()
+        self._limits_told = trio.Event()
 
     def _feed(self, question: Subscribe, known: bool, arrived_at: float) -> Feed:
         now = trio.current_time()
--- a/src/finchway/gateway/_askings.py
+++ b/src/finchway/gateway/_askings.py
@@ -84,14 +84,20 @@
             self._remember(upstream.instance, life)
         return asked.leaving and self._leaving.add(life)
 
-    def note_limit(self, life: str, asked: Asked, sent_at: float, now: float) -> None:
-        """Take in and log the limit that an answer names; one that makes no sense changes none."""
+    def note_limit(self, life: str, asked: Asked, sent_at: float, now: float) -> bool:
+        """Take in and log the limit that an answer names; tells whether it is lower than before.
+
+        One that makes no sense changes none.
+        """
+        before = self._limits.rate(life)
         if asked.unread_limit is not None:
             self._log(life, "unreadable", f"its limit: {asked.unread_limit[:MOST_SHOWN]}")
             if asked.limit is None:
-                return
-        if self._limits.hear(life, asked.limit, sent_at, now):
-            self._log_limit(life, asked.limit, "its answer")
+                return False
+        if not self._limits.hear(life, asked.limit, sent_at, now):
+            return False
+        self._log_limit(life, asked.limit, "its answer")
+        return asked.limit is not None and (before is None or asked.limit < before)
 
     def learn_limits(self, words: list[NamedLimit], now: float) -> None:
         """Take in and log what upstreams have told other gateways."""
--- a/src/finchway/gateway/_role.py
+++ b/src/finchway/gateway/_role.py
@@ -88,6 +88,7 @@
             self._table.told_limits,
             self._table.learn_limits,
         )
+        self._table.watch_lowered(self._session.tell_soon)
         self._server = HttpServer(
             settings.address,
             self._forwarder.serve,
--- a/src/finchway/gateway/_session.py
+++ b/src/finchway/gateway/_session.py
@@ -36,6 +36,8 @@
 # what such a question may take: two ways, and what a replica holds it for.
 RELAY_AFTER_S = 1.0
 RELAYED_WITHIN_S = 1.5
+# Seconds between two times that all replicas are asked anew for what they must hear at once.
+TELL_EVERY_S = 0.5
 # Seconds between two questions for the regions' demand, which is the larger part of an answer.
 DEMAND_EVERY_S = 0.5
 
@@ -73,6 +75,7 @@
         self._answered_at = trio.current_time()
         self._fellow = 0
         self._demand_asked_at = float("-inf")
+        self._told_at = float("-inf")
 
     @property
     def is_leaving(self) -> bool:
@@ -102,6 +105,18 @@
         for turn in self._turns.values():
             turn.end(is_sound=True)
 
+    def tell_soon(self) -> None:
+        """Ask all replicas anew at once, so that they hear what is new here; now and then at most.
+
+        What is left out for that goes with the next questions.
+        """
+        now = trio.current_time()
+        if now - self._told_at < TELL_EVERY_S:
+            return
+        self._told_at = now
+        for turn in self._turns.values():
+            turn.end(is_sound=True)
+
     def _addresses(self) -> list[str]:
         known = sorted(self._world.replicas.values())[:MOST_REPLICAS]
         if self._answered & set(known):
--- a/src/finchway/gateway/_table.py
+++ b/src/finchway/gateway/_table.py
@@ -88,6 +88,7 @@
         self._by_service: dict[str, dict[str, RegionUpstreams]] = {}
         self._names: dict[str, str] = {}
         self._note_replaced: Callable[[UpstreamRecord], None] = lambda record: None
+        self._note_lowered: Callable[[], None] = lambda: None
         self._refreshed_at = float("-inf")
         self._seen_changes = -1
         self._opened = 0
@@ -221,7 +222,12 @@
 
     def note_limit(self, record: UpstreamRecord, asked: Asked, sent_at: float, now: float) -> None:
         """Take in the limit that an answer to a request of `sent_at` names, or that it has none."""
-        self._askings.note_limit(record.registration.life, asked, sent_at, now)
+        if self._askings.note_limit(record.registration.life, asked, sent_at, now):
+            self._note_lowered()
+
+    def watch_lowered(self, note: Callable[[], None]) -> None:
+        """Have it told when an upstream's answer names a limit, or a lower one."""
+        self._note_lowered = note
 
     def watch_replaced(self, note: Callable[[UpstreamRecord], None]) -> None:
         """Have each life told that is over since a later one of the same upstream has begun."""
--- a/src/finchway/pushback/_news.py
+++ b/src/finchway/pushback/_news.py
@@ -41,8 +41,9 @@
         self._orders: dict[str, int] = {}
         self._order = 0
 
-    def learn(self, words: list[NamedLimit], now: float) -> None:
-        """Take in what somebody heard from upstreams."""
+    def learn(self, words: list[NamedLimit], now: float) -> bool:
+        """Take in what somebody heard from upstreams; tells whether any of it is news."""
+        before = self._order
         for named in words:
             if self._words.learn(named, now) or named.life not in self._orders:
                 self._order += 1
@@ -51,6 +52,7 @@
         for life in [name for name in self._orders if self._is_over(name, now)]:
             del self._orders[life]
             self._words.forget(life)
+        return self._order != before
 
     def since(self, known: LimitsKnown, now: float) -> LimitsHeard:
         """Return what is newer than what is known, oldest first."""
--- a/tests/gateway/test_session.py
+++ b/tests/gateway/test_session.py
@@ -28,10 +28,11 @@
         self.down = down
         self.serving = peers(*fellows)
         self.asked = []
+        self.takes_s = 0.1
 
     async def request(self, address, question, timeout, send_within):
         self.asked.append((trio.current_time(), address, question))
-        await trio.sleep(0.1)
+        await trio.sleep(self.takes_s)
         if address in self.down:
             raise TransportError("down")
         return Feed(
@@ -106,6 +107,27 @@
     assert said == set(SEEDS)
 
 
+def test_what_must_be_known_soon_is_told_to_all_at_once_and_now_and_then_at_most():
+    async def run():
+        beat = GatewayBeat(name="g", incarnation="1", address="g:1", zone="z", region="r")
+        link = ScriptedLink(set())
+        link.takes_s = 0.6
+        session = new_session(beat, link, World())
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(session.run)
+            await trio.sleep(1.0)
+            before, at = len(link.asked), trio.current_time()
+            for _ in range(10):
+                session.tell_soon()
+                await trio.sleep(0.03)
+            nursery.cancel_scope.cancel()
+        return [(asked - at, address) for asked, address, _ in link.asked[before:]]
+
+    asked = trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert sorted(address for at, address in asked if at < 0.05) == SEEDS
+    assert len(asked) <= 2 * len(SEEDS)
+
+
 def test_a_gateway_that_no_replica_answers_asks_by_way_of_a_fellow():
     asked = play(ScriptedLink(set(SEEDS), ("g", "h")), world=world_with("g", "h"))
     relayed = [at for at, address, _ in asked if address == "h:9"]
