--- a/bench/rests.py
+++ b/bench/rests.py
@@ -231,10 +231,10 @@
                     pass
                 now = trio.current_time()
                 gateway.world.learn(self._feed(version), now)
-                self._news.learn(gateway.table.told_limits(), now)
+                self._news.learn(gateway.table.limits.told(), now)
                 heard = self._news.since(gateway.known, now)
                 gateway.known = heard.known
-                gateway.table.learn_limits(heard.words)
+                gateway.table.limits.learn(heard.words)
             await trio.sleep(0.5)
 
     def _feed(self, version: int) -> Feed:
--- a/src/finchway/gateway/_askings.py
+++ b/src/finchway/gateway/_askings.py
@@ -4,20 +4,11 @@
 
 import random
 import time
-from collections.abc import Callable
 
 from msgspec import Struct
 
 from finchway.observe import BeliefChanged, DecisionLog
-from finchway.pushback import (
-    Allowances,
-    Asked,
-    LeavingLives,
-    LimitWords,
-    NamedLimit,
-    Part,
-    RestBook,
-)
+from finchway.pushback import Asked, LeavingLives, LimitWords, RestBook
 from finchway.registry import Registration
 
 # Seconds by which the clocks of an upstream and of this gateway may differ.
@@ -36,21 +27,17 @@
 
 
 class Askings:
-    """The rests, the limits and the leaving of upstreams, apart from their records.
+    """The rests and the leaving of upstreams, apart from their records.
 
     An upstream that is not heard of for a moment loses its record, and has asked all the same.
-    `part_of` tells this gateway's part of what a life takes.
+    `limits` are those that upstreams have named, which a later life may have to keep.
     """
 
-    def __init__(
-        self, decisions: DecisionLog, part_of: Callable[[str, float, float], Part]
-    ) -> None:
-        rng = random.Random()
+    def __init__(self, decisions: DecisionLog, limits: LimitWords) -> None:
         self._decisions = decisions
-        self._rests = RestBook(rng)
+        self._rests = RestBook(random.Random())
         self._leaving = LeavingLives()
-        self._limits = LimitWords()
-        self._allowances = Allowances(self._limits, rng, part_of)
+        self._limits = limits
         self._newest: dict[str, Asking] = {}
 
     @property
@@ -58,16 +45,6 @@
         """The rests that upstreams have asked for."""
         return self._rests
 
-    @property
-    def limits(self) -> LimitWords:
-        """The limits that upstreams have named."""
-        return self._limits
-
-    @property
-    def allowances(self) -> Allowances:
-        """What this gateway may send to upstreams that have named a limit."""
-        return self._allowances
-
     def is_leaving(self, life: str) -> bool:
         """Tell whether a life has said that it leaves."""
         return life in self._leaving
@@ -84,27 +61,6 @@
             self._remember(upstream.instance, life)
         return asked.leaving and self._leaving.add(life)
 
-    def note_limit(self, life: str, asked: Asked, sent_at: float, now: float) -> bool:
-        """Take in and log the limit that an answer names; tells whether it is lower than before.
-
-        One that makes no sense changes none.
-        """
-        before = self._limits.rate(life)
-        if asked.unread_limit is not None:
-            self._log(life, "unreadable", f"its limit: {asked.unread_limit[:MOST_SHOWN]}")
-            if asked.limit is None:
-                return False
-        if not self._limits.hear(life, asked.limit, sent_at, now):
-            return False
-        self._log_limit(life, asked.limit, "its answer")
-        return asked.limit is not None and (before is None or asked.limit < before)
-
-    def learn_limits(self, words: list[NamedLimit], now: float) -> None:
-        """Take in and log what upstreams have told other gateways."""
-        for named in words:
-            if self._limits.learn(named, now):
-                self._log_limit(named.life, named.rate, "control")
-
     def pass_on(self, upstream: Registration) -> None:
         """Have a life that is new here keep what its upstream asked, if it may have been the one.
 
@@ -127,11 +83,5 @@
         if len(self._newest) > MOST_ASKED:
             del self._newest[next(iter(self._newest))]
 
-    def _log_limit(self, life: str, rate: float | None, source: str) -> None:
-        if rate is None:
-            self._log(life, "names no limit any more", source)
-        else:
-            self._log(life, "names a limit", f"{source}: {rate:g} a second")
-
     def _log(self, life: str, now: str, source: str) -> None:
         self._decisions.write(BeliefChanged(subject=f"upstream/{life}", now=now, source=source))
--- a/src/finchway/gateway/_forward.py
+++ b/src/finchway/gateway/_forward.py
@@ -323,7 +323,7 @@
         now = trio.current_time()
         asked = read_asked(answer.status, answer.headers, names.leaving, names.limit, time.time())
         if is_own_answer(answer.status):
-            self._table.note_limit(record, asked, sent_at, now)
+            self._table.limits.note(record.registration.life, asked, sent_at, now)
         if asked is ASKED_NOTHING:
             return
         task.asked = asked
--- a/src/finchway/gateway/_role.py
+++ b/src/finchway/gateway/_role.py
@@ -85,10 +85,10 @@
             router.rates,
             FeedLog(decisions, self._metrics, self._lag),
             self._suspects.learn,
-            self._table.told_limits,
-            self._table.learn_limits,
+            self._table.limits.told,
+            self._table.limits.learn,
         )
-        self._table.watch_lowered(self._session.tell_soon)
+        self._table.limits.watch_lowered(self._session.tell_soon)
         self._server = HttpServer(
             settings.address,
             self._forwarder.serve,
@@ -123,7 +123,7 @@
             reports_waiting=self._reports.waiting,
             reports_dropped=self._reports.dropped,
             upstreams_resting=len(self._table.rests.resting(now)),
-            limits=self._table.limit_totals(now),
+            limits=self._table.limits.totals(self._table.records, now),
         )
         return self._metrics.render(state)
 
--- a/src/finchway/gateway/_router.py
+++ b/src/finchway/gateway/_router.py
@@ -203,7 +203,9 @@
                 continue
             if not self._table.may_get(record, now):
                 passed.resting += rests.left(record.registration.life, now) > 0
-                passed.at_limit += self._table.allowances.wait(record.registration.life, now) > 0
+                passed.at_limit += (
+                    self._table.limits.allowances.wait(record.registration.life, now) > 0
+                )
                 continue
             if name in poor and not record.standing.may_try(now):
                 continue
@@ -237,9 +239,9 @@
             plan.kept_part,
             rests.left(life, now),
             passed,
-            self._table.limits.rate(life),
-            self._table.limits.age(life, now),
-            self._table.allowances.part(life, now),
+            self._table.limits.words.rate(life),
+            self._table.limits.words.age(life, now),
+            self._table.limits.allowances.part(life, now),
         )
 
     def _candidate(
--- a/src/finchway/gateway/_service.py
+++ b/src/finchway/gateway/_service.py
@@ -206,7 +206,7 @@
         left_out = self.poor(now) | self._table.resting(now)
         a_slot = USE_OF_SLOTS / self._estimate.work
         capacity = {
-            region: found.capacity(a_slot, left_out, self._table.limits)
+            region: found.capacity(a_slot, left_out, self._table.limits.words)
             for region, found in self._table.regions(self._service, now).items()
         }
         loads = {
--- a/src/finchway/gateway/_table.py
+++ b/src/finchway/gateway/_table.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import trio
 from msgspec import Struct
@@ -12,11 +12,12 @@
 from finchway.gateway._askings import Askings
 from finchway.gateway._bounds import Bounds
 from finchway.gateway._connection import AttemptError, Failure, UpstreamConnection
+from finchway.gateway._limits import LimitDesk
 from finchway.gateway._record import UpstreamRecord
 from finchway.gateway._reservation import Reservation
-from finchway.observe import BeliefChanged, DecisionLog, LimitTotals
-from finchway.policy import Pacer, part_of_limit, rank
-from finchway.pushback import Allowances, Asked, LimitWords, NamedLimit, Part, RestBook
+from finchway.observe import BeliefChanged, DecisionLog
+from finchway.policy import Pacer, rank
+from finchway.pushback import Asked, LimitWords, RestBook
 from finchway.registry import Registration, UpstreamState
 
 # Part of the allowed rate that a cold upstream gets: two gateways may hold themselves for its only
@@ -88,14 +89,11 @@
         self._by_service: dict[str, dict[str, RegionUpstreams]] = {}
         self._names: dict[str, str] = {}
         self._note_replaced: Callable[[UpstreamRecord], None] = lambda record: None
-        self._note_lowered: Callable[[], None] = lambda: None
         self._refreshed_at = float("-inf")
         self._seen_changes = -1
         self._opened = 0
-        self._askings = Askings(decisions, self._part_of)
-        self._parts: dict[str, tuple[float, Part]] = {}
-        self._parts_of = -1
-        self._limit_totals: dict[str, LimitTotals] = {}
+        self._limits = LimitDesk(name, world, self._region_of, decisions)
+        self._askings = Askings(decisions, self._limits.words)
 
     @property
     def decisions(self) -> DecisionLog:
@@ -113,40 +111,14 @@
         return self._askings.rests
 
     @property
-    def limits(self) -> LimitWords:
-        """The limits that upstreams have named."""
-        return self._askings.limits
+    def limits(self) -> LimitDesk:
+        """The limits that upstreams have named, and what this gateway may send of them."""
+        return self._limits
 
     @property
-    def allowances(self) -> Allowances:
-        """What this gateway may send to upstreams that have named a limit."""
-        return self._askings.allowances
-
-    def limit_totals(self, now: float) -> dict[str, LimitTotals]:
-        """Return by service what upstreams that name a limit take, and what falls to this gateway.
-
-        A service that has had such an upstream stays, with zeros once there is none.
-        """
-        for totals in self._limit_totals.values():
-            totals.upstreams, totals.named, totals.part = 0, 0.0, 0.0
-        for record in self._records.values():
-            life = record.registration.life
-            limit, part = self.limits.rate(life), self.allowances.part(life, now)
-            if limit is None or part is None:
-                continue
-            totals = self._limit_totals.setdefault(record.registration.service, LimitTotals())
-            totals.upstreams += 1
-            totals.named += limit
-            totals.part += part.rate
-        return self._limit_totals
-
-    def told_limits(self) -> list[NamedLimit]:
-        """Return the limits that upstreams have told this gateway lately, for the others."""
-        return self.limits.told(trio.current_time())
-
-    def learn_limits(self, words: list[NamedLimit]) -> None:
-        """Take in the limits that upstreams have told other gateways."""
-        self._askings.learn_limits(words, trio.current_time())
+    def records(self) -> Collection[UpstreamRecord]:
+        """All upstreams that are known."""
+        return self._records.values()
 
     def get(self, instance: str) -> UpstreamRecord | None:
         """Return the record of an upstream."""
@@ -220,15 +192,6 @@
         if self._askings.note(record.registration, asked, now):
             self.refresh(now)
 
-    def note_limit(self, record: UpstreamRecord, asked: Asked, sent_at: float, now: float) -> None:
-        """Take in the limit that an answer to a request of `sent_at` names, or that it has none."""
-        if self._askings.note_limit(record.registration.life, asked, sent_at, now):
-            self._note_lowered()
-
-    def watch_lowered(self, note: Callable[[], None]) -> None:
-        """Have it told when an upstream's answer names a limit, or a lower one."""
-        self._note_lowered = note
-
     def watch_replaced(self, note: Callable[[UpstreamRecord], None]) -> None:
         """Have each life told that is over since a later one of the same upstream has begun."""
         self._note_replaced = note
@@ -247,18 +210,18 @@
         life = record.registration.life
         if record.resting_until > now or not self.rests.may_send(life, now):
             return False
-        return self.allowances.may_send(life, now) and self._cold_allows(record, now)
+        return self._limits.allowances.may_send(life, now) and self._cold_allows(record, now)
 
     def wanted_in(self, record: UpstreamRecord, now: float) -> float:
         """Return the seconds until an upstream that rests, or is at its limit, wants a request."""
         life = record.registration.life
-        return max(self.rests.left(life, now), self.allowances.wait(life, now))
+        return max(self.rests.left(life, now), self._limits.allowances.wait(life, now))
 
     def reserve(self, record: UpstreamRecord, request_id: str, key: str, now: float) -> Reservation:
         """Count a request that is to be sent."""
         reserved = Reservation(record, request_id)
         reserved.is_trial = self.rests.begin(reserved.life, now)
-        reserved.is_counted = self.allowances.take(reserved.life, now)
+        reserved.is_counted = self._limits.allowances.take(reserved.life, now)
         record.in_flight += 1
         if record.remembers(key, now):
             record.under_way[request_id] = now
@@ -274,7 +237,7 @@
         if reserved.is_trial:
             self.rests.end_trial(reserved.life, was_taken)
         if reserved.is_counted and not reserved.is_sent:
-            self.allowances.give_back(reserved.life)
+            self._limits.allowances.give_back(reserved.life)
 
     async def connect(self, reserved: Reservation, now: float) -> UpstreamConnection:
         """Return an idle connection or a new one; raises `AttemptError`.
@@ -299,9 +262,9 @@
             return False
         if reserved.is_counted:
             return True
-        if not self.allowances.may_send(reserved.life, now):
+        if not self._limits.allowances.may_send(reserved.life, now):
             return False
-        reserved.is_counted = self.allowances.take(reserved.life, now)
+        reserved.is_counted = self._limits.allowances.take(reserved.life, now)
         return True
 
     async def connect_anew(self, record: UpstreamRecord) -> UpstreamConnection:
@@ -331,23 +294,13 @@
         for record in self._records.values():
             record.close_idle()
 
-    def _part_of(self, life: str, limit: float, now: float) -> Part:
-        """Return this gateway's part of the limit that a life has named."""
-        fellows = self._world.fellows
-        regions = fellows.held(now)
-        if fellows.changes != self._parts_of:
-            self._parts_of = fellows.changes
-            self._parts = {}
-        held = self._parts.get(life)
-        if held is not None and held[0] == limit:
-            return held[1]
+    def _region_of(self, life: str) -> str:
+        """Return the region of a life that is known; empty otherwise."""
         record = self._records.get(self._names.get(life, ""))
-        zone = record.registration.zone if record is not None else ""
-        region = self._zones().get(zone, zone)
-        near = [name for name, where in regions.items() if where == region]
-        part = part_of_limit(self._name, life, limit, near, regions)
-        self._parts[life] = (limit, part)
-        return part
+        if record is None:
+            return ""
+        zone = record.registration.zone
+        return self._zones().get(zone, zone)
 
     def _record(self, registration: Registration, heard_at: float) -> UpstreamRecord:
         record = self._records.get(registration.instance)
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -203,7 +203,7 @@
             **fields,
         )
         self.world.learn(feed, trio.current_time())
-        self.table.learn_limits(feed.limits.words)
+        self.table.limits.learn(feed.limits.words)
         self.table.refresh(trio.current_time())
 
     def configure(self, version: int = 1, limits: Limits | None = None, **fields) -> None:
@@ -262,7 +262,7 @@
     while True:
         now = trio.current_time()
         for subject in subjects:
-            news.learn(subject.table.told_limits(), now)
+            news.learn(subject.table.limits.told(), now)
         for subject in subjects:
             heard = news.since(known[subject], now)
             known[subject] = heard.known
--- a/tests/gateway/test_explain.py
+++ b/tests/gateway/test_explain.py
@@ -169,7 +169,7 @@
             figures = subject.metrics.render(STATE).decode()
             for what in ("limit", "unreadable"):
                 assert f'service="s",what="{what}"}} 2' in figures
-            totals = subject.table.limit_totals(trio.current_time())["s"]
+            totals = subject.table.limits.totals(subject.table.records, trio.current_time())["s"]
             assert (totals.upstreams, totals.named, totals.part) == (1, 0.5, 0.5)
 
     trio.run(check)
--- a/tests/gateway/test_spread_around_limits.py
+++ b/tests/gateway/test_spread_around_limits.py
@@ -13,7 +13,7 @@
 
 
 def name_limits(subject, names, rate):
-    subject.table.learn_limits([NamedLimit(name, rate, 0.0) for name in names])
+    subject.table.limits.learn([NamedLimit(name, rate, 0.0) for name in names])
 
 
 @on_virtual_time
