--- a/bench/surroundings.py
+++ b/bench/surroundings.py
@@ -16,6 +16,7 @@
 from finchway.exceptions import FinchwayError, TransportError
 from finchway.membership import Coordinator, Heartbeat, LeaseTiming, changes_since
 from finchway.policy import LoanTiming, Outcome
+from finchway.pushback import Asked
 from finchway.state import DeleteResource, PutResource, StateMachine
 from finchway.transport import (
     Changes,
@@ -257,7 +258,8 @@
 
     def facts(self) -> Facts:
         """What the upstream says of itself."""
-        return Facts(self.incarnation, self.report, self.leaving and not self.misleading)
+        asked = Asked(leaving=self.leaving and not self.misleading)
+        return Facts(self.incarnation, self.report, asked=asked)
 
 
 class Surroundings(Protocol):
--- a/src/finchway/entry/_call.py
+++ b/src/finchway/entry/_call.py
@@ -8,6 +8,7 @@
 from msgspec import Struct
 
 from finchway.policy import Outcome, Refusal
+from finchway.pushback import ASKED_NOTHING, Asked
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -60,12 +61,8 @@
 
     incarnation: str = ""
     load: float | None = None
-    leaving: bool = False
     not_run: bool = False
-    rest_s: float = 0.0
-    unread: str = ""
-    limit: float | None = None
-    unread_limit: str | None = None
+    asked: Asked = ASKED_NOTHING
 
 
 class CallError(Exception):
--- a/src/finchway/entry/_dispatch.py
+++ b/src/finchway/entry/_dispatch.py
@@ -39,7 +39,7 @@
     may_retry,
     retry_after,
 )
-from finchway.pushback import is_own_answer
+from finchway.pushback import Asked, is_own_answer
 from finchway.resources import Service
 
 HOLD_BYTES = 65_536
@@ -263,7 +263,7 @@
         async with opened as reply:
             self._note_facts(call.service, grant.address, reply.facts)
             if is_own_answer(reply.status):
-                self._note_limit(call.service, grant.address, reply.facts, sent_at)
+                self._note_limit(call.service, grant.address, reply.facts.asked, sent_at)
             if reply.facts.not_run:
                 self._view.directory.record_refusal(grant.address, trio.current_time())
                 raise UpstreamError(
@@ -319,26 +319,26 @@
         directory.record_incarnation(address, facts.incarnation, now)
         if facts.load is not None:
             directory.record_report(address, LoadReport(facts.load, now))
-        if facts.leaving and directory.mark_leaving(address):
+        if facts.asked.leaving and directory.mark_leaving(address):
             self._timeline.record(EventKind.UPSTREAM_LEAVING, address, "said by its answer")
             self._metrics.count_asked(service, "leaving")
-        if facts.rest_s > 0:
-            directory.ask_rest(address, facts.rest_s, now)
-            detail = f"asks for {facts.rest_s:g} s of rest"
+        if facts.asked.rest_s > 0:
+            directory.ask_rest(address, facts.asked.rest_s, now)
+            detail = f"asks for {facts.asked.rest_s:g} s of rest"
             self._timeline.record(EventKind.UPSTREAM_RESTING, address, detail)
             self._metrics.count_asked(service, "rest")
-        if facts.unread or facts.unread_limit is not None:
+        if facts.asked.unread or facts.asked.unread_limit is not None:
             self._metrics.count_asked(service, "unreadable")
 
-    def _note_limit(self, service: str, address: str, facts: Facts, sent_at: float) -> None:
+    def _note_limit(self, service: str, address: str, asked: Asked, sent_at: float) -> None:
         """Take in the limit that an answer names; one that makes no sense changes none."""
-        if facts.limit is not None:
+        if asked.limit is not None:
             self._metrics.count_asked(service, "limit")
-        elif facts.unread_limit is not None:
+        elif asked.unread_limit is not None:
             return
         now = trio.current_time()
-        if self._view.directory.record_limit(address, facts.limit, sent_at, now):
-            limit = "no limit any more" if facts.limit is None else f"{facts.limit:g} a second"
+        if self._view.directory.record_limit(address, asked.limit, sent_at, now):
+            limit = "no limit any more" if asked.limit is None else f"{asked.limit:g} a second"
             self._timeline.record(EventKind.UPSTREAM_LIMITED, address, f"names {limit}")
 
     def _note_success(self, address: str) -> None:
--- a/src/finchway/entry/_upstream.py
+++ b/src/finchway/entry/_upstream.py
@@ -175,16 +175,7 @@
             case b"finchway-outcome":
                 not_run = status == 503 and value == b"not-run"
     asked = read_asked(status, lowered, _LEAVING, _LIMIT, time.time())
-    return Facts(
-        incarnation,
-        load,
-        asked.leaving,
-        not_run,
-        asked.rest_s,
-        asked.unread,
-        asked.limit,
-        asked.unread_limit,
-    )
+    return Facts(incarnation, load, not_run, asked)
 
 
 def _number(value: bytes) -> float | None:
