Name times that pass over jumps of the time of day, so that one ends nothing that is kept

What callers saw: a request that had ended two upstreams ended two more; keys of once-only requests are kept by the same clock. Class: an age or an end reckoned by a clock that others can move, as ages were by a clock that stands still.

Three copies of the same function became one. It holds as no command names a time that has jumped; a process that starts amid a jump still does (DESIGN). Ruled out: the leader's time in place of a command's, and a bound on each step of the log's clock.

--- a/src/finchway/control/_api.py
+++ b/src/finchway/control/_api.py
@@ -13,13 +13,13 @@
 
 import hashlib
 import hmac
-import time
 from typing import Any
 
 import msgspec
 import trio
 from msgspec import Struct
 
+from finchway._clock import WALL
 from finchway.control._server import ControlServer
 from finchway.control._steering import SteeringService
 from finchway.control._steering_api import SteeringApi
@@ -223,7 +223,7 @@
         if findings:
             raise ResourceError(findings, kind)
         command = PutResource(
-            now_ms=_now_ms(),
+            now_ms=WALL.now_ms(),
             kind=kind,
             name=name,
             spec=msgspec.json.encode(spec),
@@ -239,7 +239,7 @@
         if expected is not None and not expected.isdigit():
             raise ResourceError([Finding("expected", f"not a number: {expected!r}")], "query")
         command = DeleteResource(
-            now_ms=_now_ms(),
+            now_ms=WALL.now_ms(),
             kind=kind,
             name=name,
             expected=None if expected is None else int(expected),
@@ -423,7 +423,3 @@
 async def _send_line(respond, value: Any) -> None:
     body = msgspec.json.encode(value) + b"\n"
     await respond({"type": "http.response.body", "body": body, "more_body": True})
-
-
-def _now_ms() -> int:
-    return int(time.time() * 1000)
--- a/src/finchway/control/_server.py
+++ b/src/finchway/control/_server.py
@@ -7,11 +7,11 @@
 from __future__ import annotations
 
 import logging
-import time
 from collections.abc import Awaitable, Callable
 
 import trio
 
+from finchway._clock import WALL
 from finchway.control._feed import FeedDesk
 from finchway.control._repair import ReplicaPlan, with_expected, without_name
 from finchway.control._replica import ReplicaRunner
@@ -132,7 +132,7 @@
                 self._feed.hear_shared(body)
                 return None
             case ReportedRequests(reports=reports):
-                now_ms = int(time.time() * 1000)
+                now_ms = WALL.now_ms()
                 await self.submit(ReportRequests(now_ms=now_ms, reports=reports))
                 return Ok()
             case Heartbeat():
@@ -328,7 +328,7 @@
                 self._runner.change_members(members)
             except ConflictError as error:
                 _LOG.debug("replica change waits: %s", error)
-        for command in self._coordinator.plan(trio.current_time(), int(time.time() * 1000)):
+        for command in self._coordinator.plan(trio.current_time(), WALL.now_ms()):
             await self._runner.submit(command)
 
     async def _poll_platform(self, source: PlatformSource) -> None:
--- a/src/finchway/control/_steering.py
+++ b/src/finchway/control/_steering.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Iterator
 from contextlib import contextmanager
 
 import trio
 
+from finchway._clock import WALL
 from finchway.catalog import Item
 from finchway.control._server import ControlServer
 from finchway.exceptions import (
@@ -77,7 +77,7 @@
         """
         subject = ", ".join(f"{item.key} version {item.version}" for item in items[:ITEMS_NAMED])
         with self._noted("change", subject):
-            result = await self._submit(ChangeItems(now_ms=_now_ms(), items=items))
+            result = await self._submit(ChangeItems(now_ms=WALL.now_ms(), items=items))
             match result:
                 case Rejected(findings=findings):
                     found = [Finding(place, text) for place, text in findings]
@@ -113,7 +113,7 @@
     async def evacuate(self, zone: str, active: bool) -> None:
         """Begin or end the evacuation of a zone."""
         with self._noted("evacuate" if active else "readmit", f"zone/{zone}"):
-            await self._submit(SetEvacuation(now_ms=_now_ms(), zone=zone, active=active))
+            await self._submit(SetEvacuation(now_ms=WALL.now_ms(), zone=zone, active=active))
 
     async def release(self, request: str) -> None:
         """Have a request that is suspected of ending upstreams sent to them again.
@@ -128,7 +128,7 @@
             )
         report = RequestReport(request, answered=True)
         with self._noted("release", f"request/{request}"):
-            await self._submit(ReportRequests(now_ms=_now_ms(), reports=[report]))
+            await self._submit(ReportRequests(now_ms=WALL.now_ms(), reports=[report]))
 
     def gateways(self, host: str, region: str, zone: str) -> list[str]:
         """Return the gateways' addresses for a caller; raises `UnavailableError` without any."""
@@ -195,7 +195,7 @@
         held = self._control.runner.machine.steering.marks.get(life)
         if held is not None and (held.kind is kind or held.kind is MarkKind.GONE):
             return
-        command = MarkUpstream(now_ms=_now_ms(), instance=instance, kind=kind, born=born)
+        command = MarkUpstream(now_ms=WALL.now_ms(), instance=instance, kind=kind, born=born)
         with self._noted(kind.value, f"upstream/{life}"):
             await self._submit(command)
 
@@ -254,7 +254,3 @@
 
     async def _submit(self, command: AnyCommand) -> Steered | Rejected | VersionTaken:
         return await self._control.submit(command)
-
-
-def _now_ms() -> int:
-    return int(time.time() * 1000)
--- a/src/finchway/control/_steering_api.py
+++ b/src/finchway/control/_steering_api.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import time
 from typing import Any
 
 import msgspec
 import trio
 from msgspec import Struct
 
+from finchway._clock import WALL
 from finchway.catalog import Item, ItemKind, Limits, Route, ServiceSpec
 from finchway.control._steering import SteeringService
 from finchway.exceptions import Finding, InputError, NotFoundError, ResourceError
@@ -195,7 +195,7 @@
 
 
 def _suspect_row(suspect: Suspect) -> SuspectRow:
-    seconds = max(0.0, round(suspect.until_ms / 1000 - time.time(), 1))
+    seconds = max(0.0, round(suspect.until_ms / 1000 - WALL.now(), 1))
     ended = list(suspect.ended)
     return SuspectRow(suspect.request, suspect.state.value, suspect.ends, ended, seconds)
 
--- a/src/finchway/entry/_claims.py
+++ b/src/finchway/entry/_claims.py
@@ -9,7 +9,6 @@
 
 import hashlib
 import logging
-import time
 import uuid
 from collections.abc import Awaitable, Callable
 
@@ -17,6 +16,7 @@
 import trio
 from msgspec import Struct
 
+from finchway._clock import WALL
 from finchway.entry._call import Answer, Call, CallError
 from finchway.exceptions import FinchwayError
 from finchway.policy import Outcome
@@ -63,7 +63,7 @@
         """
         attempt = uuid.uuid4().hex
         command = ClaimKey(
-            now_ms=_now_ms(),
+            now_ms=WALL.now_ms(),
             service=call.service,
             organisation=call.organisation,
             key=call.key,
@@ -127,7 +127,7 @@
         self._unsettled += 1
         while True:
             command = SettleClaim(
-                now_ms=_now_ms(),
+                now_ms=WALL.now_ms(),
                 service=call.service,
                 organisation=call.organisation,
                 key=call.key,
@@ -179,7 +179,3 @@
 def _digest(call: Call, body: bytes) -> str:
     text = f"{call.method}\n{call.target}\n".encode()
     return hashlib.sha256(text + body).hexdigest()
-
-
-def _now_ms() -> int:
-    return int(time.time() * 1000)
--- a/src/finchway/entry/_upstream.py
+++ b/src/finchway/entry/_upstream.py
@@ -8,13 +8,13 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
 import httpcore
 import trio
 
+from finchway._clock import WALL
 from finchway.entry._call import Facts, Headers, UpstreamError
 from finchway.policy import Outcome
 from finchway.pushback import read_asked
@@ -174,7 +174,7 @@
                 load = _number(value)
             case b"finchway-outcome":
                 not_run = status == 503 and value == b"not-run"
-    asked = read_asked(status, lowered, _LEAVING, _LIMIT, time.time())
+    asked = read_asked(status, lowered, _LEAVING, _LIMIT, WALL.now())
     return Facts(incarnation, load, not_run, asked)
 
 
--- a/src/finchway/gateway/_askings.py
+++ b/src/finchway/gateway/_askings.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import random
-import time
 
 from msgspec import Struct
 
+from finchway._clock import WALL
 from finchway.observe import BeliefChanged, DecisionLog
 from finchway.pushback import Asked, LeavingLives, LimitWords, RestBook
 from finchway.registry import Registration
@@ -79,7 +79,7 @@
 
     def _remember(self, instance: str, life: str) -> None:
         self._newest.pop(instance, None)
-        self._newest[instance] = Asking(life, time.time())
+        self._newest[instance] = Asking(life, WALL.now())
         if len(self._newest) > MOST_ASKED:
             del self._newest[next(iter(self._newest))]
 
--- a/src/finchway/gateway/_forward.py
+++ b/src/finchway/gateway/_forward.py
@@ -5,10 +5,10 @@
 import functools
 import math
 import random
-import time
 
 import trio
 
+from finchway._clock import WALL
 from finchway.catalog import Route, RouteType
 from finchway.feed import World
 from finchway.gateway._connection import (
@@ -321,7 +321,7 @@
         """Take in what the head of an answer asks of this gateway."""
         names = self._names
         now = trio.current_time()
-        asked = read_asked(answer.status, answer.headers, names.leaving, names.limit, time.time())
+        asked = read_asked(answer.status, answer.headers, names.leaving, names.limit, WALL.now())
         if is_own_answer(answer.status):
             self._table.limits.note(record.registration.life, asked, sent_at, now)
         if asked is ASKED_NOTHING:
--- a/src/finchway/gateway/_suspects.py
+++ b/src/finchway/gateway/_suspects.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import time
 from collections import deque
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
@@ -16,6 +15,7 @@
 import trio
 from msgspec import Struct
 
+from finchway._clock import WALL
 from finchway.feed import World
 from finchway.gateway._connection import AttemptError, Failure, UpstreamConnection
 from finchway.gateway._record import UpstreamRecord
@@ -127,7 +127,7 @@
         first = QUARANTINED_FOR_MS[0] / 1000
         if held is None or held.state is not SuspectState.QUARANTINED:
             return first
-        return max(COME_BACK_LEAST_S, held.until_ms / 1000 - time.time())
+        return max(COME_BACK_LEAST_S, held.until_ms / 1000 - WALL.now())
 
     @contextmanager
     def carrying(self, task: Task) -> Iterator[None]:
--- a/tests/unit/test_clock.py
+++ b/tests/unit/test_clock.py
@@ -6,7 +6,13 @@
 import pytest
 import trio
 
-from finchway._clock import LONGEST_SLEEP_S, BootClock, read_since_boot
+from finchway._clock import (
+    FOLLOWED_AFTER_S,
+    LONGEST_SLEEP_S,
+    BootClock,
+    WallClock,
+    read_since_boot,
+)
 from finchway.control._feed import FeedDesk
 from finchway.entry import ControlSession, EntryIdentity, EntryView
 from finchway.feed import Feed, GatewayBeat, Subscribe, World
@@ -161,3 +167,44 @@
         assert sent <= 2
 
     play(check)
+
+
+class TimeOfDay:
+    """A time of day and a time since boot that are set by hand."""
+
+    def __init__(self):
+        self.day, self.boot = 1_796_000_000.0, 500.0
+
+    def clock(self):
+        return WallClock(lambda: self.day, lambda: self.boot)
+
+    def pass_by(self, seconds, ahead=0.0):
+        self.boot += seconds
+        self.day += seconds + ahead
+
+
+@pytest.mark.parametrize("jump", [3_600.0, -3_600.0, 2.0, -2.0])
+def test_a_jump_of_the_time_of_day_that_is_taken_back_is_not_followed(jump):
+    times = TimeOfDay()
+    clock = times.clock()
+    times.pass_by(10.0, jump)
+    assert clock.now() == pytest.approx(1_796_000_010.0)
+    times.pass_by(5.0)
+    assert clock.now() == pytest.approx(1_796_000_015.0)
+    times.pass_by(5.0, -jump)
+    assert clock.now_ms() == pytest.approx(1_796_000_020_000)
+    # Another one soon after begins anew.
+    times.pass_by(FOLLOWED_AFTER_S - 10.0, jump)
+    assert clock.now() == pytest.approx(1_796_000_010.0 + FOLLOWED_AFTER_S)
+
+
+def test_a_jump_that_lasts_is_followed_and_slewing_always():
+    times = TimeOfDay()
+    clock = times.clock()
+    times.pass_by(10.0, -3_600.0)
+    clock.now()
+    times.pass_by(FOLLOWED_AFTER_S + 1.0)
+    assert clock.now() == pytest.approx(times.day)
+    for _ in range(20):
+        times.pass_by(60.0, 0.5)
+        assert clock.now() == pytest.approx(times.day)
