--- a/src/finchway/gateway/_table.py
+++ b/src/finchway/gateway/_table.py
@@ -210,6 +210,8 @@
         life = record.registration.life
         if record.resting_until > now or not self.rests.may_send(life, now):
             return False
+        # A limit is for all gateways together: each keeps to its part, since one that kept to the
+        # whole of it alone would go on sending what it always did.
         return self._limits.allowances.may_send(life, now) and self._cold_allows(record, now)
 
     def wanted_in(self, record: UpstreamRecord, now: float) -> float:
