Send news of limits only where there are any; count them in the feed's benchmark

The benchmark of the feed's bytes did not know the new fields: with them an answer in calm had 138 bytes, where 128 is the bound.

--- a/bench/feed.py
+++ b/bench/feed.py
@@ -24,6 +24,7 @@
     World,
 )
 from finchway.gateway._session import DEMAND_EVERY_S
+from finchway.pushback import LimitsKnown
 from finchway.state import SteeringImage
 
 GATEWAYS = (12, 100, 1_300)
@@ -31,12 +32,17 @@
 SERVICES = 3
 GATEWAYS_A_REGION = 60
 REPEATS = 50
+KNOWN = LimitsKnown("0123456789ab", 1_000)
 
 
 def make_feed(gateways: int, news: bool) -> Feed:
     """Return an answer in calm, or one with everything that is sent on a change or now and then."""
     plain = Feed(
-        life="0123456789ab", order=1_000, image=SteeringImage(revision=1_000), age=0.312, held=0.601
+        life="0123456789ab",
+        order=1_000,
+        image=SteeringImage(revision=1_000),
+        age=0.312,
+        held=0.601,
     )
     if not news:
         return plain
@@ -53,7 +59,9 @@
     """Return who is there, as it is sent when a gateway comes or goes."""
     return Roster(
         version=1_000,
-        serving=[GatewayPeer(f"gateway-{n}", "10.1.250.250:7540") for n in range(gateways)],
+        serving=[
+            GatewayPeer(f"gateway-{n}", "10.1.250.250:7540", "region-22") for n in range(gateways)
+        ],
         replicas=[ReplicaAddress(f"10.0.0.{n}", f"10.0.0.{n}:7540") for n in range(REPLICAS)],
     )
 
@@ -71,7 +79,9 @@
         sequence=1_000,
         rates=[ServiceRate(f"service-{n}", 12.34) for n in range(SERVICES)],
     )
-    return Subscribe(beat=beat, revision=1_000, life="0123456789ab", order=1_000, roster=1_000)
+    return Subscribe(
+        beat=beat, revision=1_000, life="0123456789ab", order=1_000, roster=1_000, limits=KNOWN
+    )
 
 
 def measure(feed: Feed) -> tuple[int, float, float]:
--- a/bench/rests.py
+++ b/bench/rests.py
@@ -233,8 +233,9 @@
                 gateway.world.learn(self._feed(version), now)
                 self._news.learn(gateway.table.limits.told(), now)
                 heard = self._news.since(gateway.known, now)
-                gateway.known = heard.known
-                gateway.table.limits.learn(heard.words)
+                if heard is not None:
+                    gateway.known = heard.known
+                    gateway.table.limits.learn(heard.words)
             await trio.sleep(0.5)
 
     def _feed(self, version: int) -> Feed:
--- a/src/finchway/entry/_session.py
+++ b/src/finchway/entry/_session.py
@@ -293,8 +293,9 @@
             self._install(reply.snapshot, reply.snapshot_revision)
         else:
             self._take(reply.changes)
-        self._view.directory.learn_limits(reply.limits.words, self._contact_at)
-        self._limits_known = reply.limits.known
+        if reply.limits is not None:
+            self._view.directory.learn_limits(reply.limits.words, self._contact_at)
+            self._limits_known = reply.limits.known
         if self._view.revision < reply.revision:
             return
         self._lease_until = max(self._lease_until, sent_at + reply.lease_s)
--- a/src/finchway/feed/_messages.py
+++ b/src/finchway/feed/_messages.py
@@ -109,7 +109,7 @@
     question waited for news. What was accepted `age` seconds before the answer was sent, and
     earlier, is in the replica's state for sure; infinite if no leader has confirmed it yet.
     `more` tells that there are further upstreams, which the next answer goes on with after `order`.
-    `limits` are what upstreams have newly told any gateway that they take.
+    `limits` are what upstreams have newly told any gateway that they take, if there is such news.
     """
 
     life: str
@@ -121,7 +121,7 @@
     more: bool = False
     roster: Roster | None = None
     demand: list[RegionDemand] | None = None
-    limits: LimitsHeard = LimitsHeard()
+    limits: LimitsHeard | None = None
 
 
 class ReportedRequests(Struct, frozen=True, kw_only=True, tag=True):
--- a/src/finchway/gateway/_question.py
+++ b/src/finchway/gateway/_question.py
@@ -48,6 +48,9 @@
             self.life, self.order = answer.life, answer.order
         if answer.order >= self.order:
             self.order, self.rest = answer.order, answer.more
-        known = answer.limits.known
+        if answer.limits is not None:
+            self._note_limits(answer.limits.known)
+
+    def _note_limits(self, known: LimitsKnown) -> None:
         if known.book != self.limits.book or known.order > self.limits.order:
             self.limits = known
--- a/src/finchway/gateway/_session.py
+++ b/src/finchway/gateway/_session.py
@@ -241,7 +241,8 @@
         return True
 
     def _learn(self, feed: Feed, asked_at: float) -> None:
-        self._learn_limits(feed.limits.words)
+        if feed.limits is not None:
+            self._learn_limits(feed.limits.words)
         before = self._world.steering.revision
         if self._world.learn(feed, trio.current_time(), asked_at):
             self._log.note_learned(feed, before, self._world.steering.revision)
--- a/src/finchway/membership/_heartbeat.py
+++ b/src/finchway/membership/_heartbeat.py
@@ -83,7 +83,7 @@
     snapshot_revision: int = 0
     loans: list[Loan] = []
     rates: dict[str, float] = {}
-    limits: LimitsHeard = LimitsHeard()
+    limits: LimitsHeard | None = None
 
 
 def rate_key(organisation: str, service: str) -> str:
--- a/src/finchway/pushback/_news.py
+++ b/src/finchway/pushback/_news.py
@@ -25,8 +25,8 @@
 class LimitsHeard(Struct, frozen=True, array_like=True):
     """The news of a book since a question, and up to where they reach."""
 
-    known: LimitsKnown = LimitsKnown()
-    words: list[NamedLimit] = []
+    known: LimitsKnown
+    words: list[NamedLimit]
 
 
 class LimitNews:
@@ -54,10 +54,12 @@
             self._words.forget(life)
         return self._order != before
 
-    def since(self, known: LimitsKnown, now: float) -> LimitsHeard:
-        """Return what is newer than what is known, oldest first."""
+    def since(self, known: LimitsKnown, now: float) -> LimitsHeard | None:
+        """Return what is newer than what is known, oldest first; None if nothing is."""
         order = known.order if known.book == self._book else 0
         newer = [(number, life) for life, number in self._orders.items() if number > order]
+        if not newer:
+            return None
         part = newer[:MOST_NEWS]
         reached = part[-1][0] if len(part) < len(newer) else self._order
         words = [
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -203,7 +203,8 @@
             **fields,
         )
         self.world.learn(feed, trio.current_time())
-        self.table.limits.learn(feed.limits.words)
+        if feed.limits is not None:
+            self.table.limits.learn(feed.limits.words)
         self.table.refresh(trio.current_time())
 
     def configure(self, version: int = 1, limits: Limits | None = None, **fields) -> None:
@@ -265,7 +266,8 @@
             news.learn(subject.table.limits.told(), now)
         for subject in subjects:
             heard = news.since(known[subject], now)
-            known[subject] = heard.known
+            if heard is not None:
+                known[subject] = heard.known
             subject.tell(registrations, subject.names, limits=heard)
         await trio.sleep(TOLD_EVERY_S)
 
--- a/tests/unit/test_feed_desk.py
+++ b/tests/unit/test_feed_desk.py
@@ -7,7 +7,7 @@
 
 from finchway.control._feed import HOLD_S, HOLD_UNREADY_S, FeedDesk
 from finchway.feed import GatewayBeat, Subscribe
-from finchway.pushback import NamedLimit
+from finchway.pushback import LimitsKnown, NamedLimit
 from finchway.replication import Members
 from finchway.state import Steering
 
@@ -68,13 +68,13 @@
         answered = []
 
         async def ask_forever():
-            known = first
+            known = LimitsKnown()
             while True:
-                question = Subscribe(
-                    beat=other, revision=0, life=first.life, order=0, limits=known.limits.known
-                )
-                known = await desk.answer(question)
-                answered.append((trio.current_time(), [w.rate for w in known.limits.words]))
+                question = Subscribe(beat=other, revision=0, life=first.life, limits=known)
+                answer = await desk.answer(question)
+                if answer.limits is not None:
+                    known = answer.limits.known
+                    answered.append((trio.current_time(), [w.rate for w in answer.limits.words]))
 
         async def tell(rate):
             beat = msgspec.structs.replace(told, limits=[NamedLimit("i-1", rate, 0.0)])
