Bound what is held of upstreams that name a limit and are gone

Their words were bounded, the allowances and parts kept beside them were not: one for each life that ever named a limit (read in the code). The test fails on the code before, which has no count of them.

--- a/src/finchway/gateway/_limits.py
+++ b/src/finchway/gateway/_limits.py
@@ -12,7 +12,7 @@
 from finchway.gateway._record import UpstreamRecord
 from finchway.observe import BeliefChanged, DecisionLog, LimitTotals
 from finchway.policy import part_of_limit
-from finchway.pushback import Allowances, Asked, LimitWords, NamedLimit, Part
+from finchway.pushback import MOST_LIMITS, Allowances, Asked, LimitWords, NamedLimit, Part
 
 
 class LimitDesk:
@@ -100,7 +100,7 @@
         """Return this gateway's part of a limit, worked out once for each change of gateways."""
         fellows = self._world.fellows
         regions = fellows.held(now)
-        if fellows.changes != self._parts_of:
+        if fellows.changes != self._parts_of or len(self._parts) >= MOST_LIMITS:
             self._parts_of = fellows.changes
             self._parts = {}
         held = self._parts.get(life)
--- a/src/finchway/pushback/__init__.py
+++ b/src/finchway/pushback/__init__.py
@@ -16,13 +16,14 @@
     RestBook,
 )
 from finchway.pushback._retry_after import read_retry_after
-from finchway.pushback._words import LimitWords, NamedLimit
+from finchway.pushback._words import MOST_LIMITS, LimitWords, NamedLimit
 
 __all__ = [
     "ASKED_NOTHING",
     "LEAST_RATE",
     "LONGEST_REST_S",
     "LONGEST_SPREAD_S",
+    "MOST_LIMITS",
     "RETURN_SPREAD",
     "Allowances",
     "Asked",
--- a/src/finchway/pushback/_allowance.py
+++ b/src/finchway/pushback/_allowance.py
@@ -7,7 +7,7 @@
 
 from msgspec import Struct
 
-from finchway.pushback._words import LimitWords
+from finchway.pushback._words import MOST_LIMITS, LimitWords
 
 # Requests a second that all processes together send an upstream at least, whatever it names: only
 # an answer tells that a limit has changed or ended.
@@ -58,6 +58,9 @@
         self._part_of = part_of
         self._held: dict[str, _Allowance] = {}
 
+    def __len__(self) -> int:
+        return len(self._held)
+
     def part(self, life: str, now: float) -> Part | None:
         """Return this process's part of what a life takes; None if it names no limit."""
         rate = self._words.rate(life)
@@ -100,6 +103,8 @@
     def _grown(self, life: str, part: Part, now: float) -> _Allowance:
         held = self._held.get(life)
         if held is None:
+            if len(self._held) >= MOST_LIMITS:
+                del self._held[next(iter(self._held))]
             # Holders that began with one request each would send them together.
             held = self._held[life] = _Allowance(self._rng.random(), now)
         held.grow(part, now)
--- a/tests/unit/test_limits.py
+++ b/tests/unit/test_limits.py
@@ -10,6 +10,7 @@
 from finchway.policy import part_of_limit
 from finchway.pushback import (
     LEAST_RATE,
+    MOST_LIMITS,
     Allowances,
     LimitNews,
     LimitsKnown,
@@ -101,6 +102,15 @@
     assert (allowances.part("i-1", 12.0), allowances.wait("i-1", 12.0)) == (None, 0.0)
 
 
+def test_what_is_held_of_lives_that_are_gone_is_bounded():
+    words = LimitWords()
+    allowances = Allowances(words, random.Random(1), lambda life, limit, now: Part(limit))
+    for number in range(MOST_LIMITS + 100):
+        words.hear(f"i-{number}", 1.0, 0.0, 0.0)
+        allowances.may_send(f"i-{number}", 0.0)
+    assert len(words.limited()) == len(allowances) == MOST_LIMITS
+
+
 def test_words_reach_whoever_asks_once_and_new_ones_follow():
     heard, replica = LimitWords(), LimitNews()
     heard.hear("i-1", 2.5, 0.0, 1.0)
--- a/tests/unit/test_pushback.py
+++ b/tests/unit/test_pushback.py
@@ -11,6 +11,7 @@
 from finchway.pushback import (
     LONGEST_REST_S,
     LONGEST_SPREAD_S,
+    MOST_LIMITS,
     RETURN_SPREAD,
     Asked,
     LeavingLives,
@@ -20,7 +21,6 @@
     read_retry_after,
 )
 
-MOST_LIMITS = 4_096
 NOW = 1_796_000_000.0
 LEAVING = b"leaves"
 LIMIT = b"takes"
