--- a/tests/gateway/test_named_limit.py
+++ b/tests/gateway/test_named_limit.py
@@ -24,20 +24,11 @@
     on_trio,
     serve_well,
 )
+from tests.limits import KNOWN_WITHIN_S, WINDOW_S, borne, most_in_a_window
 
-# What a limit bears in any `WINDOW_S` from `KNOWN_WITHIN_S` after it was first named.
-WINDOW_S = 4.0
-OVERAGE = 1.5
-SLACK = 5
-KNOWN_WITHIN_S = 2.5
 PRESSED_S = 7.0
 
 
-def borne(limit: float) -> float:
-    """Return how many requests an upstream bears in a window."""
-    return OVERAGE * WINDOW_S * limit + SLACK
-
-
 class Needy(Upstream):
     """An upstream that serves, and names its limit in every answer; None names none."""
 
@@ -50,11 +41,7 @@
 
     def most_in_a_window(self) -> int:
         """Return the most requests that came in any window once the limit was to be known."""
-        first = self.named_at + KNOWN_WITHIN_S
-        counted = [at for at in self.came_at if at >= first]
-        return max(
-            (sum(at <= other < at + WINDOW_S for other in counted) for at in counted), default=0
-        )
+        return most_in_a_window(self.came_at, self.named_at + KNOWN_WITHIN_S)
 
     def between(self, start: float, end: float) -> int:
         """Return how many requests came in a time."""
--- a/tests/process/test_limits_by_control.py
+++ b/tests/process/test_limits_by_control.py
@@ -10,15 +10,12 @@
 import pytest
 import trio
 
+from tests.limits import KNOWN_WITHIN_S, WINDOW_S, borne
 from tests.process.mortal import play
 
 pytestmark = pytest.mark.xdist_group("gateway")
 
 LIMIT = 0.5
-WINDOW_S = 4.0
-MOST_IN_A_WINDOW = 1.5 * WINDOW_S * LIMIT + 5
-# Seconds after which every gateway must know what one was told.
-KNOWN_WITHIN_S = 2.5
 RATE = 20
 
 
@@ -34,7 +31,7 @@
         await trio.sleep(KNOWN_WITHIN_S)
         start = trio.current_time()
         statuses = await scene.press(scene.names[1:], WINDOW_S, RATE)
-        assert came(upstream, start, start + WINDOW_S) <= MOST_IN_A_WINDOW
+        assert came(upstream, start, start + WINDOW_S) <= borne(LIMIT)
         assert statuses.count(503) > len(statuses) / 2
         upstream.limit = ""
         # One of the holders is answered without a limit, and the others hear of it.
@@ -59,7 +56,7 @@
             await scene.restart_replicas()
         at = start
         while at < start + 1.5 * WINDOW_S:
-            assert came(upstream, at, at + WINDOW_S) <= MOST_IN_A_WINDOW
+            assert came(upstream, at, at + WINDOW_S) <= borne(LIMIT)
             at += 0.5
 
     play(check, tmp_path, 1)
--- a/tests/process/test_named_limit.py
+++ b/tests/process/test_named_limit.py
@@ -14,15 +14,12 @@
 import pytest
 
 from bench.deploy import fetch
+from tests.limits import KNOWN_WITHIN_S, WINDOW_S, borne, most_in_a_window
 from tests.process.conftest import Caller, header
 
 pytestmark = pytest.mark.xdist_group("named-limit")
 
 LIMIT = 1.0
-# What a limit bears in any `WINDOW_S` from `KNOWN_WITHIN_S` after it was first named.
-WINDOW_S = 4.0
-MOST_IN_A_WINDOW = 1.5 * WINDOW_S * LIMIT + 5
-KNOWN_WITHIN_S = 2.5
 PRESSED_S = 7.5
 CALLS_A_SECOND = 40
 
@@ -52,11 +49,10 @@
         return [done.result() for done in calls]
 
 
-def most_in_a_window(deployment, address: str, since: float) -> int:
+def most_at(deployment, address: str, since: float) -> int:
     """Return the most requests that an upstream has begun in any window after a moment."""
-    runs = [run["started"] for run in fetch(address, "/fake/report")["runs"]]
-    counted = [at for at in runs if at >= since]
-    return max((sum(at <= other < at + WINDOW_S for other in counted) for at in counted), default=0)
+    runs = fetch(address, "/fake/report")["runs"]
+    return most_in_a_window([run["started"] for run in runs], since)
 
 
 @pytest.fixture(autouse=True)
@@ -69,8 +65,8 @@
     name_limit(deployment, str(LIMIT))
     started = time.time()
     answers = press(deployment, PRESSED_S)
-    most = {a: most_in_a_window(deployment, a, started + KNOWN_WITHIN_S) for a in bays(deployment)}
-    assert max(most.values()) <= MOST_IN_A_WINDOW, most
+    most = {a: most_at(deployment, a, started + KNOWN_WITHIN_S) for a in bays(deployment)}
+    assert max(most.values()) <= borne(LIMIT), most
     assert min(most.values()) >= LIMIT * WINDOW_S / 2, most
     refused = [(r, took) for r, took in answers if r.status == 503]
     assert len(refused) > len(answers) / 2
--- a/tests/unit/test_limits.py
+++ b/tests/unit/test_limits.py
@@ -18,16 +18,12 @@
     NamedLimit,
     Part,
 )
+from tests.limits import WINDOW_S, borne, most_in_a_window
 
-WINDOW_S = 4.0
 LIMITS = st.floats(0.0, 1_000.0)
 COUNTS = st.integers(1, 80)
 
 
-def borne(limit):
-    return 1.5 * WINDOW_S * limit + 5
-
-
 def parts(names, life, limit):
     found = [part_of_limit(name, life, limit, names, ()) for name in names]
     return [part for part in found if part.rate > 0]
@@ -82,8 +78,7 @@
         while allowances.may_send("i-1", now) and len(sent) < 5_000:
             assert allowances.take("i-1", now)
             sent.append(now)
-    most = max((sum(at <= one < at + WINDOW_S for one in sent) for at in sent), default=0)
-    assert most <= WINDOW_S * rate + burst + 1e-6
+    assert most_in_a_window(sent, 0.0) <= WINDOW_S * rate + burst + 1e-6
 
 
 def test_what_is_not_sent_goes_back_and_what_names_no_limit_is_not_counted():
