Try a region that is down with a few requests, and open it with the first success

What callers saw: an entry whose region had failed five times in a row at two upstreams refused every call as not-run for up to a second, although all upstreams served again, and there was no other region.

Cause: while a region counts as down nothing is sent there, so no success can end the run of failures; only a health answer opens it, and each upstream is asked for one once a second. Ruled out by the answers' detail and the upstreams' records: a false not-run, an entry that is cut off from control, slots that have run out.

Trials of once-only requests are 0.1 s apart, since a failed one leaves its key in doubt.

--- a/src/finchway/entry/_dispatch.py
+++ b/src/finchway/entry/_dispatch.py
@@ -8,7 +8,8 @@
 
 import functools
 import itertools
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterator
+from contextlib import contextmanager
 
 import msgspec
 import trio
@@ -159,39 +160,46 @@
         may_have_run = False
         for number in itertools.count(1):
             begun = _Begun()
-            regions = self._regions(call)
-            try:
-                grant = await self._admit(call, regions, excluded)
-            except CallError as error:
-                raise _after_attempts(error, may_have_run) from error
-            try:
-                await self._attempt(call, grant, body, respond, begun)
-                budget.earn()
-                return
-            except UpstreamError as error:
-                if begun.responded:
-                    raise
-                attempt = Attempt(
-                    number,
-                    error.outcome,
-                    service.repeatable and not service.once_only,
-                    body.is_whole,
-                    call.deadline - trio.current_time(),
-                )
-                expected = self._view.gate.mean_hold_s(call.service)
-                may_have_run = may_have_run or error.outcome is not Outcome.NOT_RUN
-                if not may_retry(attempt, budget, expected):
-                    final = _as_call_error(
-                        error, call, max(4 * expected, self._back_in(call, regions))
+            with self._regions(call) as regions:
+                try:
+                    grant = await self._admit(call, regions, excluded)
+                except CallError as error:
+                    raise _after_attempts(error, may_have_run) from error
+                try:
+                    await self._attempt(call, grant, body, respond, begun)
+                    budget.earn()
+                    return
+                except UpstreamError as error:
+                    if begun.responded:
+                        raise
+                    attempt = Attempt(
+                        number,
+                        error.outcome,
+                        service.repeatable and not service.once_only,
+                        body.is_whole,
+                        call.deadline - trio.current_time(),
                     )
-                    raise _after_attempts(final, may_have_run) from error
-                self._metrics.count_retry(call.service)
-                excluded |= {grant.address}
-
-    def _regions(self, call: Call) -> tuple[str, ...]:
+                    expected = self._view.gate.mean_hold_s(call.service)
+                    may_have_run = may_have_run or error.outcome is not Outcome.NOT_RUN
+                    if not may_retry(attempt, budget, expected):
+                        final = _as_call_error(
+                            error, call, max(4 * expected, self._back_in(call, regions))
+                        )
+                        raise _after_attempts(final, may_have_run) from error
+                    self._metrics.count_retry(call.service)
+                    excluded |= {grant.address}
+
+    @contextmanager
+    def _regions(self, call: Call) -> Iterator[tuple[str, ...]]:
+        """Give the regions for one attempt; a trial of a region that is down ends with it."""
         caller = Caller(client_block(call.client), call.organisation)
         now = trio.current_time()
-        return self._view.candidates(call.service, call.home, caller, call.rank, now)
+        found = self._view.candidates(call.service, call.home, caller, call.rank, now)
+        try:
+            yield found.regions
+        finally:
+            if found.trial is not None:
+                found.trial.end()
 
     def _back_in(self, call: Call, regions: tuple[str, ...]) -> float:
         """Return the seconds until an upstream wants requests again; 0 unless all rest."""
--- a/src/finchway/entry/_view.py
+++ b/src/finchway/entry/_view.py
@@ -18,6 +18,7 @@
     Holder,
     PaidRate,
     RateWindow,
+    RegionChoice,
     RegionHealth,
     Routes,
     caller_position,
@@ -39,6 +40,10 @@
     Service,
 )
 
+# Seconds between two trials of a region whose requests run at most once: one that fails may leave
+# its caller not knowing whether the request ran.
+ONCE_ONLY_TRIALS_APART_S = 0.1
+
 
 class EntryView:
     """What one entry knows and decides with; it does no I/O and reads no clock.
@@ -182,26 +187,30 @@
 
     def candidates(
         self, service: str, home: str, caller: Caller, rank: int, now: float
-    ) -> tuple[str, ...]:
+    ) -> RegionChoice:
         """Return the regions that may serve a request, in order of preference.
 
         The nearest other region that is up follows the assigned one, for callers within the open
-        part of the cap. While the assigned region is down it takes no requests at all: those
-        callers go to the other region, and the rest are refused. Health answers open it again.
+        part of the cap. While the assigned region is down those callers go to the other region. Of
+        the rest a few try it, so that it opens as soon as it serves again; the others are refused.
+        Health answers open it as well.
         """
         order = self._routes.candidates(service, home, caller)
         if not order:
-            return ()
+            return RegionChoice()
         assigned = order[0]
         source_down = self._is_down(service, assigned)
+        spill: tuple[str, ...] = ()
         for target in order[1:]:
             if not self._is_down(service, target):
                 ramp = self._advance(service, assigned, target, source_down, len(order), now)
                 ramp.record(rank)
-                open_to = ramp.allows(rank, caller_position(service, assigned, caller))
-                spill = (target,) if open_to else ()
-                return spill if source_down else (assigned, *spill)
-        return () if source_down else (assigned,)
+                if ramp.allows(rank, caller_position(service, assigned, caller)):
+                    spill = (target,)
+                break
+        if not source_down:
+            return RegionChoice((assigned, *spill))
+        return RegionChoice(spill) if spill else self._try_region(service, assigned, now)
 
     def record_result(self, address: str, succeeded: bool, now: float) -> tuple[bool, bool]:
         """Note how a request at an upstream ended; returns (ejected now, region state changed)."""
@@ -215,8 +224,7 @@
             self._directory.record_success(address)
             return False, was_down
         health.record_failure(address)
-        peers = [a for a, owner in self._pool_of.items() if owner == key]
-        ejected = self._directory.record_failure(address, peers, now)
+        ejected = self._directory.record_failure(address, self._addresses_in(key), now)
         return ejected, health.is_down != was_down
 
     def is_region_down(self, service: str, region: str) -> bool:
@@ -309,11 +317,23 @@
         health = self._health.get((service, region))
         if health is not None and health.is_down:
             return True
-        states = [
-            self._directory.get(a) for a, k in self._pool_of.items() if k == (service, region)
-        ]
+        states = [self._directory.get(a) for a in self._addresses_in((service, region))]
         return bool(states) and all(s is None or s.leaving or s.drained for s in states)
 
+    def _try_region(self, service: str, region: str, now: float) -> RegionChoice:
+        """Return a region that is down, if one more request may try it now."""
+        health = self._health.get((service, region))
+        if health is None or not health.is_down:
+            return RegionChoice()
+        spec = self.service(service)
+        apart_s = ONCE_ONLY_TRIALS_APART_S if spec is not None and spec.once_only else 0.0
+        trial = health.begin_trial(now, len(self._addresses_in((service, region))), apart_s)
+        return RegionChoice((region,), trial) if trial is not None else RegionChoice()
+
+    def _addresses_in(self, key: tuple[str, str]) -> list[str]:
+        """Return the upstreams of a service in a region."""
+        return [address for address, owner in self._pool_of.items() if owner == key]
+
     def _advance(
         self, service: str, source: str, target: str, down: bool, regions: int, now: float
     ) -> FailoverRamp:
--- a/src/finchway/policy/__init__.py
+++ b/src/finchway/policy/__init__.py
@@ -32,6 +32,7 @@
 from finchway.policy._parts import part_of_limit
 from finchway.policy._placement import HOMES, Candidate, UpstreamOrders, choose_home
 from finchway.policy._recall import KeepLimit
+from finchway.policy._region_health import RegionChoice, RegionHealth, RegionTrial
 from finchway.policy._retries import MAX_ATTEMPTS, Attempt, Outcome, RetryBudget, may_retry
 from finchway.policy._routing import Caller, EntryPoint, Routes, caller_position, client_block
 from finchway.policy._shares import (
@@ -48,7 +49,6 @@
 )
 from finchway.policy._shifts import (
     FailoverRamp,
-    RegionHealth,
     ShiftView,
     inbound_part,
     next_move_status,
@@ -90,7 +90,6 @@
     "PaidRate",
     "RateWindow",
     "Refusal",
-    "RegionHealth",
     "RetryBudget",
     "Routes",
     "ServiceRate",
@@ -131,7 +130,10 @@
     "Candidate",
     "Pacer",
     "RateMeter",
+    "RegionChoice",
+    "RegionHealth",
     "RegionLoad",
+    "RegionTrial",
     "Spread",
     "Standing",
     "WindowCount",
--- a/src/finchway/policy/_shifts.py
+++ b/src/finchway/policy/_shifts.py
@@ -104,36 +104,6 @@
     return available / max(1, regions - 1)
 
 
-class RegionHealth:
-    """Whether a region serves at all, as one entry sees it.
-
-    A region is down after a run of failures at several upstreams without any success; a success
-    ends it. Refusals do not count: an upstream that sheds is alive.
-    """
-
-    __slots__ = ("_failed", "_needed", "_streak")
-
-    def __init__(self, needed: int = 5) -> None:
-        self._needed = needed
-        self._streak = 0
-        self._failed: set[str] = set()
-
-    @property
-    def is_down(self) -> bool:
-        """Whether the region counts as down."""
-        return self._streak >= self._needed and len(self._failed) >= 2
-
-    def record_success(self) -> None:
-        """Note a success at any of the region's upstreams."""
-        self._streak = 0
-        self._failed.clear()
-
-    def record_failure(self, address: str) -> None:
-        """Note a failure that says nothing good of an upstream."""
-        self._streak += 1
-        self._failed.add(address)
-
-
 class FailoverRamp:
     """What part of a source region's callers one entry may send to a target region.
 
--- a/tests/process/test_entry.py
+++ b/tests/process/test_entry.py
@@ -132,6 +132,7 @@
     answer says is judged by the upstreams' own records as well: `not-run` must be true of that very
     call, and what any of them has had ends as unknown.
     """
+    # Guards against a region that is taken for down and refuses what its upstreams would serve.
     for name, _, config in deployment.upstreams:
         if name == "bays":
             fetch(config.address, "/fake/mode", {"mode": mode, "count": 1})
