Cut off no request that was sent before a planned stop of a gateway

Cause, in HttpServer: a connection counted only once its task had begun, so `stop` passed over one that was accepted in the same moment, and returned at once if there was no other; what the kernel had completed and nobody accepted was reset as the listener closed; a request that lay unread in a socket, or was half there, counted as idle and was cancelled. Besides, an answer whose head had gone out before the gateway left ended its connection without having said so.

Ruled out: the machine's load as the cause; it only widens the moment.

Why it works: a connection counts from its accept until it is closed; the stop accepts what the kernel has completed before it closes the listener; idle is only what holds no byte, has none unread, and has rested for half a second, in which a request may be under way. A caller whose answer did not say that the connection ends may send one more request.

--- a/src/finchway/gateway/_http.py
+++ b/src/finchway/gateway/_http.py
@@ -26,6 +26,11 @@
 USER_TIMEOUT_MS = 5_000
 _PENDING_BYTES = 64 * 1024
 _LINGER_S = 0.5
+# Seconds after a connection or an answer began its rest in which its caller's next request may be
+# under way already.
+NEXT_REQUEST_S = 0.5
+# Seconds between two looks at which connections have fallen idle while a server stops.
+STOP_CHECK_S = 0.02
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -82,13 +87,10 @@
             h11.SERVER, max_incomplete_event_size=max(limits().header_bytes, 1024)
         )
         self._closing = False
+        self._said_close = False
         self._answered = False
         self._busy = False
-
-    @property
-    def is_busy(self) -> bool:
-        """Whether a request has been read and is not answered yet."""
-        return self._busy
+        self._rests_since = trio.current_time()
 
     @property
     def has_answered(self) -> bool:
@@ -98,14 +100,31 @@
     @property
     def has_left(self) -> bool:
         """Whether the caller has closed its connection already."""
-        poll = select.poll()
-        poll.register(self._stream.socket.fileno(), select.POLLRDHUP)
-        return bool(poll.poll(0))
+        return self._has_event(select.POLLRDHUP)
 
     def close_after_answer(self) -> None:
-        """Send no further request's answer on this connection."""
+        """Have the next answer say that it is the last one on this connection."""
         self._closing = True
 
+    def is_idle(self, now: float) -> bool:
+        """Tell whether the connection can be closed without cutting off a request.
+
+        It cannot while a part of a request is held or lies unread, nor in the first moment after it
+        came or was answered on: the caller has not been told that it closes.
+        """
+        if self._busy or self._http.trailing_data[0]:
+            return False
+        return now - self._rests_since >= NEXT_REQUEST_S and not self._has_event(select.POLLIN)
+
+    def _has_event(self, event: int) -> bool:
+        """Tell whether the socket has an event, or is closed already."""
+        descriptor = self._stream.socket.fileno()
+        if descriptor < 0:
+            return True
+        poll = select.poll()
+        poll.register(descriptor, event)
+        return bool(poll.poll(0))
+
     async def read(self) -> CallerRequest | None:
         """Return the next request, or None when the connection is over.
 
@@ -226,14 +245,19 @@
         if self._http.their_state is not h11.DONE and self._http.their_state is not h11.MUST_CLOSE:
             self._closing = True
         if self._closing:
+            self._said_close = True
             headers = [*headers, (b"Connection", b"close")]
         self._answered = True
         return self._http.send(h11.Response(status_code=status, reason=reason, headers=headers))
 
     async def finish(self) -> bool:
-        """Make ready for the next request; False if the connection has to end."""
+        """Make ready for the next request; False if the connection has to end.
+
+        An answer that did not say so ends no connection: its caller may have sent another request.
+        """
         self._busy = False
-        if self._closing or self._http.our_state is not h11.DONE:
+        self._rests_since = trio.current_time()
+        if self._said_close or self._http.our_state is not h11.DONE:
             return False
         if self._http.their_state is not h11.DONE:
             return False
@@ -304,8 +328,11 @@
         self._limits = limits
         self._most = most
         self._connections: dict[CallerConnection, trio.CancelScope] = {}
+        self._listener: socket.socket | None = None
+        self._nursery: trio.Nursery | None = None
         self._accepting = trio.CancelScope()
         self._leaving = False
+        self._deaf = trio.Event()
         self._empty = trio.Event()
 
     @property
@@ -320,36 +347,59 @@
 
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Accept and serve until cancelled."""
+        with self._listen() as listener:
+            async with trio.open_nursery() as nursery:
+                self._listener, self._nursery = listener, nursery
+                task_status.started()
+                with self._accepting:
+                    await self._accept()
+                self._accept_queued()
+                listener.close()
+                self._deaf.set()
+
+    def _listen(self) -> socket.socket:
         host, _, port = self._address.rpartition(":")
-        listener = trio.socket.socket()
+        listener = socket.socket()
+        listener.setblocking(False)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
-            await listener.bind((host, int(port)))
+            listener.bind((host, int(port)))
         except OSError as error:
+            listener.close()
             raise TransportError(f"cannot bind {self._address}: {error}") from error
         listener.listen(BACKLOG)
-        async with trio.open_nursery() as nursery:
-            task_status.started()
-            with self._accepting:
-                await self._accept(listener, nursery)
-            listener.close()
-            if not self._connections:
-                self._empty.set()
+        return listener
 
-    async def _accept(self, listener, nursery: trio.Nursery) -> None:
+    async def _accept(self) -> None:
+        while True:
+            await trio.lowlevel.wait_readable(self._listener)
+            if not self._accept_queued():
+                await trio.sleep(0.05)
+
+    def _accept_queued(self) -> bool:
+        """Accept the connections that the kernel has completed; False if that failed."""
         while True:
             try:
-                accepted, _ = await listener.accept()
+                accepted, _ = self._listener.accept()
+            except BlockingIOError:
+                return True
             except OSError as error:
                 _LOG.warning("accept on %s failed: %s", self._address, error)
-                await trio.sleep(0.05)
-                continue
-            if len(self._connections) >= self._most:
-                accepted.close()
-                continue
-            accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-            nursery.start_soon(self._handle, trio.SocketStream(accepted))
+                return False
+            self._begin(trio.socket.from_stdlib_socket(accepted))
+
+    def _begin(self, accepted: trio.socket.SocketType) -> None:
+        """Serve a connection; it counts from here on, whenever its task comes to run."""
+        if len(self._connections) >= self._most:
+            accepted.close()
+            return
+        accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+        connection = CallerConnection(trio.SocketStream(accepted), self._limits)
+        if self._leaving:
+            connection.close_after_answer()
+        scope = self._connections[connection] = trio.CancelScope()
+        self._nursery.start_soon(self._handle, connection, scope)
 
     def leave(self) -> None:
         """Have each connection end with its next answer; new ones are still taken."""
@@ -358,20 +408,25 @@
             connection.close_after_answer()
 
     async def stop(self) -> None:
-        """Take no new connection, end the idle ones, and return when the last has ended."""
+        """Take no new connection, end the idle ones, and return when the last has ended.
+
+        What the kernel has accepted before is served: its callers may have sent their requests.
+        """
         self.leave()
         self._accepting.cancel()
-        for connection, scope in list(self._connections.items()):
-            if not connection.is_busy:
+        if self._listener is not None:
+            await self._deaf.wait()
+        while self._connections:
+            self._end_idle(trio.current_time())
+            with trio.move_on_after(STOP_CHECK_S):
+                await self._empty.wait()
+
+    def _end_idle(self, now: float) -> None:
+        for connection, scope in self._connections.items():
+            if connection.is_idle(now):
                 scope.cancel()
-        if self._connections:
-            await self._empty.wait()
 
-    async def _handle(self, stream: trio.SocketStream) -> None:
-        connection = CallerConnection(stream, self._limits)
-        if self._leaving:
-            connection.close_after_answer()
-        scope = self._connections[connection] = trio.CancelScope()
+    async def _handle(self, connection: CallerConnection, scope: trio.CancelScope) -> None:
         try:
             with scope:
                 await self._serve_all(connection)
@@ -383,9 +438,10 @@
         except Exception:
             _LOG.exception("a connection failed")
         finally:
-            del self._connections[connection]
+            # It counts until it is closed: a process that ends before would reset its last answer.
             with trio.CancelScope(shield=True):
                 await connection.close()
+            del self._connections[connection]
             if self._accepting.cancel_called and not self._connections:
                 self._empty.set()
 
@@ -395,7 +451,7 @@
             if request is None:
                 return
             await self._serve(connection, request)
-            if not await connection.finish() or self._accepting.cancel_called:
+            if not await connection.finish():
                 return
 
     async def _refuse_malformed(
