Close a region only for failures at half of its upstreams, or at five

Five failures in a row at two upstreams closed a region of any size, also one of forty.

A region whose upstreams all fail is closed after five failures as before, since these are then at five, or at half, of them.

--- a/src/finchway/entry/_view.py
+++ b/src/finchway/entry/_view.py
@@ -223,8 +223,9 @@
             health.record_success()
             self._directory.record_success(address)
             return False, was_down
-        health.record_failure(address)
-        ejected = self._directory.record_failure(address, self._addresses_in(key), now)
+        peers = self._addresses_in(key)
+        health.record_failure(address, len(peers))
+        ejected = self._directory.record_failure(address, peers, now)
         return ejected, health.is_down != was_down
 
     def is_region_down(self, service: str, region: str) -> bool:
--- a/src/finchway/policy/_region_health.py
+++ b/src/finchway/policy/_region_health.py
@@ -4,18 +4,23 @@
 region that answers nothing holds no more callers than it has upstreams.
 
     health = RegionHealth()
-    health.record_failure("10.0.0.1:80")
+    health.record_failure("10.0.0.1:80", upstreams=4)
     if health.is_down:
         trial = health.begin_trial(now, upstreams=4, apart_s=0.0)
 """
 
 from __future__ import annotations
 
+from math import ceil
+
 from msgspec import Struct
 
-# Failures in a row, and upstreams among them, after which a region counts as down.
+# Failures in a row after which a region counts as down.
 FAILURES = 5
-UPSTREAMS = 2
+# Upstreams that these must be spread over: half of the region's, at least two and at most five.
+# Else a few broken ones among many close the region for all now and then, by chance.
+FEWEST_FAILED = 2
+MOST_FAILED = 5
 # Seconds after which the next trial may begin although the last one has no answer yet.
 TRIAL_PATIENCE_S = 0.1
 
@@ -48,10 +53,11 @@
     ends it. Refusals do not count: an upstream that sheds is alive.
     """
 
-    __slots__ = ("_began_at", "_failed", "_streak", "_trials")
+    __slots__ = ("_began_at", "_failed", "_needed", "_streak", "_trials")
 
     def __init__(self) -> None:
         self._streak = 0
+        self._needed = FEWEST_FAILED
         self._failed: set[str] = set()
         self._trials: list[RegionTrial] = []
         self._began_at = float("-inf")
@@ -59,7 +65,7 @@
     @property
     def is_down(self) -> bool:
         """Whether the region counts as down."""
-        return self._streak >= FAILURES and len(self._failed) >= UPSTREAMS
+        return self._streak >= FAILURES and len(self._failed) >= self._needed
 
     @property
     def streak(self) -> int:
@@ -76,8 +82,9 @@
         self._streak = 0
         self._failed.clear()
 
-    def record_failure(self, address: str) -> None:
-        """Note a failure that says nothing good of an upstream."""
+    def record_failure(self, address: str, upstreams: int) -> None:
+        """Note a failure that says nothing good of one of the region's upstreams."""
+        self._needed = min(MOST_FAILED, max(FEWEST_FAILED, ceil(upstreams / 2)))
         self._streak += 1
         self._failed.add(address)
 
--- a/tests/unit/test_policy.py
+++ b/tests/unit/test_policy.py
@@ -378,13 +378,23 @@
     def test_a_region_is_down_only_after_failures_at_several_upstreams(self):
         health = RegionHealth()
         for _ in range(10):
-            health.record_failure("a")
+            health.record_failure("a", 4)
         assert not health.is_down
-        health.record_failure("b")
+        health.record_failure("b", 4)
         assert health.is_down
         health.record_success()
         assert not health.is_down
 
+    @pytest.mark.parametrize(("upstreams", "failed"), [(2, 2), (4, 2), (7, 4), (10, 5), (40, 5)])
+    def test_a_region_is_down_once_half_of_its_upstreams_fail_or_five(self, upstreams, failed):
+        """A few broken ones among many do not close it, however often they fail in a row."""
+        health = RegionHealth()
+        for number in range(100):
+            health.record_failure(str(number % (failed - 1)), upstreams)
+        assert not health.is_down
+        health.record_failure("another", upstreams)
+        assert health.is_down
+
 
 class TestDrains:
     def test_a_drain_is_done_only_when_everyone_knows_and_nothing_is_in_flight(self):
