Say in the events of a region why it went down or came back

The failure that closed it, the run of failures, the upstreams that it spans, the age of what was last heard of the region, and the revision. Without these, a refusal as not-run could not be told from one for another reason once the health answer had come.

--- a/src/finchway/entry/_dispatch.py
+++ b/src/finchway/entry/_dispatch.py
@@ -350,9 +350,10 @@
             self._timeline.record(EventKind.UPSTREAM_LIMITED, address, f"names {limit}")
 
     def _note_success(self, address: str) -> None:
-        _, changed = self._view.record_result(address, True, trio.current_time())
+        now = trio.current_time()
+        _, changed = self._view.record_result(address, True, now)
         if changed:
-            self._timeline.record(EventKind.REGION_UP, "/".join(self._view.pool_of(address)))
+            self._note_region(EventKind.REGION_UP, address, "an answer came")
 
     def _note_failure(self, address: str, error: UpstreamError) -> None:
         if error.healthy:
@@ -361,7 +362,13 @@
         if ejected:
             self._timeline.record(EventKind.UPSTREAM_EJECTED, address, error.detail)
         if changed:
-            self._timeline.record(EventKind.REGION_DOWN, "/".join(self._view.pool_of(address)))
+            self._note_region(EventKind.REGION_DOWN, address, error.detail)
+
+    def _note_region(self, kind: EventKind, address: str, cause: str) -> None:
+        """Say why a region counts as down or up now: what cannot be seen later any more."""
+        key = self._view.pool_of(address)
+        basis = self._view.describe_region(key, trio.current_time())
+        self._timeline.record(kind, "/".join(key), f"{address}: {cause}; {basis}")
 
 
 class _Waiting:
--- a/src/finchway/entry/_probe.py
+++ b/src/finchway/entry/_probe.py
@@ -122,8 +122,10 @@
         """Let a region that is down be tried again once one of its upstreams answers."""
         key = self._view.pool_of(address)
         if key is not None and self._view.is_region_down(*key):
+            basis = self._view.describe_region(key, trio.current_time())
             self._view.reopen(key)
-            self._timeline.record(EventKind.REGION_UP, "/".join(key), f"{address} answers")
+            detail = f"{address}: its health answers; {basis}"
+            self._timeline.record(EventKind.REGION_UP, "/".join(key), detail)
 
     async def _ask(self, address: str) -> Health | None:
         with trio.move_on_after(PROBE_TIMEOUT_S):
--- a/src/finchway/entry/_view.py
+++ b/src/finchway/entry/_view.py
@@ -232,6 +232,18 @@
         """Tell whether a region fails to serve a service, as this entry sees it."""
         return self._is_down(service, region)
 
+    def describe_region(self, key: tuple[str, str], now: float) -> str:
+        """Return what a region's state rests on: its failures, and when it was last heard."""
+        addresses = self._addresses_in(key)
+        health = self._health.get(key) or RegionHealth()
+        states = [self._directory.get(address) for address in addresses]
+        heard = [state.report.at for state in states if state is not None and state.report]
+        age = f"{now - max(heard):.3f} s ago" if heard else "never"
+        return (
+            f"{health.streak} failures in a row at {health.failed} of {len(addresses)} upstreams, "
+            f"last heard {age}, revision {self.revision}"
+        )
+
     def reopen(self, key: tuple[str, str]) -> None:
         """Let requests try a region again that was down."""
         health = self._health.get(key)
--- a/tests/entry/test_region_return.py
+++ b/tests/entry/test_region_return.py
@@ -11,6 +11,7 @@
 from bench.shapes import ServiceShape, Shape
 from bench.virtual import run_virtual
 from bench.world import Options, World
+from finchway.observe import Event, EventKind
 from finchway.policy import Outcome
 
 UPSTREAMS = 4
@@ -157,3 +158,23 @@
 
     world = play(action, TWO_REGIONS, seed)
     assert max((got.started - back[0] for got in refused(world, back[0])), default=0.0) < 0.1
+
+
+def test_the_time_line_says_why_a_region_went_down_and_came_back():
+    """Its events name the last failure, the run of failures, and how old what was heard is."""
+    found: list[Event] = []
+
+    async def action(world: World) -> None:
+        await fail(world)
+        set_broken(world, False)
+        await call(world)
+        kinds = (EventKind.REGION_DOWN, EventKind.REGION_UP)
+        timeline = world.entries["e1"].timeline
+        found.extend(event for event in timeline.since(0, 5_000) if event.kind in kinds)
+
+    play(action)
+    down, up = found
+    assert (down.subject, up.subject) == ("bays/north", "bays/north")
+    assert "cut its answer; 5 failures in a row at " in down.detail
+    assert f"of {UPSTREAMS} upstreams, last heard 0." in down.detail and "revision" in down.detail
+    assert "an answer came; 0 failures in a row" in up.detail
