Accept connections in one place, for gateways and what else listens

Only moved: the listener of a gateway's server, which takes what the kernel holds before it closes, stands in transport/ so that entries and the resource API can use it.

--- a/src/finchway/gateway/_http.py
+++ b/src/finchway/gateway/_http.py
@@ -17,18 +17,13 @@
 from msgspec import Struct
 
 from finchway.catalog import Limits
-from finchway.exceptions import TransportError
+from finchway.transport import NEXT_REQUEST_S, Listener
 
 _LOG = logging.getLogger(__name__)
 READ_BYTES = 64 * 1024
 BUFFERED_BODY_BYTES = 1024 * 1024
-BACKLOG = 512
-USER_TIMEOUT_MS = 5_000
 _PENDING_BYTES = 64 * 1024
 _LINGER_S = 0.5
-# Seconds after a connection or an answer began its rest in which its caller's next request may be
-# under way already.
-NEXT_REQUEST_S = 0.5
 # Seconds between two looks at which connections have fallen idle while a server stops.
 STOP_CHECK_S = 0.02
 
@@ -323,16 +318,13 @@
     def __init__(
         self, address: str, serve: Serve, limits: Callable[[], Limits] = Limits, most: int = 3_000
     ) -> None:
-        self._address = address
         self._serve = serve
         self._limits = limits
         self._most = most
         self._connections: dict[CallerConnection, trio.CancelScope] = {}
-        self._listener: socket.socket | None = None
+        self._listener = Listener(address, self._begin)
         self._nursery: trio.Nursery | None = None
-        self._accepting = trio.CancelScope()
         self._leaving = False
-        self._deaf = trio.Event()
         self._empty = trio.Event()
 
     @property
@@ -347,55 +339,18 @@
 
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Accept and serve until cancelled."""
-        with self._listen() as listener:
-            async with trio.open_nursery() as nursery:
-                self._listener, self._nursery = listener, nursery
-                task_status.started()
-                with self._accepting:
-                    await self._accept()
-                self._accept_queued()
-                listener.close()
-                self._deaf.set()
-
-    def _listen(self) -> socket.socket:
-        host, _, port = self._address.rpartition(":")
-        listener = socket.socket()
-        listener.setblocking(False)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            listener.bind((host, int(port)))
-        except OSError as error:
-            listener.close()
-            raise TransportError(f"cannot bind {self._address}: {error}") from error
-        listener.listen(BACKLOG)
-        return listener
-
-    async def _accept(self) -> None:
-        while True:
-            await trio.lowlevel.wait_readable(self._listener)
-            if not self._accept_queued():
-                await trio.sleep(0.05)
+        self._listener.bind()
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            task_status.started()
+            await self._listener.run()
 
-    def _accept_queued(self) -> bool:
-        """Accept the connections that the kernel has completed; False if that failed."""
-        while True:
-            try:
-                accepted, _ = self._listener.accept()
-            except BlockingIOError:
-                return True
-            except OSError as error:
-                _LOG.warning("accept on %s failed: %s", self._address, error)
-                return False
-            self._begin(trio.socket.from_stdlib_socket(accepted))
-
-    def _begin(self, accepted: trio.socket.SocketType) -> None:
+    def _begin(self, stream: trio.SocketStream) -> None:
         """Serve a connection; it counts from here on, whenever its task comes to run."""
         if len(self._connections) >= self._most:
-            accepted.close()
+            stream.socket.close()
             return
-        accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-        connection = CallerConnection(trio.SocketStream(accepted), self._limits)
+        connection = CallerConnection(stream, self._limits)
         if self._leaving:
             connection.close_after_answer()
         scope = self._connections[connection] = trio.CancelScope()
@@ -413,9 +368,7 @@
         What the kernel has accepted before is served: its callers may have sent their requests.
         """
         self.leave()
-        self._accepting.cancel()
-        if self._listener is not None:
-            await self._deaf.wait()
+        await self._listener.stop()
         while self._connections:
             self._end_idle(trio.current_time())
             with trio.move_on_after(STOP_CHECK_S):
@@ -442,7 +395,7 @@
             with trio.CancelScope(shield=True):
                 await connection.close()
             del self._connections[connection]
-            if self._accepting.cancel_called and not self._connections:
+            if self._listener.is_stopping and not self._connections:
                 self._empty.set()
 
     async def _serve_all(self, connection: CallerConnection) -> None:
--- a/src/finchway/transport/__init__.py
+++ b/src/finchway/transport/__init__.py
@@ -2,7 +2,17 @@
 
 from finchway.transport._keys import Keys, load_keys, make_keys
 from finchway.transport._link import Handler, Link
+from finchway.transport._listener import NEXT_REQUEST_S, Listener
 from finchway.transport._messages import *  # noqa: F403
 from finchway.transport._messages import __all__ as _messages
 
-__all__ = ["Handler", "Keys", "Link", "load_keys", "make_keys", *_messages]
+__all__ = [
+    "NEXT_REQUEST_S",
+    "Handler",
+    "Keys",
+    "Link",
+    "Listener",
+    "load_keys",
+    "make_keys",
+    *_messages,
+]
