Cut off no request that was sent before a planned stop of an entry or of the resource API

Cause, the same as in gateways: hypercorn's server resets what the kernel has completed and nobody has accepted, and closes connections that look idle while a request lies unread; and the process ended 0.05 s after it had told that server to stop. No answer said that its connection was about to end.

Why it works: the listener of gateways accepts for the entry and the API as well, hypercorn serves each connection; from its withdrawal on an entry's answers say that their connection ends; a stop accepts what has come, gives callers half a second, ends idle connections and waits for the rest within drain_limit.

--- a/src/finchway/control/_api.py
+++ b/src/finchway/control/_api.py
@@ -60,7 +60,6 @@
     BodyTooLargeError,
     Problem,
     Request,
-    run_lifespan,
     send,
     send_json,
     send_problem,
@@ -104,9 +103,6 @@
 
     async def __call__(self, scope, receive, respond) -> None:
         """Serve one request."""
-        if scope["type"] == "lifespan":
-            await run_lifespan(receive, respond)
-            return
         if scope["type"] != "http":
             return
         request = Request(scope, receive)
--- a/src/finchway/daemon.py
+++ b/src/finchway/daemon.py
@@ -7,12 +7,10 @@
 import random
 import sys
 import time
-from collections.abc import Awaitable, Callable
 
 import trio
 from absl import flags
 from hypercorn.config import Config
-from hypercorn.trio import serve
 
 from finchway._clock import BootClock
 from finchway._settings import CONTROL, ENTRY, GATEWAY, Settings, define_flags, read_settings
@@ -24,7 +22,7 @@
     SteeringService,
     found_cluster,
 )
-from finchway.entry import EntryRole, platform_source
+from finchway.entry import EntryApp, EntryRole, platform_source
 from finchway.exceptions import FinchwayError, StorageDamagedError
 from finchway.feed import Subscribe
 from finchway.gateway import GatewayRole, GatewaySettings
@@ -54,6 +52,7 @@
 from finchway.surface import Surface
 from finchway.transport import (
     AnyBody,
+    AppServer,
     Events,
     FetchChanges,
     FetchEvents,
@@ -63,6 +62,8 @@
 )
 
 _LOG = logging.getLogger(__name__)
+# Seconds that the resource API's calls have to end in a planned stop; watches never end.
+_API_STOP_S = 1.0
 
 
 class Process:
@@ -87,8 +88,9 @@
         self._rng = random.Random()
         self._control: ControlServer | None = None
         self._entry: EntryRole | None = None
+        self._entry_server: AppServer | None = None
+        self._api_server: AppServer | None = None
         self._stop = trio.Event()
-        self._closed = trio.Event()
 
     async def run(self) -> None:
         """Run until a signal asks for a planned stop, and carry that out."""
@@ -121,7 +123,8 @@
     async def _leave(self) -> None:
         self._timeline.record(EventKind.STOPPING, self._settings.instance)
         if self._entry is not None:
-            await self._entry.leave(self._settings.drain_limit_s)
+            self._entry_server.leave()
+            await self._entry.leave(self._settings.drain_limit_s, self._entry_server.stop)
         if self._gateway is not None:
             await self._gateway.leave()
         if self._control is not None:
@@ -130,7 +133,9 @@
                 with trio.move_on_after(2 * self._settings.election_s):
                     while self._control.runner.is_leader:
                         await trio.sleep(0.02)
-        self._closed.set()
+        if self._api_server is not None:
+            with trio.move_on_after(_API_STOP_S):
+                await self._api_server.stop()
         self._timeline.record(EventKind.STOPPED, self._settings.instance)
         await trio.sleep(0.05)
 
@@ -178,7 +183,8 @@
             settings.peer_address,
         )
         nursery.start_soon(self._control.run)
-        await self._listen(nursery, settings.api_address, api)
+        self._api_server = self._make_server(settings.api_address, api)
+        await nursery.start(self._api_server.run)
 
     async def _open_replica(self) -> ReplicaRunner:
         """Open the data folder; without sound data the replica joins the others under a new life.
@@ -239,7 +245,8 @@
         )
         nursery.start_soon(self._entry.run)
         await self._entry.started.wait()
-        await self._listen(nursery, self._settings.entry_address, self._entry.app)
+        self._entry_server = self._make_server(self._settings.entry_address, self._entry.app)
+        await nursery.start(self._entry_server.run)
 
     async def _start_gateway(self, nursery: trio.Nursery) -> None:
         settings = self._settings
@@ -262,8 +269,18 @@
             await nursery.start(server.run)
         await nursery.start(self._gateway.run)
 
-    async def _listen(self, nursery: trio.Nursery, address: str, app) -> None:
-        await nursery.start(_serve_http, address, app, self._settings, self._closed.wait)
+    def _make_server(self, address: str, app: EntryApp | ResourceApi) -> AppServer:
+        settings = self._settings
+        config = Config()
+        config.errorlog = logging.getLogger("hypercorn.error")
+        config.accesslog = None
+        config.keep_alive_timeout = 30
+        config.h11_max_incomplete_size = 32 * 1024
+        config.include_server_header = False
+        if settings.tls_certificate and settings.tls_key:
+            config.certfile = str(settings.tls_certificate)
+            config.keyfile = str(settings.tls_key)
+        return AppServer(address, app, config)
 
     def _lease(self) -> LeaseTiming:
         settings = self._settings
@@ -272,28 +289,6 @@
         )
 
 
-async def _serve_http(
-    address: str,
-    app,
-    settings: Settings,
-    shutdown: Callable[[], Awaitable[None]],
-    *,
-    task_status=trio.TASK_STATUS_IGNORED,
-) -> None:
-    config = Config()
-    config.bind = [address]
-    config.errorlog = logging.getLogger("hypercorn.error")
-    config.accesslog = None
-    config.keep_alive_timeout = 30
-    config.graceful_timeout = settings.drain_limit_s
-    config.h11_max_incomplete_size = 32 * 1024
-    config.include_server_header = False
-    if settings.tls_certificate and settings.tls_key:
-        config.certfile = str(settings.tls_certificate)
-        config.keyfile = str(settings.tls_key)
-    await serve(app, config, shutdown_trigger=shutdown, task_status=task_status, mode="asgi")
-
-
 def main(arguments: list[str] | None = None) -> None:
     """Run `finchwayd`; exits with 2 if the settings are wrong."""
     values = flags.FlagValues()
--- a/src/finchway/entry/_app.py
+++ b/src/finchway/entry/_app.py
@@ -24,7 +24,6 @@
     BodyTooLargeError,
     Problem,
     Request,
-    run_lifespan,
     send,
     send_json,
     send_problem,
@@ -147,8 +146,6 @@
 
     async def __call__(self, scope: dict[str, Any], receive, respond) -> None:
         """Serve one request."""
-        if scope["type"] == "lifespan":
-            await run_lifespan(receive, respond)
         if scope["type"] != "http":
             return
         request = Request(scope, receive)
--- a/src/finchway/entry/_role.py
+++ b/src/finchway/entry/_role.py
@@ -4,6 +4,7 @@
 
 import random
 import uuid
+from collections.abc import Awaitable, Callable
 
 import trio
 
@@ -105,8 +106,11 @@
             nursery.start_soon(prober.run)
             self.started.set()
 
-    async def leave(self, limit_s: float) -> None:
-        """Withdraw from steering answers, wait out cached ones, and finish what is in flight."""
+    async def leave(self, limit_s: float, stop_server: Callable[[], Awaitable[None]]) -> None:
+        """Withdraw from steering answers, wait out cached ones, and finish what is in flight.
+
+        `stop_server` ends the connections of callers, and returns once the last is answered.
+        """
         self.session.start_leaving()
         with trio.move_on_after(limit_s):
             await self.session.beat()
@@ -115,6 +119,7 @@
                 default=0.0,
             )
             await trio.sleep(longest + STEER_LAG_S)
+            await stop_server()
             while self.app.concurrent or self._desk.unsettled:
                 await trio.sleep(0.05)
         with trio.move_on_after(1.0):
--- a/src/finchway/transport/__init__.py
+++ b/src/finchway/transport/__init__.py
@@ -1,5 +1,6 @@
 """Typed messages between finchway's processes."""
 
+from finchway.transport._app_server import AppServer
 from finchway.transport._keys import Keys, load_keys, make_keys
 from finchway.transport._link import Handler, Link
 from finchway.transport._listener import NEXT_REQUEST_S, Listener
@@ -8,6 +9,7 @@
 
 __all__ = [
     "NEXT_REQUEST_S",
+    "AppServer",
     "Handler",
     "Keys",
     "Link",
--- /dev/null
+++ b/src/finchway/transport/_app_server.py
@@ -0,0 +1,103 @@
+"""Serves an ASGI application on one address; hypercorn speaks HTTP/1.1, HTTP/2 and TLS.
+
+Connections are accepted here and not by hypercorn's own server, so that a planned stop cuts off no
+request that was sent before it.
+"""
+
+from __future__ import annotations
+
+import ssl
+from typing import Any
+
+import trio
+from hypercorn.app_wrappers import ASGIWrapper
+from hypercorn.config import Config
+from hypercorn.trio.tcp_server import TCPServer
+from hypercorn.trio.worker_context import WorkerContext
+from hypercorn.typing import ConnectionState
+
+from finchway.transport._listener import NEXT_REQUEST_S, Listener
+
+_STOP_CHECK_S = 0.02
+_CLOSE = (b"connection", b"close")
+
+
+class AppServer:
+    """Listens on one address and has each request served by an application."""
+
+    def __init__(self, address: str, app: Any, config: Config) -> None:
+        self._app = app
+        self._config = config
+        self._tls: ssl.SSLContext | None = None
+        self._wrapped = ASGIWrapper(self._serve)
+        self._context = WorkerContext(None)
+        self._listener = Listener(address, self._begin)
+        self._nursery: trio.Nursery | None = None
+        self._leaving = False
+        self._connections = 0
+
+    @property
+    def connections(self) -> int:
+        """How many connections are open."""
+        return self._connections
+
+    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Accept and serve until cancelled; raises `TransportError` if it cannot listen."""
+        self._tls = self._config.create_ssl_context()
+        self._listener.bind()
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            task_status.started()
+            await self._listener.run()
+
+    def leave(self) -> None:
+        """Have each answer say that its connection ends; new connections are still taken."""
+        self._leaving = True
+
+    async def stop(self) -> None:
+        """Take no new connection, and return when the last one has ended.
+
+        Callers that have connected, or have just been answered, have a moment to send a request.
+        """
+        self.leave()
+        await self._listener.stop()
+        if self._connections:
+            await trio.sleep(NEXT_REQUEST_S)
+        await self._context.terminated.set()
+        while self._connections:
+            await trio.sleep(_STOP_CHECK_S)
+
+    def _begin(self, stream: trio.SocketStream) -> None:
+        self._connections += 1
+        self._nursery.start_soon(self._handle, stream)
+
+    async def _handle(self, stream: trio.SocketStream) -> None:
+        try:
+            await TCPServer(
+                self._wrapped,
+                self._config,
+                self._context,
+                ConnectionState({}),
+                self._secure(stream),
+            )
+        finally:
+            await trio.aclose_forcefully(stream)
+            self._connections -= 1
+
+    def _secure(self, stream: trio.SocketStream) -> trio.SocketStream | trio.SSLStream:
+        if self._tls is None:
+            return stream
+        return trio.SSLStream(stream, self._tls, server_side=True, https_compatible=True)
+
+    async def _serve(self, scope: dict[str, Any], receive, send) -> None:
+        async def send_part(event: dict[str, Any]) -> None:
+            await send(self._with_close(scope, event))
+
+        await self._app(scope, receive, send_part)
+
+    def _with_close(self, scope: dict[str, Any], event: dict[str, Any]) -> dict[str, Any]:
+        """Add that the connection ends to the head of an answer, where HTTP says so in a header."""
+        is_head = event["type"] == "http.response.start"
+        if not self._leaving or not is_head or scope["http_version"] not in ("1.0", "1.1"):
+            return event
+        return event | {"headers": [*event["headers"], _CLOSE]}
--- a/src/finchway/transport/_http.py
+++ b/src/finchway/transport/_http.py
@@ -109,12 +109,3 @@
         for name, v in fields.items()
         if name in always or (len(bytes(v)) if isinstance(v, msgspec.Raw) else v)
     }
-
-
-async def run_lifespan(receive, respond) -> None:
-    """Answer the server's start and stop events, which finchway has no use for."""
-    while True:
-        event = await receive()
-        await respond({"type": f"{event['type']}.complete"})
-        if event["type"] == "lifespan.shutdown":
-            return
