End with a connection what it raises, and cut answers off between their parts only

What callers saw: one caller with a deadline of a few milliseconds, or that left in the wrong moment, ended the entry process; all others got `Connection refused`.

Cause: a cancel scope of ours reached into the sending of an answer's head. h11 had it, hypercorn did not count it as sent and sent a 500 after it; h11's error left the connection's task and took the server with it.

Why it works: each part of an answer is sent in a shield of at most 5 s, so the head is out or is not; and whatever a connection raises ends in AppServer, is logged in one line and counted.

--- a/src/finchway/daemon.py
+++ b/src/finchway/daemon.py
@@ -280,7 +280,7 @@
         if settings.tls_certificate and settings.tls_key:
             config.certfile = str(settings.tls_certificate)
             config.keyfile = str(settings.tls_key)
-        return AppServer(address, app, config)
+        return AppServer(address, app, config, self._metrics.count_connection_failure)
 
     def _lease(self) -> LeaseTiming:
         settings = self._settings
--- a/src/finchway/observe/_metrics.py
+++ b/src/finchway/observe/_metrics.py
@@ -27,6 +27,12 @@
             registry,
         )
         self._steers = Counter("finchway_steers_total", "Steering answers", labels, registry)
+        self._connection_failures = Counter(
+            "finchway_connection_failures_total",
+            "Connections of callers that ended by an error of their own",
+            labels,
+            registry,
+        )
         self._state = Gauge("finchway_state", "State by name", labels, registry)
         self._latency_gauge = Gauge(
             "finchway_latency_seconds", "Latency by quantile", labels, registry
@@ -50,6 +56,10 @@
         """Count an answer that asks something of this entry."""
         self._asked.inc({"service": service, "what": what})
 
+    def count_connection_failure(self) -> None:
+        """Count a connection of a caller that ended by an error of its own."""
+        self._connection_failures.inc({})
+
     def count_steer(self, service: str) -> None:
         """Count one steering answer."""
         self._steers.inc({"service": service})
--- a/src/finchway/transport/_app_server.py
+++ b/src/finchway/transport/_app_server.py
@@ -1,12 +1,15 @@
 """Serves an ASGI application on one address; hypercorn speaks HTTP/1.1, HTTP/2 and TLS.
 
-Connections are accepted here and not by hypercorn's own server, so that a planned stop cuts off no
+Connections are accepted here and not by hypercorn's own server, for two reasons. What fails in one
+connection ends there: hypercorn's server lets it end the process. And a planned stop cuts off no
 request that was sent before it.
 """
 
 from __future__ import annotations
 
+import logging
 import ssl
+from collections.abc import Callable
 from typing import Any
 
 import trio
@@ -18,16 +21,25 @@
 
 from finchway.transport._listener import NEXT_REQUEST_S, Listener
 
+_LOG = logging.getLogger(__name__)
+# Seconds that a part of an answer may take to go out, whatever becomes of its request meanwhile.
+_SEND_PATIENCE_S = 5.0
 _STOP_CHECK_S = 0.02
 _CLOSE = (b"connection", b"close")
 
 
 class AppServer:
-    """Listens on one address and has each request served by an application."""
+    """Listens on one address and has each request served by an application.
 
-    def __init__(self, address: str, app: Any, config: Config) -> None:
+    `on_failure` is called once for each connection that ended by an error of its own.
+    """
+
+    def __init__(
+        self, address: str, app: Any, config: Config, on_failure: Callable[[], None]
+    ) -> None:
         self._app = app
         self._config = config
+        self._on_failure = on_failure
         self._tls: ssl.SSLContext | None = None
         self._wrapped = ASGIWrapper(self._serve)
         self._context = WorkerContext(None)
@@ -72,6 +84,7 @@
         self._nursery.start_soon(self._handle, stream)
 
     async def _handle(self, stream: trio.SocketStream) -> None:
+        """Serve one connection; whatever it raises ends here, and costs nobody else anything."""
         try:
             await TCPServer(
                 self._wrapped,
@@ -80,6 +93,10 @@
                 ConnectionState({}),
                 self._secure(stream),
             )
+        except* Exception as group:
+            self._on_failure()
+            causes = "; ".join(sorted({repr(error) for error in _leaves(group)}))
+            _LOG.warning("a connection ended by an error: %s", causes)
         finally:
             await trio.aclose_forcefully(stream)
             self._connections -= 1
@@ -90,10 +107,25 @@
         return trio.SSLStream(stream, self._tls, server_side=True, https_compatible=True)
 
     async def _serve(self, scope: dict[str, Any], receive, send) -> None:
+        """Have the application serve a request, and each part of its answer go out whole.
+
+        A deadline, or a caller that leaves, cancels the application at any moment. Between two
+        parts that cuts off the answer; amid one it would leave hypercorn believing that a head has
+        not been sent which has, and it would send a second one.
+        """
+
         async def send_part(event: dict[str, Any]) -> None:
-            await send(self._with_close(scope, event))
+            with trio.CancelScope(shield=True) as sending:
+                sending.deadline = trio.current_time() + _SEND_PATIENCE_S
+                await send(self._with_close(scope, event))
+            if sending.cancelled_caught:
+                raise ConnectionAbortedError("the caller does not take its answer")
 
-        await self._app(scope, receive, send_part)
+        try:
+            await self._app(scope, receive, send_part)
+        except ConnectionAbortedError as error:
+            # hypercorn closes the connection of an answer that is not complete.
+            _LOG.debug("an answer was cut off: %s", error)
 
     def _with_close(self, scope: dict[str, Any], event: dict[str, Any]) -> dict[str, Any]:
         """Add that the connection ends to the head of an answer, where HTTP says so in a header."""
@@ -101,3 +133,10 @@
         if not self._leaving or not is_head or scope["http_version"] not in ("1.0", "1.1"):
             return event
         return event | {"headers": [*event["headers"], _CLOSE]}
+
+
+def _leaves(group: BaseExceptionGroup) -> list[BaseException]:
+    found: list[BaseException] = []
+    for error in group.exceptions:
+        found += _leaves(error) if isinstance(error, BaseExceptionGroup) else [error]
+    return found
