Let callers in a hurry say nothing of upstreams

What callers saw: a patient caller beside others with deadlines of 1 to 29 ms was refused with `no region serves this request now`: their deadlines counted as failures of the upstreams and of the region.

Cause: _note_failure took every deadline that passed as the upstream's failure, however little time it had been given.

Why it works: below twice the mean time of a request, an upstream that is well may miss the deadline just by chance. Not more than twice: where all callers give four times the usual, as some do, silent upstreams have to be found by just these.

--- a/src/finchway/entry/_dispatch.py
+++ b/src/finchway/entry/_dispatch.py
@@ -45,6 +45,8 @@
 
 HOLD_BYTES = 65_536
 PUMP_INTERVAL_S = 0.02
+# An upstream that is given less than so many times what a request usually takes may well be fine.
+HASTY_BELOW = 2.0
 _HOP_HEADERS = frozenset(
     {
         b"connection",
@@ -250,7 +252,8 @@
                 await self._exchange(call, hold, body, respond, begun)
                 succeeded = True
             if scope.cancelled_caught:
-                raise UpstreamError(Outcome.UNKNOWN, f"{grant.address} did not answer in time")
+                detail = f"{grant.address} did not answer in time"
+                raise UpstreamError(Outcome.UNKNOWN, detail, healthy=self._was_hasty(call, grant))
         except UpstreamError as error:
             hold.was_sent = error.was_sent
             self._note_failure(grant.address, error)
@@ -259,6 +262,14 @@
             self._view.gate.release(hold.grant, trio.current_time(), succeeded, hold.was_sent)
             self.pump(call.service)
 
+    def _was_hasty(self, call: Call, grant: Grant) -> bool:
+        """Tell whether a caller gave an upstream so little time that its end says nothing of it.
+
+        Else a few callers in a hurry would have upstreams ejected, and the region down, for all.
+        """
+        usual = self._view.gate.mean_hold_s(call.service)
+        return call.deadline - grant.at < HASTY_BELOW * usual
+
     async def _exchange(self, call: Call, hold: _Hold, body: Body, respond, begun: _Begun) -> None:
         grant = hold.grant
         sent_at = trio.current_time()
