End a caller's connection when the caller closes it

What callers would see: with 130 new connections a second at one entry, kept for one request each, the process is out of descriptors (4,096) after half a minute, and takes no further connection (worked out, not played).

Cause: hypercorn waits for its task of the idle time, 30 s, before it closes a connection that its caller has closed. Evidence: twenty connections, used once and closed, are still held a second later before, none now. Why it works: once nothing more can be read, the idle time is over.

--- a/src/finchway/transport/_app_server.py
+++ b/src/finchway/transport/_app_server.py
@@ -28,6 +28,18 @@
 _CLOSE = (b"connection", b"close")
 
 
+class _Connection(TCPServer):
+    """A connection that ends when its caller closes it.
+
+    hypercorn's own waits until its idle time is over, so that many short connections use up the
+    process's descriptors.
+    """
+
+    async def _read_data(self) -> None:
+        await super()._read_data()
+        await self.idle_task.stop()
+
+
 class AppServer:
     """Listens on one address and has each request served by an application.
 
@@ -86,7 +98,7 @@
     async def _handle(self, stream: trio.SocketStream) -> None:
         """Serve one connection; whatever it raises ends here, and costs nobody else anything."""
         try:
-            await TCPServer(
+            await _Connection(
                 self._wrapped,
                 self._config,
                 self._context,
--- a/tests/transport/test_app_server.py
+++ b/tests/transport/test_app_server.py
@@ -227,3 +227,20 @@
         assert server.failures == 1
 
     play(serve_well, action)
+
+
+def test_a_connection_ends_when_its_caller_closes_it():
+    """One that was kept holds its socket otherwise until its idle time is over."""
+
+    async def action(server: Server) -> None:
+        callers = [server.connect() for _ in range(20)]
+        for caller in callers:
+            caller.send(REQUEST)
+        for caller in callers:
+            assert is_whole(await read_answer(caller, b"ok"))
+            caller.close()
+        with trio.fail_after(1.0):
+            while server.http.connections:
+                await trio.sleep(0.01)
+
+    play(serve_well, action)
