--- a/tests/gateway/test_router.py
+++ b/tests/gateway/test_router.py
@@ -286,3 +286,19 @@
     (line,) = [line for line in subject.lines("belief") if line["subject"] == "upstream/n1"]
     assert line["now"] == "answering worse than its fellows"
     assert "bad 1.00" in line["source"] or "bad 0.75" in line["source"]
+
+
+@on_virtual_time
+async def test_a_poor_upstream_serves_what_no_other_may_take():
+    """One upstream was slow for a moment, the other asks for rest: a slow answer beats none."""
+    subject = Subject([upstream("n1", "north-a"), upstream("n2", "north-a")])
+    for _ in range(10):
+        answer_all(subject, {})
+        await trio.sleep(0.2)
+    for _ in range(4):
+        answer_all(subject, {"n1": 1.2})
+        await trio.sleep(0.2)
+    now = trio.current_time()
+    resting = subject.table.regions("s", now)["north"].records["n2"]
+    subject.table.rests.ask(resting.registration.life, 5.0, now)
+    assert subject.zones_of(range(20)) == ["north-a"] * 20
