--- a/src/finchway/entry/_dispatch.py
+++ b/src/finchway/entry/_dispatch.py
@@ -155,41 +155,59 @@
                 self._timeline.record(EventKind.CLAIM_UNKNOWN, f"{call.service}/{call.key}")
 
     async def _attempts(self, call: Call, service: Service, body: Body, respond) -> None:
-        budget = self._budgets.get(call.service)
-        if budget is None:
-            budget = self._budgets[call.service] = self._make_budget()
-        excluded: frozenset[str] = frozenset()
-        may_have_run = False
-        for number in itertools.count(1):
-            begun = _Begun()
+        tried = _Tried()
+        is_answered = False
+        while not is_answered:
             with self._regions(call) as regions:
-                try:
-                    grant = await self._admit(call, regions, excluded)
-                except CallError as error:
-                    raise _after_attempts(error, may_have_run) from error
-                try:
-                    await self._attempt(call, grant, body, respond, begun)
-                    budget.earn()
-                    return
-                except UpstreamError as error:
-                    if begun.responded:
-                        raise
-                    attempt = Attempt(
-                        number,
-                        error.outcome,
-                        service.repeatable and not service.once_only,
-                        body.is_whole,
-                        call.deadline - trio.current_time(),
-                    )
-                    expected = self._view.gate.mean_hold_s(call.service)
-                    may_have_run = may_have_run or error.outcome is not Outcome.NOT_RUN
-                    if not may_retry(attempt, budget, expected):
-                        final = _as_call_error(
-                            error, call, max(4 * expected, self._back_in(call, regions))
-                        )
-                        raise _after_attempts(final, may_have_run) from error
-                    self._metrics.count_retry(call.service)
-                    excluded |= {grant.address}
+                is_answered = await self._try(call, service, body, respond, regions, tried)
+
+    async def _try(
+        self,
+        call: Call,
+        service: Service,
+        body: Body,
+        respond,
+        regions: tuple[str, ...],
+        tried: _Tried,
+    ) -> bool:
+        """Make one attempt; False if it failed and another one may follow."""
+        try:
+            grant = await self._admit(call, regions, tried.excluded)
+        except CallError as error:
+            raise _after_attempts(error, tried.may_have_run) from error
+        begun = _Begun()
+        try:
+            await self._attempt(call, grant, body, respond, begun)
+        except UpstreamError as error:
+            if begun.responded:
+                raise
+            tried.note(grant.address, error.outcome)
+            if not self._may_retry(call, service, body, error, tried.count):
+                final = _as_call_error(error, call, self._come_back_in(call, regions))
+                raise _after_attempts(final, tried.may_have_run) from error
+            self._metrics.count_retry(call.service)
+            return False
+        self._budget(call.service).earn()
+        return True
+
+    def _budget(self, service: str) -> RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = self._make_budget()
+        return budget
+
+    def _may_retry(
+        self, call: Call, service: Service, body: Body, error: UpstreamError, count: int
+    ) -> bool:
+        attempt = Attempt(
+            count,
+            error.outcome,
+            service.repeatable and not service.once_only,
+            body.is_whole,
+            call.deadline - trio.current_time(),
+        )
+        expected = self._view.gate.mean_hold_s(call.service)
+        return may_retry(attempt, self._budget(call.service), expected)
 
     @contextmanager
     def _regions(self, call: Call) -> Iterator[tuple[str, ...]]:
@@ -203,9 +221,11 @@
             if found.trial is not None:
                 found.trial.end()
 
-    def _back_in(self, call: Call, regions: tuple[str, ...]) -> float:
-        """Return the seconds until an upstream wants requests again; 0 unless all rest."""
-        return self._view.gate.back_in(call.service, regions, trio.current_time(), frozenset())
+    def _come_back_in(self, call: Call, regions: tuple[str, ...]) -> float:
+        """Return the seconds after which a request that nobody took should come again."""
+        now = trio.current_time()
+        rested_in = self._view.gate.back_in(call.service, regions, now, frozenset())
+        return max(4 * self._view.gate.mean_hold_s(call.service), rested_in)
 
     async def _admit(self, call: Call, regions: tuple[str, ...], excluded: frozenset[str]) -> Grant:
         now = trio.current_time()
@@ -402,6 +422,23 @@
         self.was_sent = True
 
 
+class _Tried:
+    """The attempts of one request so far: how many, where, and whether any may have run it."""
+
+    __slots__ = ("count", "excluded", "may_have_run")
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.excluded: frozenset[str] = frozenset()
+        self.may_have_run = False
+
+    def note(self, address: str, outcome: Outcome) -> None:
+        """Take in that an attempt failed."""
+        self.count += 1
+        self.excluded |= {address}
+        self.may_have_run = self.may_have_run or outcome is not Outcome.NOT_RUN
+
+
 class _Begun:
     """Whether the caller may have seen a part of the answer already."""
 
