Answer 502 where a repeat is refused and the attempt before it may have run

What callers saw: 503 with Retry-After and the outcome `unknown`, as 'no region serves this request now' after an attempt that broke off. Our interface says that 503 has not run; whoever reads no more than the status sends it again.

Cause: only the outcome was corrected, not the status.

--- a/src/finchway/entry/_dispatch.py
+++ b/src/finchway/entry/_dispatch.py
@@ -468,10 +468,14 @@
 
 
 def _after_attempts(error: CallError, may_have_run: bool) -> CallError:
-    """Say `not-run` only if no earlier attempt of the same request may have run."""
-    if may_have_run and error.outcome is Outcome.NOT_RUN:
-        error.outcome = Outcome.UNKNOWN
-    return error
+    """Say `not-run` only if no earlier attempt of the same request may have run.
+
+    Nor with the status: 503 says the same to whoever reads no more than that, and would send the
+    request again.
+    """
+    if not may_have_run or error.outcome is not Outcome.NOT_RUN:
+        return error
+    return CallError("broken", 502, Outcome.UNKNOWN, f"the last attempt broke; then {error.detail}")
 
 
 def _as_call_error(error: UpstreamError, call: Call, back_in: float) -> CallError:
--- a/tests/entry/test_region_return.py
+++ b/tests/entry/test_region_return.py
@@ -144,6 +144,21 @@
     assert 1 <= len(in_doubt) <= 2.0 / 0.1 + 1
 
 
+@pytest.mark.parametrize("seed", range(5))
+def test_a_refusal_after_an_attempt_that_may_have_run_has_no_status_that_says_otherwise(seed):
+    """The first attempt breaks off, its repeat is refused: 503 would say that nothing has run."""
+
+    async def action(world: World) -> None:
+        set_broken(world, True)
+        await ask(world, 100, 1.0)
+
+    world = play(action, seed=seed)
+    unknown = [got for got in world.got if got.outcome == Outcome.UNKNOWN.value]
+    assert unknown
+    assert {got.status for got in unknown} <= {502, 504}
+    assert {got.status for got in world.got if got.outcome == Outcome.NOT_RUN.value} <= {503}
+
+
 @pytest.mark.parametrize("seed", range(5))
 def test_a_region_is_tried_by_those_that_no_other_region_takes(seed):
     """Another region takes a part of the callers only; the rest are served once theirs is back."""
