Have the list of known failures hold three again

Two are left, so the old bound holds again, and the check that refuses a fourth is the one that was there.

--- a/tests/unit/test_known_red.py
+++ b/tests/unit/test_known_red.py
@@ -8,7 +8,7 @@
 
 
 def test_lines_are_read_and_comments_passed_over():
-    text = "# five at most\n\ntests/a.py::test_x | make test, seed 4 | lost on a cut | 20\n"
+    text = "# three at most\n\ntests/a.py::test_x | make test, seed 4 | lost on a cut | 20\n"
     assert parse_known_red(text) == [ENTRY]
 
 
@@ -27,9 +27,9 @@
         parse_known_red(line)
 
 
-def test_more_than_five_are_refused():
-    with pytest.raises(ValueError, match="6 tests"):
-        parse_known_red("tests/a.py::test_x | make test | lost | 20\n" * 6)
+def test_more_than_three_are_refused():
+    with pytest.raises(ValueError, match="4 tests"):
+        parse_known_red("tests/a.py::test_x | make test | lost | 20\n" * 4)
 
 
 def test_only_what_is_listed_is_left_out():
@@ -44,4 +44,4 @@
 
 
 def test_the_list_at_the_root_can_be_read():
-    assert len(read_known_red()) <= 5
+    assert len(read_known_red()) <= 3
