Give the choice of an upstream a module of its own

Change: UpstreamSelector holds the choice by region, key, load and state; the router keeps the estimates, budgets and refusals. No behaviour changes.

--- a/src/finchway/gateway/_router.py
+++ b/src/finchway/gateway/_router.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable
 
 import trio
@@ -11,19 +10,11 @@
 from finchway.feed import ClusterView, ServiceRate
 from finchway.gateway._bounds import Bounds
 from finchway.gateway._record import UpstreamRecord
-from finchway.gateway._request_context import Choice, ChoiceReason, RequestContext, SkippedUpstreams
+from finchway.gateway._request_context import Choice, RequestContext
+from finchway.gateway._selector import UpstreamSelector
 from finchway.gateway._service import ServicePlan
 from finchway.gateway._table import RegionUpstreams, UpstreamTable
-from finchway.policy import UPSTREAMS_PER_KEY, AttemptBudget, Candidate, choose_for_key
-
-# Requests that a gateway may always have in flight at an upstream, however small its share is.
-MIN_OWN_REQUESTS = 2
-# Requests per slot of an upstream over all gateways. The larger value keeps keys at their home
-# upstream; under overload, load reports are late and only these limits bound the queues.
-OWN_REQUESTS_PER_SLOT = 2.0
-OWN_REQUESTS_PER_SLOT_OVERLOADED = 1.0
-# Seconds for which a load report that shows a free slot overrides the gateway's own limit.
-FRESH_REPORT_S = 0.3
+from finchway.policy import AttemptBudget
 
 
 class Router:
@@ -46,6 +37,7 @@
         self._view = view
         self._table = table
         self._bounds = bounds
+        self._selector = UpstreamSelector(view, table)
         self._plans: dict[str, ServicePlan] = {}
         self._retry_budgets: dict[str, AttemptBudget] = {}
         self._split_credits: dict[str, dict[str, float]] = {}
@@ -133,24 +125,10 @@
         if not regions:
             context.refusal = "no upstream"
             return None
-        order = self._plan(context).regions_for(context, list(regions), now)
-        skipped = SkippedUpstreams()
-        for region in order:
-            is_spilled = region != order[0]
-            choice = self._choose_in_region(
-                context, region, regions[region], now, is_spilled, skipped
-            )
-            if choice is not None:
-                return choice
-            if region == order[0] and self._has_available(regions[region], now):
-                break
-        if self.available_in(context, now) <= 0:
-            context.refusal = "all upstreams for the key are full or resting"
-        elif self._all_in_backoff(context, now):
-            context.refusal = "all upstreams have asked for rest"
-        else:
-            context.refusal = "all upstreams rest or are at the limits that they have named"
-        return None
+        choice = self._selector.choose(context, self._plan(context), regions, now)
+        if choice is None:
+            context.refusal = self._refusal(context, now)
+        return choice
 
     def available_in(self, context: RequestContext, now: float) -> float:
         """Return the seconds until an upstream for a request is available; 0 if one is now."""
@@ -160,6 +138,14 @@
             (upstreams.available_in(record_available_in, now) for upstreams in regions), default=0.0
         )
 
+    def _refusal(self, context: RequestContext, now: float) -> str:
+        """Return why no upstream was chosen for a request."""
+        if self.available_in(context, now) <= 0:
+            return "all upstreams for the key are full or resting"
+        if self._all_in_backoff(context, now):
+            return "all upstreams have asked for rest"
+        return "all upstreams rest or are at the limits that they have named"
+
     def _all_in_backoff(self, context: RequestContext, now: float) -> bool:
         """Return whether all upstreams for a request are in a backoff that they requested."""
         return all(
@@ -176,99 +162,6 @@
             return regions
         return {name: upstreams for name, upstreams in regions.items() if name in allowed}
 
-    def _has_available(self, upstreams: RegionUpstreams, now: float) -> bool:
-        """Return whether any upstream of a region may get a request now.
-
-        If so, the region is only full, and the spread moves requests away gradually. Sending the
-        excess to other regions at once would bring its keys to upstreams that are cold for them.
-        If not, all further regions are tried.
-        """
-        return any(self._table.is_available(record, now) for record in upstreams.records.values())
-
-    def _choose_in_region(
-        self,
-        context: RequestContext,
-        region: str,
-        upstreams: RegionUpstreams,
-        now: float,
-        is_spilled: bool,
-        skipped: SkippedUpstreams,
-    ) -> Choice | None:
-        """Return the best upstream for a key in one region; None if none has room."""
-        plan = self._plan(context)
-        outliers = plan.outliers(now)
-        backoffs = self._table.backoffs
-        candidates: list[Candidate] = []
-        for name in plan.upstreams_for(context, region, upstreams.names):
-            record = upstreams.records[name]
-            if name in context.tried:
-                continue
-            if not self._table.is_available(record, now):
-                skipped.in_backoff += backoffs.remaining_s(record.registration.incarnation, now) > 0
-                skipped.at_limit += (
-                    self._table.limits.rate_limiter.wait(record.registration.incarnation, now) > 0
-                )
-                continue
-            if name in outliers and not record.outlier_state.may_try(now):
-                continue
-            if context.request.is_streamed and backoffs.is_awaiting_trial(
-                record.registration.incarnation, now
-            ):
-                # A streamed body cannot be sent again if the trial request is refused.
-                continue
-            candidates.append(self._candidate(plan, region, record, now))
-            if len(candidates) == UPSTREAMS_PER_KEY:
-                break
-        chosen = choose_for_key(candidates, is_spilled)
-        if chosen is None:
-            return None
-        record = upstreams.records[chosen.instance]
-        incarnation = record.registration.incarnation
-        if chosen.instance in outliers:
-            record.outlier_state.record_trial(now)
-            reason = ChoiceReason.TRIAL
-        elif backoffs.is_awaiting_trial(record.registration.incarnation, now):
-            reason = ChoiceReason.RETURN
-        elif is_spilled:
-            reason = ChoiceReason.OTHER_REGION
-        else:
-            reason = ChoiceReason.HOME if chosen is candidates[0] else ChoiceReason.RELIEF
-        return Choice(
-            record,
-            region,
-            reason,
-            chosen.in_flight,
-            now - record.reported_at,
-            now - self._view.last_contact_at,
-            plan.local_share,
-            backoffs.remaining_s(incarnation, now),
-            skipped,
-            self._table.limits.named.rate(incarnation),
-            self._table.limits.named.age(incarnation, now),
-            self._table.limits.rate_limiter.part(incarnation, now),
-        )
-
-    def _candidate(
-        self, plan: ServicePlan, region: str, record: UpstreamRecord, now: float
-    ) -> Candidate:
-        """Describe an upstream, with the limit on this gateway's own requests at it.
-
-        Load reports come with answers and are stale when these are late, so under overload the
-        queues are bounded by the gateways' own limits. Otherwise a higher limit keeps keys on
-        their home upstream, and a fresh report of a free slot needs no limit.
-        """
-        instance, slots = record.registration.instance, record.registration.slots
-        busy = record.estimated_load(now)
-        if busy + 1 <= slots and now - record.reported_at <= FRESH_REPORT_S:
-            return Candidate(instance, slots, busy, record.in_flight)
-        per_slot = (
-            OWN_REQUESTS_PER_SLOT_OVERLOADED
-            if plan.estimate.is_overloaded
-            else OWN_REQUESTS_PER_SLOT
-        )
-        own_limit = max(MIN_OWN_REQUESTS, math.ceil(slots * per_slot * plan.own_share(region, now)))
-        return Candidate(instance, slots, busy, record.in_flight, own_limit)
-
     def _plan(self, context: RequestContext) -> ServicePlan:
         plan = self._plans.get(context.service)
         if plan is None:
