Try other regions where only outliers are available at home

Cause: the test whether the first region is 'only full' asked whether any of its upstreams is available, and the choice asked more: it also leaves out outliers, the upstreams that this request has tried, and for streamed bodies those that await a trial. Where the two disagree, nothing is chosen and no further region is tried. Change: both use the same list of upstreams that may get the attempt; a region is only full if one that is no outlier is on it.

--- a/src/finchway/gateway/_request_context.py
+++ b/src/finchway/gateway/_request_context.py
@@ -91,11 +91,13 @@
 class SkippedUpstreams(Struct):
     """Numbers of upstreams that were skipped before one was chosen, over all regions tried.
 
-    `in_backoff` counts those in a requested backoff, `at_limit` those at their named limit.
+    `in_backoff` counts those in a requested backoff, `at_limit` those at their named limit,
+    `outliers` those that answer worse than their peers.
     """
 
     in_backoff: int = 0
     at_limit: int = 0
+    outliers: int = 0
 
 
 class Choice(Struct):
--- a/src/finchway/gateway/_request_log.py
+++ b/src/finchway/gateway/_request_log.py
@@ -112,6 +112,7 @@
                 limit_part=None if choice.part is None else round(choice.part.rate, 3),
                 limit_holders=0 if choice.part is None else choice.part.holders,
                 at_limit=choice.skipped.at_limit,
+                outliers=choice.skipped.outliers,
                 named_limit=context.pushback.limit,
                 ms=_ms(trio.current_time() - started),
             )
--- a/src/finchway/gateway/_selector.py
+++ b/src/finchway/gateway/_selector.py
@@ -4,6 +4,8 @@
 
 import math
 
+from msgspec import Struct, field
+
 from finchway.feed import ClusterView
 from finchway.gateway._record import UpstreamRecord
 from finchway.gateway._request_context import Choice, ChoiceReason, RequestContext, SkippedUpstreams
@@ -21,6 +23,21 @@
 FRESH_REPORT_S = 0.3
 
 
+class RegionCandidates(Struct):
+    """The upstreams of one region that may get an attempt, in the key's order of preference.
+
+    `outliers` names those among them that answer worse than their peers and are tried again.
+    """
+
+    ordered: list[Candidate] = field(default_factory=list)
+    outliers: set[str] = field(default_factory=set)
+
+    @property
+    def has_regular(self) -> bool:
+        """Whether any of them is not an outlier."""
+        return len(self.ordered) > len(self.outliers)
+
+
 class UpstreamSelector:
     """The choice of an upstream by region, cache affinity, load and state."""
 
@@ -40,65 +57,78 @@
         skipped = SkippedUpstreams()
         for region in order:
             is_spilled = region != order[0]
-            choice = self._choose_in_region(
-                context, plan, region, regions[region], now, is_spilled, skipped
-            )
-            if choice is not None:
-                return choice
-            if not is_spilled and self._has_available(regions[region], now):
+            candidates = self._candidates(context, plan, region, regions[region], now, skipped)
+            chosen = choose_for_key(candidates.ordered, is_spilled)
+            if chosen is not None:
+                record = regions[region].records[chosen.instance]
+                reason = self._reason(record, chosen, candidates, is_spilled, now)
+                return self._describe(plan, region, record, reason, chosen, skipped, now)
+            if not is_spilled and candidates.has_regular:
+                # The region is only full, and the spread moves requests away gradually. Sending
+                # the excess elsewhere at once would bring its keys to upstreams that are cold for
+                # them.
                 break
         return None
 
-    def _has_available(self, upstreams: RegionUpstreams, now: float) -> bool:
-        """Return whether any upstream of a region may get a request now.
-
-        If so, the region is only full, and the spread moves requests away gradually. Sending the
-        excess to other regions at once would bring its keys to upstreams that are cold for them.
-        If not, all further regions are tried.
-        """
-        return any(self._table.is_available(record, now) for record in upstreams.records.values())
-
-    def _choose_in_region(
+    def _candidates(
         self,
         context: RequestContext,
         plan: ServicePlan,
         region: str,
         upstreams: RegionUpstreams,
         now: float,
-        is_spilled: bool,
         skipped: SkippedUpstreams,
-    ) -> Choice | None:
-        """Return the best upstream for a key in one region; None if none has room."""
+    ) -> RegionCandidates:
+        """Return the first upstreams of a region in a key's order that may get an attempt now."""
         outliers = plan.outliers(now)
-        candidates: list[Candidate] = []
+        found = RegionCandidates()
         for name in plan.upstreams_for(context, region, upstreams.names):
-            record = upstreams.records[name]
             if name in context.tried:
                 continue
-            if not self._table.is_available(record, now):
+            record = upstreams.records[name]
+            if not self._may_send(context, record, now):
                 self._count_skipped(record, now, skipped)
                 continue
             if name in outliers and not record.outlier_state.may_try(now):
+                skipped.outliers += 1
                 continue
-            if self._needs_whole_body(context, record, now):
-                continue
-            candidates.append(self._candidate(plan, region, record, now))
-            if len(candidates) == UPSTREAMS_PER_KEY:
+            if name in outliers:
+                found.outliers.add(name)
+            found.ordered.append(self._candidate(plan, region, record, now))
+            if len(found.ordered) == UPSTREAMS_PER_KEY:
                 break
-        chosen = choose_for_key(candidates, is_spilled)
-        if chosen is None:
-            return None
-        record = upstreams.records[chosen.instance]
-        if chosen.instance in outliers:
+        return found
+
+    def _reason(
+        self,
+        record: UpstreamRecord,
+        chosen: Candidate,
+        candidates: RegionCandidates,
+        is_spilled: bool,
+        now: float,
+    ) -> ChoiceReason:
+        """Return why a candidate was chosen, and record that it is a trial of an outlier."""
+        if chosen.instance in candidates.outliers:
             record.outlier_state.record_trial(now)
-            reason = ChoiceReason.TRIAL
-        elif self._table.backoffs.is_awaiting_trial(record.registration.incarnation, now):
-            reason = ChoiceReason.RETURN
-        elif is_spilled:
-            reason = ChoiceReason.OTHER_REGION
-        else:
-            reason = ChoiceReason.HOME if chosen is candidates[0] else ChoiceReason.RELIEF
-        return self._describe(plan, region, record, reason, chosen, skipped, now)
+            return ChoiceReason.TRIAL
+        if self._table.backoffs.is_awaiting_trial(record.registration.incarnation, now):
+            return ChoiceReason.RETURN
+        if is_spilled:
+            return ChoiceReason.OTHER_REGION
+        return ChoiceReason.HOME if chosen is candidates.ordered[0] else ChoiceReason.RELIEF
+
+    def _may_send(self, context: RequestContext, record: UpstreamRecord, now: float) -> bool:
+        """Return whether backoffs and limits admit a request to an upstream now.
+
+        A streamed body cannot be sent again, so it does not go to an upstream whose first request
+        after a backoff may be refused.
+        """
+        if not self._table.is_available(record, now):
+            return False
+        return not (
+            context.request.is_streamed
+            and self._table.backoffs.is_awaiting_trial(record.registration.incarnation, now)
+        )
 
     def _count_skipped(self, record: UpstreamRecord, now: float, skipped: SkippedUpstreams) -> None:
         """Count an unavailable upstream by what it waits for."""
@@ -107,17 +137,6 @@
         skipped.in_backoff += self._table.backoffs.remaining_s(incarnation, now) > 0
         skipped.at_limit += limiter.wait(incarnation, now) > 0
 
-    def _needs_whole_body(
-        self, context: RequestContext, record: UpstreamRecord, now: float
-    ) -> bool:
-        """Return whether an upstream is only to get requests that can be sent again elsewhere.
-
-        Its first request after a backoff may be refused, and a streamed body is then lost.
-        """
-        return context.request.is_streamed and self._table.backoffs.is_awaiting_trial(
-            record.registration.incarnation, now
-        )
-
     def _describe(
         self,
         plan: ServicePlan,
--- a/src/finchway/observe/_decisions.py
+++ b/src/finchway/observe/_decisions.py
@@ -67,7 +67,8 @@
     of backoff, and `rest_left_ms` the remaining backoff of the selected one. `limit` is the rate
     limit that the upstream had reported `limit_ms` before, in requests per second, `limit_part`
     this gateway's part of it and `limit_holders` the number of gateways that divide it; `at_limit`
-    counts the upstreams skipped because of their limits.
+    counts the upstreams skipped because of their limits, and `outliers` those skipped because they
+    answer worse than their peers.
 
     From the response: `asked_ms` is the backoff that it requests, `leaving` whether it announces
     that the upstream is leaving, and `named_limit` the rate limit that it reports. `digest`
@@ -99,6 +100,7 @@
     limit_part: float | None = None
     limit_holders: int = 0
     at_limit: int = 0
+    outliers: int = 0
     named_limit: float | None = None
     ms: float
 
--- a/tests/gateway/test_router.py
+++ b/tests/gateway/test_router.py
@@ -288,6 +288,78 @@
     assert "bad 1.00" in line["source"] or "bad 0.75" in line["source"]
 
 
+async def slow_upstream_and_one_in_backoff(subject, others=()):
+    """Make n1 an outlier that answers in 1.2 s, and put n2 into a backoff."""
+    for _ in range(10):
+        answer_all(subject, {})
+        await trio.sleep(0.2)
+    for _ in range(4):
+        answer_all(subject, {"n1": 1.2})
+        await trio.sleep(0.2)
+    start_backoff(subject, "n2")
+    for name in others:
+        start_backoff(subject, name)
+
+
+def start_backoff(subject, name, seconds=5.0):
+    incarnation = subject.table.get(name).registration.incarnation
+    subject.table.backoffs.start(incarnation, seconds, trio.current_time())
+
+
+def pair_in_north_and_others(others):
+    """Return the registrations of n1 and n2 in north, and of others by name in south."""
+    near = [registration("n1", "north-a"), registration("n2", "north-a")]
+    return near + [registration(name, "south-a") for name in others]
+
+
+@on_virtual_time
+async def test_healthy_upstream_elsewhere_serves_before_an_outlier_at_home():
+    """An outlier at home must not count as room there, or requests end that others would serve."""
+    subject = RouterUnderTest(pair_in_north_and_others(["s1", "s2"]))
+    await slow_upstream_and_one_in_backoff(subject)
+    subject.table.get("n1").outlier_state.record_trial(trio.current_time())
+    assert subject.zones_of(range(20)) == ["south-a"] * 20
+    choice = subject.router.choose(subject.context("k"), trio.current_time())
+    assert (choice.skipped.outliers, choice.skipped.in_backoff) == (1, 1)
+
+
+@on_virtual_time
+async def test_attempted_upstream_at_home_does_not_keep_a_retry_from_other_regions():
+    """An upstream that a request has tried is no room for its retry."""
+    subject = RouterUnderTest(
+        [
+            registration("n1", "north-a"),
+            registration("s1", "south-a"),
+            registration("s2", "south-a"),
+        ]
+    )
+    assert await remote_fraction_after(subject, 0.2) < 1.0
+    for key in range(20):
+        context = subject.context(key)
+        context.tried.add("n1")
+        choice = subject.router.choose(context, trio.current_time())
+        assert choice is not None and choice.region == "south", "the retry got no upstream"
+
+
+@on_virtual_time
+async def test_streamed_request_goes_elsewhere_while_its_home_awaits_a_trial():
+    """An upstream that may not get a streamed body is no room for it."""
+    subject = RouterUnderTest(
+        [
+            registration("n1", "north-a"),
+            registration("s1", "south-a"),
+            registration("s2", "south-a"),
+        ]
+    )
+    subject.table.backoffs.start("n1", 0.5, trio.current_time())
+    await trio.sleep(0.6)
+    for key in range(20):
+        context = subject.context(key)
+        context.request.is_streamed = True
+        choice = subject.router.choose(context, trio.current_time())
+        assert choice is not None and choice.region == "south", "the request got no upstream"
+
+
 @on_virtual_time
 async def test_a_poor_upstream_serves_what_no_other_may_take():
     """A slow upstream is used if the only other one is in backoff: a slow answer beats none."""
