Send to an outlier what no other upstream may take

What callers saw: with the only other upstream in backoff or at its named limit, all requests were refused with 503 although a slow upstream had free slots and answered within their deadlines. Cause: the choice left outliers out whatever the others could take. Change: when no region has another upstream, an outlier whose latest request was answered gets the request if that time is left and none of its requests has waited for twice as long. One that fails or is silent gets its trials only, and its first answer makes it a last resort. The refusal names the case; its Retry-After is the time of the next trial.

--- a/src/finchway/gateway/_record.py
+++ b/src/finchway/gateway/_record.py
@@ -15,6 +15,8 @@
 SHED_BACKOFF_S = 0.1
 # Consecutive timeouts that count as one failure.
 TIMEOUTS_PER_FAILURE = 3
+# Multiple of the time of the latest answer after which an upstream counts as silent.
+SILENCE_FACTOR = 2.0
 # Seconds for which a key counts as warm at an upstream that has answered a request for it.
 WARM_KEY_TTL_S = 10.0
 # Warm keys that are tracked for each upstream.
@@ -22,9 +24,14 @@
 
 
 class UpstreamRecord:
-    """The state of one incarnation of an upstream."""
+    """The state of one incarnation of an upstream.
+
+    `answer_s` is the time that its latest answer took in seconds: 0 if there is none yet, infinity
+    if the latest request failed.
+    """
 
     __slots__ = (
+        "answer_s",
         "warm_keys",
         "cold_until",
         "failures",
@@ -58,6 +65,7 @@
         self.idle: list[UpstreamConnection] = []
         self.in_use: set[UpstreamConnection] = set()
         self.outlier_state = RecentOutcomes()
+        self.answer_s = 0.0
         self.warm_keys: dict[str, float] = {}
         self.warm_in_flight: dict[str, float] = {}
 
@@ -69,6 +77,16 @@
         """Return the number of requests for warm keys in flight for longer than `seconds`."""
         return sum(now - since > seconds for since in self.warm_in_flight.values())
 
+    def answers_by(self, deadline: float, patience_s: float, now: float) -> bool:
+        """Return whether a request is likely to be answered by a deadline.
+
+        It is not if the latest request failed, if the latest answer took longer than is left, or
+        if a request has been waiting for much longer than that answer and than `patience_s`.
+        """
+        if now + self.answer_s > deadline:
+            return False
+        return not self.overdue(now, max(SILENCE_FACTOR * self.answer_s, patience_s))
+
     def record_warm_key(self, key: str, now: float) -> None:
         """Record that the upstream has answered a request for a key."""
         self.warm_keys.pop(key, None)
@@ -99,6 +117,11 @@
         self.failures += 1
         self.back_off(now, min(MAX_BACKOFF_S, INITIAL_BACKOFF_S * 2 ** (self.failures - 1)))
 
+    def record_failed_request(self) -> None:
+        """Record a request that got no usable answer."""
+        self.outlier_state.record(True)
+        self.answer_s = float("inf")
+
     def record_timeout(self, now: float) -> None:
         """Count a timeout; several consecutive ones count as a failure."""
         self.timeouts += 1
--- a/src/finchway/gateway/_request_context.py
+++ b/src/finchway/gateway/_request_context.py
@@ -78,7 +78,8 @@
 
     HOME: it is the key's home. RELIEF: the home is full, and this one has a free slot. TRIAL: it is
     an outlier that is tried again. RETURN: its requested backoff is over, and one trial request is
-    sent first. OTHER_REGION: the planned region has no available upstream.
+    sent first. OTHER_REGION: the planned region has no available upstream. LAST_RESORT: it is an
+    outlier that still answers, and no other upstream in any region may get the request.
     """
 
     HOME = "home"
@@ -86,6 +87,7 @@
     TRIAL = "trial"
     RETURN = "return"
     OTHER_REGION = "other-region"
+    LAST_RESORT = "last-resort"
 
 
 class SkippedUpstreams(Struct):
--- a/src/finchway/gateway/_router.py
+++ b/src/finchway/gateway/_router.py
@@ -91,10 +91,12 @@
                 plan.record_warm_answer(choice.region, seconds)
         if context.request.is_streamed:
             return
-        is_slow = seconds > estimate.slow_after
         if status >= 500:
-            record.outlier_state.record(True)
-        elif is_warm or not is_slow:
+            record.record_failed_request()
+            return
+        record.answer_s = seconds
+        is_slow = seconds > estimate.slow_after
+        if is_warm or not is_slow:
             record.outlier_state.record(is_slow)
 
     def record_refused(self, record: UpstreamRecord, now: float) -> bool:
@@ -106,16 +108,16 @@
         has_report = record.reported_at >= now
         had_free_slot = has_report and record.estimated_load(now) < record.registration.slots
         if had_free_slot:
-            record.outlier_state.record(True)
+            record.record_failed_request()
         return had_free_slot
 
     def record_broken(self, record: UpstreamRecord) -> None:
         """Record an attempt that failed before a complete answer."""
-        record.outlier_state.record(True)
+        record.record_failed_request()
 
     def record_timeout(self, context: RequestContext, record: UpstreamRecord) -> None:
         """Record an attempt that reached its deadline."""
-        record.outlier_state.record(True)
+        record.record_failed_request()
         self._plan(context).estimate.record_timeout()
 
     def choose(self, context: RequestContext, now: float) -> Choice | None:
@@ -125,34 +127,16 @@
         if not regions:
             context.refusal = "no upstream"
             return None
-        choice = self._selector.choose(context, self._plan(context), regions, now)
+        plan = self._plan(context)
+        choice = self._selector.choose(context, plan, regions, now)
         if choice is None:
-            context.refusal = self._refusal(context, now)
+            context.refusal = self._selector.refusal(plan, regions, now)
         return choice
 
     def available_in(self, context: RequestContext, now: float) -> float:
         """Return the seconds until an upstream for a request is available; 0 if one is now."""
-        regions = self._allowed_regions(context, now).values()
-        record_available_in = self._table.available_in
-        return min(
-            (upstreams.available_in(record_available_in, now) for upstreams in regions), default=0.0
-        )
-
-    def _refusal(self, context: RequestContext, now: float) -> str:
-        """Return why no upstream was chosen for a request."""
-        if self.available_in(context, now) <= 0:
-            return "all upstreams for the key are full or resting"
-        if self._all_in_backoff(context, now):
-            return "all upstreams have asked for rest"
-        return "all upstreams rest or are at the limits that they have named"
-
-    def _all_in_backoff(self, context: RequestContext, now: float) -> bool:
-        """Return whether all upstreams for a request are in a backoff that they requested."""
-        return all(
-            self._table.backoffs.remaining_s(record.registration.incarnation, now) > 0
-            for upstreams in self._allowed_regions(context, now).values()
-            for record in upstreams.records.values()
-        )
+        regions = self._allowed_regions(context, now)
+        return self._selector.available_in(self._plan(context), regions, now)
 
     def _allowed_regions(self, context: RequestContext, now: float) -> dict[str, RegionUpstreams]:
         """Return the upstreams that may serve a request by region."""
--- a/src/finchway/gateway/_selector.py
+++ b/src/finchway/gateway/_selector.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Iterator
 
 from msgspec import Struct, field
 
@@ -67,7 +68,74 @@
                 # The region is only full, and the spread moves requests away gradually. Sending
                 # the excess elsewhere at once would bring its keys to upstreams that are cold for
                 # them.
+                return None
+        return self._choose_last_resort(context, plan, order, regions, skipped, now)
+
+    def refusal(self, plan: ServicePlan, regions: dict[str, RegionUpstreams], now: float) -> str:
+        """Return why there is no upstream for an attempt."""
+        outliers = plan.outliers(now)
+        records = list(_records_of(regions))
+        available = [record for record in records if self._table.available_in(record, now) <= 0]
+        if any(record.registration.instance not in outliers for record in available):
+            return "all upstreams for the key are full or resting"
+        if available:
+            return "the upstreams that do not rest fail, or answer too slowly"
+        if all(self._is_in_backoff(record, now) for record in records):
+            return "all upstreams have asked for rest"
+        return "all upstreams rest or are at the limits that they have named"
+
+    def available_in(
+        self, plan: ServicePlan, regions: dict[str, RegionUpstreams], now: float
+    ) -> float:
+        """Return the seconds until one of the upstreams may get a request; 0 if one may now."""
+        if not regions:
+            return 0.0
+        outliers = plan.outliers(now)
+        least = float("inf")
+        for record in _records_of(regions):
+            wait = self._table.available_in(record, now)
+            if record.registration.instance in outliers and math.isinf(record.answer_s):
+                wait = max(wait, record.outlier_state.trial_in(now))
+            least = min(least, wait)
+            if least <= 0:
                 break
+        return least
+
+    def _choose_last_resort(
+        self,
+        context: RequestContext,
+        plan: ServicePlan,
+        order: list[str],
+        regions: dict[str, RegionUpstreams],
+        skipped: SkippedUpstreams,
+        now: float,
+    ) -> Choice | None:
+        """Return an outlier that still answers in time, since a slow answer beats none.
+
+        Outliers that fail or are silent get only their trial requests, so that callers are not
+        held for them.
+        """
+        outliers = plan.outliers(now)
+        patience_s = context.route.target_latency
+        for region in order:
+            records = regions[region].records
+            names = [
+                name
+                for name in plan.upstreams_for(context, region, regions[region].names)
+                if name in outliers
+                and name not in context.tried
+                and records[name].answers_by(context.deadline, patience_s, now)
+                and self._may_send(context, records[name], now)
+            ]
+            candidates = [
+                self._candidate(plan, region, records[name], now)
+                for name in names[:UPSTREAMS_PER_KEY]
+            ]
+            chosen = choose_for_key(candidates, spilled=region != order[0])
+            if chosen is not None:
+                reason = ChoiceReason.LAST_RESORT
+                record = records[chosen.instance]
+                return self._describe(plan, region, record, reason, chosen, skipped, now)
         return None
 
     def _candidates(
@@ -130,6 +198,10 @@
             and self._table.backoffs.is_awaiting_trial(record.registration.incarnation, now)
         )
 
+    def _is_in_backoff(self, record: UpstreamRecord, now: float) -> bool:
+        """Return whether an upstream is in a backoff that it has requested."""
+        return self._table.backoffs.remaining_s(record.registration.incarnation, now) > 0
+
     def _count_skipped(self, record: UpstreamRecord, now: float, skipped: SkippedUpstreams) -> None:
         """Count an unavailable upstream by what it waits for."""
         incarnation = record.registration.incarnation
@@ -185,3 +257,9 @@
         )
         own_limit = max(MIN_OWN_REQUESTS, math.ceil(slots * per_slot * plan.own_share(region, now)))
         return Candidate(instance, slots, busy, record.in_flight, own_limit)
+
+
+def _records_of(regions: dict[str, RegionUpstreams]) -> Iterator[UpstreamRecord]:
+    """Yield the records of all regions."""
+    for upstreams in regions.values():
+        yield from upstreams.records.values()
--- a/src/finchway/gateway/_table.py
+++ b/src/finchway/gateway/_table.py
@@ -40,17 +40,6 @@
     names: tuple[str, ...]
     records: dict[str, UpstreamRecord]
 
-    def available_in(
-        self, record_available_in: Callable[[UpstreamRecord, float], float], now: float
-    ) -> float:
-        """Return the seconds until one of the upstreams is available; 0 if one is now."""
-        least = float("inf")
-        for record in self.records.values():
-            least = min(least, record_available_in(record, now))
-            if least <= 0:
-                break
-        return least
-
     @property
     def slots(self) -> int:
         """Number of requests that they process at once."""
--- a/src/finchway/observe/_decisions.py
+++ b/src/finchway/observe/_decisions.py
@@ -60,8 +60,9 @@
 class AttemptEnded(Decision, frozen=True, kw_only=True, tag="attempt"):
     """One attempt at an upstream: why it was selected, and how it ended.
 
-    The inputs are as of the selection: `reason` is home, relief, trial or other-region; `busy` the
-    estimated load of the upstream in requests, based on a report `report_ms` old (-1: none);
+    The inputs are as of the selection: `reason` is home, relief, trial, return, other-region or
+    last-resort; `busy` the estimated load of the upstream in requests, based on a report
+    `report_ms` old (-1: none);
     `heard_ms` the age of the latest message from a replica; `kept` the fraction of the service's
     requests that this region handles itself; `passed_over` the number of upstreams skipped because
     of backoff, and `rest_left_ms` the remaining backoff of the selected one. `limit` is the rate
--- a/src/finchway/policy/_outliers.py
+++ b/src/finchway/policy/_outliers.py
@@ -68,6 +68,10 @@
         """Record that a trial request was sent."""
         self._next_trial_at = now + TRIAL_INTERVAL_S
 
+    def trial_in(self, now: float) -> float:
+        """Return the seconds until an outlier may be sent a trial request."""
+        return max(0.0, self._next_trial_at - now)
+
 
 def find_outliers(
     regions: dict[str, dict[str, RecentOutcomes]], current: frozenset[str]
