Begin the random stop only once a caller has sent a request

Cause: in the test. Callers sleep up to 3 ms before they connect, the stop comes after 20 to 30 ms. If the process stands still meanwhile, both are due in the same step of the loop, and trio runs that step's tasks in random order. Change: the random time before the stop counts from the first request that was sent. Both checks stay as they are, and the first now holds by construction only if that request is answered.

--- a/tests/gateway/test_graceful_stop.py
+++ b/tests/gateway/test_graceful_stop.py
@@ -211,6 +211,7 @@
     """The stop begins while twelve callers connect and send repeatedly."""
     rng = random.Random(seed)
     answers: list[bytes] = []
+    has_sent = trio.Event()
 
     async def send_request(server: Server, stopped: trio.Event) -> None:
         while not stopped.is_set():
@@ -219,6 +220,7 @@
                 return
             caller = server.connect()
             caller.send(REQUEST)
+            has_sent.set()
             answers.append(await read_one(caller))
 
     async def read_one(caller: socket.socket) -> bytes:
@@ -234,6 +236,8 @@
         async with trio.open_nursery() as nursery:
             for _ in range(12):
                 nursery.start_soon(send_request, server, stopped)
+            # A stalled process could otherwise stop the server before any caller has connected.
+            await has_sent.wait()
             await trio.sleep(0.02 + rng.random() * 0.01)
             stopped.set()
             await server.http.stop()
