Do not call an answer slow that is within its route's objective

Cause: slow is 3.5 times a service time that follows the fastest answers. Where upstreams take a few milliseconds that is under 20 ms, which the delays of the gateway's own machine exceed. Change: an answer within the target latency of its route is never slow. Where upstreams take a fifth of the target or more, as on all known deployments, nothing changes much. Measured: the new test (5 ms usual, 200 ms at one of five, target 300 ms) failed before and passes.

--- a/src/finchway/gateway/_estimates.py
+++ b/src/finchway/gateway/_estimates.py
@@ -21,10 +21,11 @@
     Initially the service time is the route's target latency, and the service counts as overloaded.
     """
 
-    __slots__ = ("_late_fraction", "_service_time")
+    __slots__ = ("_late_fraction", "_service_time", "_target_latency")
 
     def __init__(self, target_latency: float) -> None:
         self._service_time = target_latency
+        self._target_latency = target_latency
         self._late_fraction = 1.0
 
     @property
@@ -39,8 +40,12 @@
 
     @property
     def slow_after(self) -> float:
-        """Seconds after which an answer for a warm key is slow."""
-        return SLOW_FACTOR * self._service_time
+        """Seconds after which an answer for a warm key is slow.
+
+        An answer within the target latency never is. Delays of a busy machine are many times the
+        service time of upstreams that take a few milliseconds.
+        """
+        return max(SLOW_FACTOR * self._service_time, self._target_latency)
 
     @property
     def cold_key_after(self) -> float:
@@ -49,6 +54,7 @@
 
     def record_answer(self, seconds: float, target_latency: float) -> None:
         """Update the estimates from a successful answer."""
+        self._target_latency = target_latency
         weight = (
             SERVICE_TIME_WEIGHT_UP if seconds > self._service_time else SERVICE_TIME_WEIGHT_DOWN
         )
--- a/tests/gateway/test_router.py
+++ b/tests/gateway/test_router.py
@@ -195,6 +195,21 @@
     assert answer_all(subject, {}) == before
 
 
+@on_virtual_time
+async def test_upstream_whose_answers_are_in_time_is_not_left_out():
+    """Delays that the gateway's own busy machine adds must not make outliers of fast upstreams."""
+    subject = RouterUnderTest([registration(f"n{n}", "north-a") for n in range(5)])
+    fast = {f"n{n}": 0.005 for n in range(5)}
+    for _ in range(40):
+        before = answer_all(subject, fast)
+        await trio.sleep(0.2)
+    assert "n1" in before
+    for _ in range(10):
+        answer_all(subject, fast | {"n1": 0.2})
+        await trio.sleep(0.2)
+    assert answer_all(subject, fast) == before
+
+
 @on_virtual_time
 async def test_slow_answers_for_cold_keys_do_not_count():
     subject = RouterUnderTest([registration(f"n{n}", "north-a") for n in range(5)])
