Test that a peer that answers in time serves beside a limited upstream

What callers saw (the listed test_gateways_together_send_an_upstream_no_more_than_it_bears[1-0.7-True]): 503 while the other upstream is at its limit. Measured: the new test delays the peer's answers to a third of the objective and needs no load: on {200, 503}, on this code {200}.

--- a/tests/gateway/test_named_limit.py
+++ b/tests/gateway/test_named_limit.py
@@ -249,3 +249,22 @@
                 subject.names = ["g5", *names[1:]]
                 await trio.sleep(0.5)
         assert upstream.most_in_a_window() <= borne(2.0)
+
+
+@on_trio
+async def test_peer_that_answers_in_time_serves_while_the_other_is_at_its_limit():
+    """Delays of a busy machine, far above the service time, must not end in refusals."""
+    delay_s = 0.0
+
+    async def serve_late(upstream, stream, request):
+        await trio.sleep(delay_s)
+        await serve_ok(upstream, stream, request)
+
+    upstream, peer = LimitedUpstream(0.7), Upstream("i-2", serve_late)
+    async with gateway(upstream, peer) as subject:
+        calls = Calls(subject)
+        await calls.run_for(2.0)
+        delay_s = 0.1
+        await calls.run_for(2.0)
+        assert set(calls.statuses) == {200}
+        assert not subject.table.get("i-2").outlier_state.is_suspect
