Do not grant the claim of an attempt that has ended

What callers saw: a late copy of a claim took the key with nobody behind it, and each repeat of the caller was answered 409 in-progress, for good. Cause: the record of a key names one attempt. It forgot a released attempt with the next claim, took no note of a release that met another attempt's record, of attempts that it refused, or of the holder's end, and went after retain_s. Evidence: each order of commands run on the state machine. A cancelled claim is released. A claim refused as ended is 503 not-run, which is true, not 409 unknown.

--- a/src/finchway/entry/_claims.py
+++ b/src/finchway/entry/_claims.py
@@ -8,8 +8,8 @@
 from __future__ import annotations
 
 import hashlib
+import itertools
 import logging
-import uuid
 from collections.abc import Awaitable, Callable
 
 import msgspec
@@ -20,7 +20,15 @@
 from finchway.entry._call import Answer, Call, CallError
 from finchway.exceptions import FinchwayError
 from finchway.policy import Outcome
-from finchway.state import AnyCommand, AnyResult, Claimed, ClaimKey, ClaimState, SettleClaim
+from finchway.state import (
+    AnyCommand,
+    AnyResult,
+    Claimed,
+    ClaimKey,
+    ClaimState,
+    SettleClaim,
+    attempt_id,
+)
 
 _LOG = logging.getLogger(__name__)
 MAX_STORED_BYTES = 65_536
@@ -49,6 +57,7 @@
         self._submit = submit
         self._nursery = nursery
         self._unsettled = 0
+        self._numbers = itertools.count(1)
 
     @property
     def unsettled(self) -> int:
@@ -61,7 +70,7 @@
         Raises `CallError` if the key is in use, has an unknown outcome, has expired or belongs to
         a different request, or if no quorum grants the claim in time. Nothing is dispatched then.
         """
-        attempt = uuid.uuid4().hex
+        attempt = attempt_id(self._holder, next(self._numbers))
         command = ClaimKey(
             now_ms=WALL_CLOCK.now_ms(),
             service=call.service,
@@ -73,23 +82,26 @@
             retain_s=retain_s,
         )
         result = None
-        while result is None and trio.current_time() < call.deadline:
+        try:
+            result = await self._submit_until(command, call.deadline)
+        finally:
+            if result is None:
+                # A copy of the command may still be applied, and would leave the key open.
+                self._nursery.start_soon(self._settle, call, attempt, ClaimState.RELEASED, b"")
+        if result is None:
+            detail = "the key could not be claimed in time"
+            raise CallError("claim-unavailable", 503, Outcome.NOT_RUN, detail, 1.0)
+        return _interpret_claim(result, attempt)
+
+    async def _submit_until(self, command: ClaimKey, deadline: float) -> AnyResult | None:
+        """Submit a claim until there is a result; None if there is none by the deadline."""
+        while (left := deadline - trio.current_time()) > 0:
             try:
-                left = min(_SUBMIT_TIMEOUT_S, call.deadline - trio.current_time())
-                result = await self._submit(command, left)
+                return await self._submit(command, min(_SUBMIT_TIMEOUT_S, left))
             except FinchwayError as error:
                 _LOG.debug("claim not granted yet: %s", error)
                 await trio.sleep(0.02)
-        if result is None:
-            self._nursery.start_soon(self._settle, call, attempt, ClaimState.RELEASED, b"")
-            raise CallError(
-                "claim-unavailable",
-                503,
-                Outcome.NOT_RUN,
-                "the key could not be claimed in time",
-                1.0,
-            )
-        return _interpret_claim(result, attempt)
+        return None
 
     async def release(self, call: Call, attempt: str) -> bool:
         """Release the claim of an attempt that did not run; return whether that is confirmed.
@@ -162,6 +174,9 @@
         detail = "the record of this Idempotency-Key has expired"
         raise CallError("key-expired", 422, Outcome.UNKNOWN, detail)
     match result.state:
+        case ClaimState.RELEASED:
+            detail = "the key was not claimed: this attempt, or this entry, counts as ended"
+            raise CallError("claim-unavailable", 503, Outcome.NOT_RUN, detail, 1.0)
         case ClaimState.DONE:
             return _decode_answer(result.answer)
         case ClaimState.CLAIMED:
--- a/src/finchway/state/__init__.py
+++ b/src/finchway/state/__init__.py
@@ -1,5 +1,6 @@
 """The replicated state machine and the commands that it applies."""
 
+from finchway.state._attempts import attempt_id
 from finchway.state._claims import Claim, Claims, key_time_ms
 from finchway.state._commands import (
     Accepted,
@@ -77,6 +78,7 @@
     "SuspectState",
     "Suspects",
     "VersionTaken",
+    "attempt_id",
     "decode_command",
     "encode_command",
     "encode_resource",
--- a/src/finchway/state/_machine.py
+++ b/src/finchway/state/_machine.py
@@ -28,6 +28,7 @@
     parse_spec,
 )
 from finchway.state import _commands as c
+from finchway.state._attempts import EndedAttempts, HolderAttempts
 from finchway.state._changes import ChangeAnswers, StoredAnswer, digest_of
 from finchway.state._claims import Claim, Claims
 from finchway.state._history import History
@@ -45,6 +46,7 @@
     claims: dict[str, Claim]
     now_ms: int
     steering: SteeringImage = SteeringImage()
+    attempts: dict[str, HolderAttempts] = {}
 
 
 class StateMachine:
@@ -127,7 +129,7 @@
         self._store = ResourceStore([ch.resource() for ch in image.resources], image.revision)
         self._history = History(image.changes, image.compacted)
         self._answers = ChangeAnswers(image.answers)
-        self._claims = Claims(image.claims)
+        self._claims = Claims(image.claims, EndedAttempts(image.attempts))
         self._steering = Steering(image.steering)
         self._now_ms = image.now_ms
 
@@ -147,6 +149,7 @@
             self._claims.records,
             self._now_ms,
             self._steering.image(),
+            self._claims.attempts.records,
         )
 
     def _apply_idempotent(self, command, change) -> c.AnyResult:
@@ -176,6 +179,8 @@
         status = current.status if current else None
         if current is not None and _ends_incarnation(current.spec, spec):
             self._abandon_claims(current)
+        if isinstance(spec, Instance) and spec.state is not InstanceState.GONE:
+            self._claims.attempts.resume_holder(_holder(command.name, spec))
         resource = Resource(command.kind, command.name, spec, generation, self.revision + 1, status)
         return self._accept(resource, Operation.PUT)
 
@@ -195,7 +200,7 @@
 
         Runs in the command that ends the incarnation, so both are replicated atomically.
         """
-        self._claims.abandon(f"{instance.name}@{instance.spec.incarnation}")
+        self._claims.abandon(_holder(instance.name, instance.spec), self._now_ms)
 
     def _put_status(self, command: c.PutStatus) -> c.AnyResult:
         current = self._store.get(command.kind, command.name)
@@ -223,6 +228,11 @@
     return old.incarnation != new.incarnation or new.state is InstanceState.GONE
 
 
+def _holder(name: str, spec: Instance) -> str:
+    """Return the name under which an entry's incarnation holds claims."""
+    return f"{name}@{spec.incarnation}"
+
+
 def encode_resource(resource: Resource | None) -> bytes:
     """Encode a resource as JSON for answers, `null` if there is none."""
     return msgspec.json.encode(resource)
