Do not count attempts with too little time against a gateway's upstreams

What callers saw: beside callers with deadlines just under the service time, a regular caller was refused (8 and 14 of 15 calls, 'full or resting') while the only upstream was healthy. Evidence: four failures in a row and all outcomes bad at an upstream that answered whatever had the time. Change: an attempt that had less than twice the service time counts neither as a timeout nor as late, unless it had half of the route's timeout.

--- a/src/finchway/gateway/_forward.py
+++ b/src/finchway/gateway/_forward.py
@@ -265,7 +265,7 @@
         finally:
             self._table.release(reserved, outcome.verdict is Verdict.ANSWERED)
             if outcome.detail == CANCELLED and trio.current_time() >= context.deadline:
-                self._record_timeout(context, record, upstream)
+                self._record_timeout(context, record, upstream, started)
             self._log.record_attempt(context, choice, outcome, started)
             if upstream is not None:
                 record.in_use.discard(upstream)
@@ -298,13 +298,19 @@
         return Outcome(Verdict.UNKNOWN, error.detail, record=record)
 
     def _record_timeout(
-        self, context: RequestContext, record: UpstreamRecord, upstream: UpstreamConnection | None
+        self,
+        context: RequestContext,
+        record: UpstreamRecord,
+        upstream: UpstreamConnection | None,
+        started: float,
     ) -> None:
-        """Record an attempt that reached its deadline.
+        """Record an attempt that reached its deadline, unless that was too tight to tell anything.
 
         A reused connection may be dead without a reset, and the other idle ones with it, so these
         are closed before further requests time out on them.
         """
+        if self._router.had_tight_deadline(context, started):
+            return
         record.record_timeout(trio.current_time())
         self._router.record_timeout(context, record)
         if upstream is not None and upstream.is_reused:
--- a/src/finchway/gateway/_router.py
+++ b/src/finchway/gateway/_router.py
@@ -16,6 +16,9 @@
 from finchway.gateway._table import RegionUpstreams, UpstreamTable
 from finchway.policy import AttemptBudget
 
+# An attempt that had less than this multiple of the service time tells nothing by its timeout.
+TIGHT_DEADLINE_FACTOR = 2.0
+
 
 class Router:
     """The routing decisions of one gateway.
@@ -115,6 +118,15 @@
         """Record an attempt that failed before a complete answer."""
         record.record_failed_request()
 
+    def had_tight_deadline(self, context: RequestContext, started: float) -> bool:
+        """Return whether an attempt had too little time to count against its upstream.
+
+        Otherwise a few callers with short deadlines could have healthy upstreams backed off for
+        all callers. Half of the route's timeout is never too little, whatever is estimated.
+        """
+        expected_s = TIGHT_DEADLINE_FACTOR * self._plan(context).estimate.service_time
+        return context.deadline - started < min(expected_s, context.route.timeout / 2)
+
     def record_timeout(self, context: RequestContext, record: UpstreamRecord) -> None:
         """Record an attempt that reached its deadline."""
         record.record_failed_request()
