Try ejected upstreams of an entry where no other may be used

What callers saw: with half of a pool ejected and the rest resting, leaving or drained, each request waited until its deadline and was refused then; an ejection lasts 2 s to a minute. Cause: the gate asked backoffs and rate limits when an upstream is available, but not ejections, leaving marks and drains, and an ejection stopped the only traffic that could end it early. Change: a trial a second at an ejected upstream where none of the request's regions has another; a success ends the ejection; what is out until after the deadline is refused at once, also in the queue, with the time of the next trial as Retry-After.

--- a/src/finchway/policy/_choice.py
+++ b/src/finchway/policy/_choice.py
@@ -2,7 +2,8 @@
 
 Reported load is not used for the choice, since reports may lag or be wrong, and a healthy report
 overrides neither failed requests nor a leaving mark. The fraction of ejected upstreams is bounded,
-so that a wrong signal cannot take a whole region out of service.
+so that a wrong signal cannot take a whole region out of service. Where no other upstream may take a
+request, ejected ones get trial requests, and the first success ends the ejection.
 """
 
 from __future__ import annotations
@@ -18,6 +19,8 @@
 EJECTION_S = 2.0
 MAX_EJECTION_S = 60.0
 EJECTED_FRACTION = 0.5
+# Interval of trial requests to an ejected upstream, since each may hold its caller for long.
+EJECTION_TRIAL_INTERVAL_S = 1.0
 REFUSAL_BACKOFF_S = 0.05
 MAX_REFUSAL_BACKOFF_S = 0.5
 
@@ -40,6 +43,8 @@
     failures: int = 0
     ejections: int = 0
     ejected_until: float = float("-inf")
+    next_trial_at: float = float("-inf")
+    on_trial: bool = False
     refusals: int = 0
     backoff_until: float = float("-inf")
     leaving: bool = False
@@ -94,6 +99,9 @@
             state.failures = 0
             state.ejections = 0
             state.refusals = 0
+            if state.on_trial:
+                state.on_trial = False
+                state.ejected_until = float("-inf")
 
     def record_refusal(self, address: str, now: float) -> None:
         """Back off from an upstream that refused a request without running it.
@@ -130,11 +138,22 @@
         return self._rate_limiter.part(self._incarnation_key(address), now)
 
     def available_in_s(self, address: str, now: float) -> float:
-        """Return the seconds until backoff and rate limit allow a request to an upstream."""
-        return max(
-            self.backoff_left_s(address, now),
-            self._rate_limiter.wait(self._incarnation_key(address), now),
-        )
+        """Return the seconds until backoff, rate limit and ejection allow a request.
+
+        Infinity for an upstream that is leaving or drained.
+        """
+        state = self._states.get(address)
+        if state is None or state.leaving or state.drained:
+            return float("inf")
+        return max(self._pushback_left_s(address, now), state.ejected_until - now)
+
+    def trial_in_s(self, address: str, now: float) -> float:
+        """Return the seconds until an upstream may get a request, or a trial if it is ejected."""
+        state = self._states.get(address)
+        if state is None or state.leaving or state.drained:
+            return float("inf")
+        ejection_left = min(state.ejected_until, state.next_trial_at) - now
+        return max(self._pushback_left_s(address, now), ejection_left)
 
     def take_token(self, address: str, now: float) -> bool:
         """Count a request against its upstream's limit; False if it has announced none."""
@@ -160,8 +179,21 @@
         """Return whether any upstream is in a backoff that it requested."""
         return bool(self._backoffs.backed_off(now))
 
+    def is_ejected(self, address: str, now: float) -> bool:
+        """Return whether an upstream is ejected."""
+        state = self._states.get(address)
+        return state is not None and now < state.ejected_until
+
+    def has_ejected(self, now: float) -> bool:
+        """Return whether any upstream is ejected."""
+        return any(now < state.ejected_until for state in self._states.values())
+
     def begin(self, address: str, now: float) -> bool:
         """Record that a request is sent; return whether it is the trial after a backoff."""
+        if self.is_ejected(address, now):
+            state = self._states[address]
+            state.on_trial = True
+            state.next_trial_at = now + EJECTION_TRIAL_INTERVAL_S
         return self._backoffs.begin(self._incarnation_key(address), now)
 
     def end_trial(self, address: str, was_accepted: bool) -> None:
@@ -219,7 +251,8 @@
             return False
         state.leaving = False
         state.failures = state.ejections = 0
-        state.ejected_until = float("-inf")
+        state.ejected_until = state.next_trial_at = float("-inf")
+        state.on_trial = False
         state.report = None
         state.since = now
         return True
@@ -236,19 +269,40 @@
         drawn = self._rng.choices(list(usable), weights=list(usable.values()), k=2)
         return min(drawn, key=lambda address: self._score(address, limits[address], now))
 
+    def choose_trial(self, limits: dict[str, int], now: float) -> str | None:
+        """Choose an ejected upstream among `limits` for a trial request, or return None."""
+        due = [
+            address
+            for address, limit in limits.items()
+            if self.is_ejected(address, now)
+            and now >= self._states[address].next_trial_at
+            and self._states[address].in_flight < limit
+            and self._may_send(address, now)
+        ]
+        return min(due, key=lambda address: self._states[address].next_trial_at, default=None)
+
     def is_usable(self, address: str, now: float) -> bool:
         """Return whether an upstream may be sent a request now.
 
         It may not while it is leaving, drained, ejected, backed off, or at its rate limit.
         """
+        return not self.is_ejected(address, now) and self._may_send(address, now)
+
+    def _may_send(self, address: str, now: float) -> bool:
+        """Return whether all but an ejection allow a request to an upstream."""
         state = self._states.get(address)
-        if state is None or state.leaving or state.drained:
-            return False
-        if now < max(state.ejected_until, state.backoff_until):
+        if state is None or state.leaving or state.drained or now < state.backoff_until:
             return False
         key = self._incarnation_key(address)
         return self._backoffs.may_send(key, now) and self._rate_limiter.may_send(key, now)
 
+    def _pushback_left_s(self, address: str, now: float) -> float:
+        """Return the seconds until requested backoff and rate limit allow a request."""
+        return max(
+            self.backoff_left_s(address, now),
+            self._rate_limiter.wait(self._incarnation_key(address), now),
+        )
+
     def _incarnation_key(self, address: str) -> str:
         """Return `address@incarnation`, with the incarnation last seen in a response."""
         state = self._states.get(address)
--- a/src/finchway/policy/_gate.py
+++ b/src/finchway/policy/_gate.py
@@ -6,6 +6,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+from math import isfinite
+
 from msgspec import Struct
 
 from finchway.policy._admission import (
@@ -27,6 +30,7 @@
 NO_REGION_REASON = "no region serves this request now"
 LIMIT_REASON = "all upstreams are at their rate limits until after the deadline"
 BACKOFF_REASON = "all upstreams have asked for rest beyond the deadline"
+UNAVAILABLE_REASON = "no upstream may take a request before the deadline: they rest or have failed"
 
 
 class Grant(Struct, frozen=True):
@@ -115,9 +119,9 @@
         rate_limited = self._refuse_if_rate_limited(service, ticket, ahead, now)
         if rate_limited is not None:
             return rate_limited, []
-        backed_off = self._refuse_if_backed_off(service, ticket, now) if not slots else None
-        if backed_off is not None:
-            return backed_off, []
+        unavailable = self._refuse_if_unavailable(service, ticket, now) if not slots else None
+        if unavailable is not None:
+            return unavailable, []
         if slots and now + wait_s + lane.rate.mean_s > ticket.deadline:
             return Refusal(DEADLINE_REASON, retry_after(wait_s)), []
         evicted = lane.queue.push(ticket)
@@ -154,8 +158,8 @@
                 wait_s = lane.rate.wait_s(len(lane.queue), 1)
                 decided.append((late, Refusal(DEADLINE_REASON, retry_after(wait_s))))
             decided += self._serve(name, lane, now)
-            if self._directory.has_backoffs(now):
-                decided += self._refuse_backed_off_tickets(name, lane, now)
+            if self._directory.has_backoffs(now) or self._directory.has_ejected(now):
+                decided += self._refuse_unavailable_tickets(name, lane, now)
         return decided
 
     def withdraw(self, service: str, ticket: Ticket) -> bool:
@@ -165,14 +169,12 @@
     def available_in_s(
         self, service: str, regions: tuple[str, ...], now: float, excluded: frozenset[str]
     ) -> float:
-        """Return the seconds until backoffs and rate limits allow a request to any upstream."""
-        waits = [
-            self._directory.available_in_s(address, now)
-            for region in regions
-            for address in self._holder.limits((service, region), now)
-            if address not in excluded
-        ]
-        return min(waits, default=0.0)
+        """Return the seconds until any upstream may get a request.
+
+        Upstreams that are leaving or drained do not count; 0 if there are no others.
+        """
+        addresses = self._addresses(service, regions, now, excluded)
+        return _least_wait(self._directory.available_in_s(address, now) for address in addresses)
 
     def demands(self, keys: list[ShareKey]) -> list[Demand]:
         """Return this entry's demand for each share, without shares that it has no demand for."""
@@ -212,6 +214,16 @@
             lane = self._service_queues[service] = _ServiceQueue(limit)
         return lane
 
+    def _addresses(
+        self, service: str, regions: tuple[str, ...], now: float, excluded: frozenset[str]
+    ) -> list[str]:
+        return [
+            address
+            for region in regions
+            for address in self._holder.limits((service, region), now)
+            if address not in excluded
+        ]
+
     def _serve(self, service: str, lane: _ServiceQueue, now: float) -> Decided:
         decided: Decided = []
         exhausted: set[str] = set()
@@ -238,6 +250,24 @@
                 return self._grant(service, region, address, ticket.rank, now)
             if not ticket.excluded:
                 exhausted.add(region)
+        return self._try_grant_trial(service, ticket, now)
+
+    def _try_grant_trial(self, service: str, ticket: Ticket, now: float) -> Grant | None:
+        """Grant a slot of an ejected upstream for a trial, if no other upstream may be used.
+
+        A success is the only thing that shows early that an ejected upstream serves again.
+        """
+        if not self._directory.has_ejected(now):
+            return None
+        addresses = self._addresses(service, ticket.regions, now, ticket.excluded)
+        if any(self._directory.is_usable(address, now) for address in addresses):
+            return None
+        for region in ticket.regions:
+            limits = self._holder.limits((service, region), now)
+            limits = {a: n for a, n in limits.items() if a not in ticket.excluded}
+            address = self._directory.choose_trial(limits, now)
+            if address is not None:
+                return self._grant(service, region, address, ticket.rank, now)
         return None
 
     def _grant(self, service: str, region: str, address: str, rank: int, now: float) -> Grant:
@@ -252,22 +282,29 @@
         is_counted = self._directory.take_token(address, now)
         return Grant(service, region, address, rank, now, is_trial, is_counted)
 
-    def _refuse_backed_off_tickets(self, service: str, lane: _ServiceQueue, now: float) -> Decided:
-        """Refuse queued tickets whose upstreams are all backed off beyond their deadlines."""
+    def _refuse_unavailable_tickets(self, service: str, lane: _ServiceQueue, now: float) -> Decided:
+        """Refuse queued tickets whose upstreams are all unavailable beyond their deadlines."""
         decided: Decided = []
         for ticket in list(lane.queue):
-            refusal = self._refuse_if_backed_off(service, ticket, now)
+            refusal = self._refuse_if_unavailable(service, ticket, now)
             if refusal is not None:
                 lane.queue.remove(ticket)
                 decided.append((ticket, refusal))
         return decided
 
-    def _refuse_if_backed_off(self, service: str, ticket: Ticket, now: float) -> Refusal | None:
-        """Return a refusal if all upstreams are backed off beyond a ticket's deadline."""
+    def _refuse_if_unavailable(self, service: str, ticket: Ticket, now: float) -> Refusal | None:
+        """Return a refusal if all upstreams are backed off or ejected beyond a ticket's deadline.
+
+        Its retry delay is the time to the next trial request, which may end an ejection.
+        """
         wait_s = self.available_in_s(service, ticket.regions, now, ticket.excluded)
         if wait_s <= 0 or now + wait_s <= ticket.deadline:
             return None
-        return Refusal(BACKOFF_REASON, retry_after(wait_s))
+        addresses = self._addresses(service, ticket.regions, now, ticket.excluded)
+        has_ejected = any(self._directory.is_ejected(address, now) for address in addresses)
+        trial_in_s = _least_wait(self._directory.trial_in_s(address, now) for address in addresses)
+        reason = UNAVAILABLE_REASON if has_ejected else BACKOFF_REASON
+        return Refusal(reason, retry_after(trial_in_s))
 
     def _refuse_if_rate_limited(
         self, service: str, ticket: Ticket, ahead: int, now: float
@@ -276,12 +313,7 @@
 
         Upstreams whose limit this entry has no part of never accept a request from it.
         """
-        addresses = {
-            address
-            for region in ticket.regions
-            for address in self._holder.limits((service, region), now)
-            if address not in ticket.excluded
-        }
+        addresses = set(self._addresses(service, ticket.regions, now, ticket.excluded))
         parts = [self._directory.part(address, now) for address in addresses]
         if not parts or None in parts:
             return None
@@ -304,3 +336,8 @@
             for address, count in self._holder.limits((service, region), now).items()
             if self._directory.is_usable(address, now)
         )
+
+
+def _least_wait(waits: Iterable[float]) -> float:
+    """Return the least of some waits in seconds; 0 if none of them ever ends."""
+    return min((wait for wait in waits if isfinite(wait)), default=0.0)
