--- a/src/finchway/entry/_dispatch.py
+++ b/src/finchway/entry/_dispatch.py
@@ -14,13 +14,13 @@
 import msgspec
 import trio
 
+from finchway.entry._attempt_results import AttemptResults
 from finchway.entry._call import (
     Answer,
     Body,
     Call,
     CallError,
     Headers,
-    ResponseMetadata,
     UpstreamError,
     refused,
 )
@@ -31,7 +31,6 @@
     Attempt,
     Caller,
     Grant,
-    LoadReport,
     Outcome,
     Refusal,
     RetryBudget,
@@ -40,7 +39,7 @@
     may_retry,
     retry_after,
 )
-from finchway.pushback import Pushback, is_own_answer
+from finchway.pushback import is_own_answer
 from finchway.resources import Service
 
 MAX_BUFFERED_BYTES = 65_536
@@ -87,6 +86,7 @@
         self._claims = claims
         self._timeline = timeline
         self._metrics = metrics
+        self._results = AttemptResults(view, timeline, metrics)
         self._may_serve = may_serve
         self._make_budget = make_budget
         self._budgets: dict[str, RetryBudget] = {}
@@ -283,7 +283,7 @@
                 )
         except UpstreamError as error:
             slot.was_sent = error.was_sent
-            self._record_failure(grant.address, error)
+            self._results.record_failure(grant.address, error)
             raise
         finally:
             self._view.gate.release(slot.grant, trio.current_time(), succeeded, slot.was_sent)
@@ -310,9 +310,11 @@
             grant.address, call.method, call.target, headers, content, may_send
         )
         async with opened as reply:
-            self._record_metadata(call.service, grant.address, reply.metadata)
+            self._results.record_metadata(call.service, grant.address, reply.metadata)
             if is_own_answer(reply.status):
-                self._record_limit(call.service, grant.address, reply.metadata.pushback, sent_at)
+                self._results.record_limit(
+                    call.service, grant.address, reply.metadata.pushback, sent_at
+                )
             if reply.metadata.not_run:
                 self._view.directory.record_refusal(grant.address, trio.current_time())
                 raise UpstreamError(
@@ -332,10 +334,10 @@
             )
             response_state.is_started = rest is not None
             if rest is None:
-                self._record_success(grant.address)
+                self._results.record_success(grant.address)
             await respond(answer)
             if rest is not None:
-                self._record_success(grant.address)
+                self._results.record_success(grant.address)
 
     def _may_still_send(self, slot: _HeldSlot) -> bool:
         """Check again for a backoff or rate limit once a new connection is established."""
@@ -364,57 +366,6 @@
             headers.append((b"transfer-encoding", b"chunked"))
         return headers
 
-    def _record_metadata(self, service: str, address: str, metadata: ResponseMetadata) -> None:
-        now = trio.current_time()
-        directory = self._view.directory
-        directory.record_incarnation(address, metadata.incarnation, now)
-        if metadata.load is not None:
-            directory.record_report(address, LoadReport(metadata.load, now))
-        if metadata.pushback.leaving and directory.mark_leaving(address):
-            self._timeline.record(EventKind.UPSTREAM_LEAVING, address, "said by its answer")
-            self._metrics.count_pushback(service, "leaving")
-        if metadata.pushback.backoff_s > 0:
-            directory.record_backoff(address, metadata.pushback.backoff_s, now)
-            detail = f"asks for {metadata.pushback.backoff_s:g} s of rest"
-            self._timeline.record(EventKind.UPSTREAM_RESTING, address, detail)
-            self._metrics.count_pushback(service, "rest")
-        if metadata.pushback.invalid_retry_after or metadata.pushback.invalid_limit is not None:
-            self._metrics.count_pushback(service, "unreadable")
-
-    def _record_limit(self, service: str, address: str, pushback: Pushback, sent_at: float) -> None:
-        """Record the rate limit that a response states; an unreadable one is ignored."""
-        if pushback.limit is not None:
-            self._metrics.count_pushback(service, "limit")
-        elif pushback.invalid_limit is not None:
-            return
-        now = trio.current_time()
-        if self._view.directory.record_limit(address, pushback.limit, sent_at, now):
-            limit = (
-                "no limit any more" if pushback.limit is None else f"{pushback.limit:g} a second"
-            )
-            self._timeline.record(EventKind.UPSTREAM_LIMITED, address, f"names {limit}")
-
-    def _record_success(self, address: str) -> None:
-        now = trio.current_time()
-        _, changed = self._view.record_result(address, True, now)
-        if changed:
-            self._record_region_change(EventKind.REGION_UP, address, "an answer came")
-
-    def _record_failure(self, address: str, error: UpstreamError) -> None:
-        if error.healthy:
-            return
-        ejected, changed = self._view.record_result(address, False, trio.current_time())
-        if ejected:
-            self._timeline.record(EventKind.UPSTREAM_EJECTED, address, error.detail)
-        if changed:
-            self._record_region_change(EventKind.REGION_DOWN, address, error.detail)
-
-    def _record_region_change(self, kind: EventKind, address: str, cause: str) -> None:
-        """Record why a region went down or up, with the failure counts at that moment."""
-        key = self._view.pool_of(address)
-        basis = self._view.describe_region(key, trio.current_time())
-        self._timeline.record(kind, "/".join(key), f"{address}: {cause}; {basis}")
-
 
 class _QueuedRequest:
     """A queued request; `event` is set once `decision` is available."""
