Do not let callers of an entry wait for the end of an ejection

Cause: an ejection that ends before the deadline was taken for availability. Its end shows nothing new, and all that waited are sent together. Change: requests wait for backoffs and limits that end in time, and are refused at once where only ejected upstreams are left besides the trials. The event upstream-returned is recorded.

--- a/src/finchway/entry/_attempt_results.py
+++ b/src/finchway/entry/_attempt_results.py
@@ -53,7 +53,11 @@
     def record_success(self, address: str) -> None:
         """Record an answer; the first one reopens a region that is down."""
         now = trio.current_time()
+        directory = self._view.directory
+        was_ejected = directory.is_ejected(address, now)
         _, changed = self._view.record_result(address, True, now)
+        if was_ejected and not directory.is_ejected(address, now):
+            self._timeline.record(EventKind.UPSTREAM_RETURNED, address, "a trial succeeded")
         if changed:
             self._record_region_change(EventKind.REGION_UP, address, "an answer came")
 
--- a/src/finchway/policy/_choice.py
+++ b/src/finchway/policy/_choice.py
@@ -138,22 +138,19 @@
         return self._rate_limiter.part(self._incarnation_key(address), now)
 
     def available_in_s(self, address: str, now: float) -> float:
-        """Return the seconds until backoff, rate limit and ejection allow a request.
+        """Return the seconds until an upstream may get a request, or a trial if it is ejected.
 
         Infinity for an upstream that is leaving or drained.
         """
         state = self._states.get(address)
-        if state is None or state.leaving or state.drained:
-            return float("inf")
-        return max(self._pushback_left_s(address, now), state.ejected_until - now)
-
-    def trial_in_s(self, address: str, now: float) -> float:
-        """Return the seconds until an upstream may get a request, or a trial if it is ejected."""
-        state = self._states.get(address)
         if state is None or state.leaving or state.drained:
             return float("inf")
         ejection_left = min(state.ejected_until, state.next_trial_at) - now
-        return max(self._pushback_left_s(address, now), ejection_left)
+        return max(
+            self.backoff_left_s(address, now),
+            self._rate_limiter.wait(self._incarnation_key(address), now),
+            ejection_left,
+        )
 
     def take_token(self, address: str, now: float) -> bool:
         """Count a request against its upstream's limit; False if it has announced none."""
@@ -296,13 +293,6 @@
         key = self._incarnation_key(address)
         return self._backoffs.may_send(key, now) and self._rate_limiter.may_send(key, now)
 
-    def _pushback_left_s(self, address: str, now: float) -> float:
-        """Return the seconds until requested backoff and rate limit allow a request."""
-        return max(
-            self.backoff_left_s(address, now),
-            self._rate_limiter.wait(self._incarnation_key(address), now),
-        )
-
     def _incarnation_key(self, address: str) -> str:
         """Return `address@incarnation`, with the incarnation last seen in a response."""
         state = self._states.get(address)
--- a/src/finchway/policy/_gate.py
+++ b/src/finchway/policy/_gate.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from math import isfinite
 
 from msgspec import Struct
@@ -30,7 +29,9 @@
 NO_REGION_REASON = "no region serves this request now"
 LIMIT_REASON = "all upstreams are at their rate limits until after the deadline"
 BACKOFF_REASON = "all upstreams have asked for rest beyond the deadline"
-UNAVAILABLE_REASON = "no upstream may take a request before the deadline: they rest or have failed"
+UNAVAILABLE_REASON = (
+    "no upstream may take a request before the deadline: all rest, leave or have failed"
+)
 
 
 class Grant(Struct, frozen=True):
@@ -169,12 +170,13 @@
     def available_in_s(
         self, service: str, regions: tuple[str, ...], now: float, excluded: frozenset[str]
     ) -> float:
-        """Return the seconds until any upstream may get a request.
+        """Return the seconds until any upstream may get a request, or a trial if it is ejected.
 
         Upstreams that are leaving or drained do not count; 0 if there are no others.
         """
         addresses = self._addresses(service, regions, now, excluded)
-        return _least_wait(self._directory.available_in_s(address, now) for address in addresses)
+        waits = [self._directory.available_in_s(address, now) for address in addresses]
+        return min((wait for wait in waits if isfinite(wait)), default=0.0)
 
     def demands(self, keys: list[ShareKey]) -> list[Demand]:
         """Return this entry's demand for each share, without shares that it has no demand for."""
@@ -293,18 +295,24 @@
         return decided
 
     def _refuse_if_unavailable(self, service: str, ticket: Ticket, now: float) -> Refusal | None:
-        """Return a refusal if all upstreams are backed off or ejected beyond a ticket's deadline.
+        """Return a refusal if no upstream may take a ticket's request before its deadline.
 
-        Its retry delay is the time to the next trial request, which may end an ejection.
+        Requests do not wait for ejected upstreams, which would fail them together. The retry delay
+        is the time to the next trial request, which may end an ejection.
         """
-        wait_s = self.available_in_s(service, ticket.regions, now, ticket.excluded)
-        if wait_s <= 0 or now + wait_s <= ticket.deadline:
-            return None
         addresses = self._addresses(service, ticket.regions, now, ticket.excluded)
-        has_ejected = any(self._directory.is_ejected(address, now) for address in addresses)
-        trial_in_s = _least_wait(self._directory.trial_in_s(address, now) for address in addresses)
-        reason = UNAVAILABLE_REASON if has_ejected else BACKOFF_REASON
-        return Refusal(reason, retry_after(trial_in_s))
+        waits = [
+            self._directory.available_in_s(address, now)
+            for address in addresses
+            if not self._directory.is_ejected(address, now)
+        ]
+        wait_s = min(waits, default=float("inf"))
+        if not addresses or wait_s <= 0 or now + wait_s <= ticket.deadline:
+            return None
+        is_backed_off = len(waits) == len(addresses) and isfinite(wait_s)
+        reason = BACKOFF_REASON if is_backed_off else UNAVAILABLE_REASON
+        delay_s = self.available_in_s(service, ticket.regions, now, ticket.excluded)
+        return Refusal(reason, retry_after(delay_s))
 
     def _refuse_if_rate_limited(
         self, service: str, ticket: Ticket, ahead: int, now: float
@@ -336,8 +344,3 @@
             for address, count in self._holder.limits((service, region), now).items()
             if self._directory.is_usable(address, now)
         )
-
-
-def _least_wait(waits: Iterable[float]) -> float:
-    """Return the least of some waits in seconds; 0 if none of them ever ends."""
-    return min((wait for wait in waits if isfinite(wait)), default=0.0)
--- a/tests/gateway/test_router.py
+++ b/tests/gateway/test_router.py
@@ -303,7 +303,7 @@
     assert "bad 1.00" in line["source"] or "bad 0.75" in line["source"]
 
 
-async def slow_upstream_and_one_in_backoff(subject, others=()):
+async def slow_upstream_and_one_in_backoff(subject):
     """Make n1 an outlier that answers in 1.2 s, and put n2 into a backoff."""
     for _ in range(10):
         answer_all(subject, {})
@@ -311,14 +311,7 @@
     for _ in range(4):
         answer_all(subject, {"n1": 1.2})
         await trio.sleep(0.2)
-    start_backoff(subject, "n2")
-    for name in others:
-        start_backoff(subject, name)
-
-
-def start_backoff(subject, name, seconds=5.0):
-    incarnation = subject.table.get(name).registration.incarnation
-    subject.table.backoffs.start(incarnation, seconds, trio.current_time())
+    subject.table.backoffs.start("n2", 5.0, trio.current_time())
 
 
 def pair_in_north_and_others(others):
--- a/tests/unit/test_ejected_upstreams.py
+++ b/tests/unit/test_ejected_upstreams.py
@@ -79,10 +79,21 @@
     assert isinstance(later, Grant)
 
 
-def test_request_waits_if_the_ejection_ends_before_its_deadline(made):
+def test_request_does_not_wait_for_the_end_of_an_ejection(made):
+    """Those that waited would be sent together to an upstream that has shown nothing new."""
     for number in range(2):
         request_slot(made, number, 0.1)
-    assert request_slot(made, 3, 0.1, deadline=EJECTION_S + 1.0) is None
+    assert isinstance(request_slot(made, 3, 0.1, deadline=EJECTION_S + 1.0), Refusal)
+
+
+def test_request_waits_for_the_end_of_a_backoff_before_its_deadline():
+    made = gate(slots=2)
+    eject(made)
+    for address in POOL[2:]:
+        made.directory.record_backoff(address, 1.0, 0.0)
+    for number in range(2):
+        assert isinstance(request_slot(made, number, 0.1), Grant)
+    assert request_slot(made, 3, 0.1, deadline=3.0) is None
 
 
 def test_queued_requests_are_refused_once_no_upstream_is_left_before_their_deadlines():
