--- a/src/finchway/gateway/_selector.py
+++ b/src/finchway/gateway/_selector.py
@@ -79,7 +79,7 @@
         if any(record.registration.instance not in outliers for record in available):
             return "all upstreams for the key are full or resting"
         if available:
-            return "the upstreams that do not rest fail, or answer too slowly"
+            return "the upstreams that do not rest fail, are full or answer too slowly"
         if all(self._is_in_backoff(record, now) for record in records):
             return "all upstreams have asked for rest"
         return "all upstreams rest or are at the limits that they have named"
