State the bound of limited upstreams and the served deployment once

Cause: the soak's checks and the tests each had the window, overage and slack of a named limit, and six tests of the adapter the same five lines around their steps. Change: bench/limits.py and served_deployment(). Checks, bounds and steps are the same.

--- a/bench/soak/_checks.py
+++ b/bench/soak/_checks.py
@@ -8,6 +8,7 @@
 
 from msgspec import Struct
 
+from bench.limits import WINDOW_S, max_in_window
 from bench.soak._ledger import (
     NO_ANSWER,
     Arrival,
@@ -33,11 +34,6 @@
 # Requests that may reach a back end in a rest that it has asked for, from this time after it on.
 MOST_IN_A_REST = 2
 UNDER_WAY_S = 0.5
-# What a back end bears that names a limit: in any `LIMIT_WINDOW_S` so many times as much and some
-# more, from `KNOWN_WITHIN_S` after it was first named, of gateways that it has told.
-LIMIT_WINDOW_S = 4.0
-LIMIT_OVERAGE = 1.5
-LIMIT_SLACK = 5
 # Seconds for which what says that it leaves may still get new requests.
 DRAIN_S = 2.0
 PLANNED = frozenset({FaultKind.STOP.value, FaultKind.STOP_AND_RELOAD.value})
@@ -265,7 +261,10 @@
 
 
 def _limits(ledger: Ledger) -> Iterator[Violation]:
-    """Find back ends that got more than they bear from gateways that they had told of a limit."""
+    """Find back ends that got more than they bear from gateways that they had told of a limit.
+
+    Requests count from `KNOWN_WITHIN_S` after the limit was first named.
+    """
     arrivals: dict[str, list[Arrival]] = defaultdict(list)
     for arrival in ledger.arrivals:
         if arrival.id in ledger.sent:
@@ -294,7 +293,7 @@
 
 def _over_limit(ledger: Ledger, limited: _Limited, counted: list[Arrival]) -> Iterator[Violation]:
     for place, arrival in enumerate(counted):
-        end = arrival.at + LIMIT_WINDOW_S
+        end = arrival.at + WINDOW_S
         if end > limited.until:
             return
         within = [
@@ -304,8 +303,7 @@
             and ledger.is_calm(ledger.sent[other.id].gateway, arrival.at - IN_TOUCH_S, end)
         ]
         figure = limited.highest(arrival.at - KNOWN_WITHIN_S, end)
-        borne = LIMIT_OVERAGE * LIMIT_WINDOW_S * figure + LIMIT_SLACK
-        if len(within) > borne:
+        if len(within) > max_in_window(figure):
             gateways = sorted({ledger.sent[other.id].gateway for other in within})
             evidence = f"{len(within)} at {limited.life} in 4 s at {figure:g} a second; {gateways}"
             yield Violation("back ends that name a limit are kept to it", evidence)
--- a/tests/adapter/test_processes.py
+++ b/tests/adapter/test_processes.py
@@ -213,6 +213,17 @@
         subject.stop_all()
 
 
+@asynccontextmanager
+async def served_deployment(folder: Path):
+    """Run a deployment with the worker `i-1`, which sends heartbeats; yields both."""
+    async with deployment(folder) as subject, trio.open_nursery() as nursery:
+        worker = Worker(subject, "i-1")
+        await nursery.start(worker.run)
+        nursery.start_soon(worker.send_heartbeats)
+        yield subject, worker
+        nursery.cancel_scope.cancel()
+
+
 def run(test, folder):
     """Run a test on trio; on failure, print the logs."""
     try:
@@ -225,10 +236,7 @@
 
 def test_request_path_directory_readiness_metrics_and_logs(tmp_path):
     async def check(folder):
-        async with deployment(folder) as subject, trio.open_nursery() as nursery:
-            worker = Worker(subject, "i-1")
-            await nursery.start(worker.run)
-            nursery.start_soon(worker.send_heartbeats)
+        async with served_deployment(folder) as (subject, _):
             for ip in EDGES:
                 status, headers, body = await subject.send_request_until(ip, 200)
                 assert body == b"ok"
@@ -246,7 +254,6 @@
             assert "finchway_replica_heartbeats_total{" in metrics
             log = "".join((subject.folder / f"log-{ip}").read_text() for ip in CORES)
             assert '"event":"order","order":"change","subject":' in log
-            nursery.cancel_scope.cancel()
 
     run(check, tmp_path)
 
@@ -286,10 +293,7 @@
 
 def test_deregistered_worker_and_evacuated_zone_get_no_requests(tmp_path):
     async def check(folder):
-        async with deployment(folder) as subject, trio.open_nursery() as nursery:
-            worker = Worker(subject, "i-1")
-            await nursery.start(worker.run)
-            nursery.start_soon(worker.send_heartbeats)
+        async with served_deployment(folder) as (subject, worker):
             await subject.send_request_until(EDGES[0], 200)
             assert (await subject.call_control("/-/Evacuations.Start/col-a"))[0] == 200
             await subject.send_request_until(EDGES[0], 503)
@@ -301,7 +305,6 @@
             for _ in range(5):
                 assert (await subject.send_request(EDGES[0]))[0] == 503
             assert len(worker.requests) == seen
-            nursery.cancel_scope.cancel()
 
     run(check, tmp_path)
 
@@ -317,10 +320,7 @@
     tmp_path, status, pushback_headers
 ):
     async def check(folder):
-        async with deployment(folder) as subject, trio.open_nursery() as nursery:
-            worker = Worker(subject, "i-1")
-            await nursery.start(worker.run)
-            nursery.start_soon(worker.send_heartbeats)
+        async with served_deployment(folder) as (subject, worker):
             for ip in EDGES:
                 await subject.send_request_until(ip, 200)
             worker.status, worker.pushback_headers = status, pushback_headers
@@ -335,7 +335,6 @@
             assert len(worker.requests) == reached + 1
             metrics = (await subject.call(EDGES[0], "metrics", "GET", "/metrics"))[2].decode()
             assert "finchway_gateway_asked_total{" in metrics
-            nursery.cancel_scope.cancel()
 
     run(check, tmp_path)
 
@@ -357,10 +356,7 @@
 
 def test_graceful_stop_leaves_the_directory_first_and_exits_with_0(tmp_path):
     async def check(folder):
-        async with deployment(folder) as subject, trio.open_nursery() as nursery:
-            worker = Worker(subject, "i-1")
-            await nursery.start(worker.run)
-            nursery.start_soon(worker.send_heartbeats)
+        async with served_deployment(folder) as (subject, _):
             await subject.send_request_until(EDGES[0], 200)
             leaving = subject.running[EDGES[0]]
             leaving.send_signal(signal.SIGTERM)
@@ -371,17 +367,13 @@
             assert ready[0] == 503
             assert (await subject.send_request(EDGES[0]))[0] == 200
             assert await trio.to_thread.run_sync(leaving.wait) == 0
-            nursery.cancel_scope.cancel()
 
     run(check, tmp_path)
 
 
 def test_acknowledged_changes_survive_killing_all_processes(tmp_path):
     async def check(folder):
-        async with deployment(folder) as subject, trio.open_nursery() as nursery:
-            worker = Worker(subject, "i-1")
-            await nursery.start(worker.run)
-            nursery.start_soon(worker.send_heartbeats)
+        async with served_deployment(folder) as (subject, _):
             change = documents.patch(documents.route(version=9, path_prefix="/other/"))
             assert (await subject.call_control("/-/Config.Patch", change))[0] == 200
             assert (await subject.call_control("/-/Evacuations.Start/kdy-a"))[0] == 200
@@ -392,17 +384,13 @@
             for ip in EDGES:
                 await subject.send_request_until(ip, 200, "/other/1")
                 assert (await subject.send_request(ip))[0] == 404
-            nursery.cancel_scope.cancel()
 
     run(check, tmp_path)
 
 
 def test_gateways_find_replicas_on_replacement_machines(tmp_path):
     async def check(folder):
-        async with deployment(folder) as subject, trio.open_nursery() as nursery:
-            worker = Worker(subject, "i-1")
-            await nursery.start(worker.run)
-            nursery.start_soon(worker.send_heartbeats)
+        async with served_deployment(folder) as (subject, _):
             await subject.send_request_until(EDGES[0], 200)
             newcomer = "127.0.1.9"
             subject.kill(CORES[0])
@@ -417,7 +405,6 @@
             assert taken[0] == 200
             await subject.send_request_until(EDGES[0], 404)
             await subject.send_request_until(EDGES[0], 200, "/other/1")
-            nursery.cancel_scope.cancel()
 
     run(check, tmp_path)
 
