--- a/bench/soak/_ledger.py
+++ b/bench/soak/_ledger.py
@@ -37,7 +37,7 @@
 
 
 class Run(Struct, frozen=True):
-    """A request that an upstream ran; `answered` is the time at which it was answered, if it was."""
+    """A request that an upstream ran; `answered` is the time of its answer, if there was one."""
 
     id: str
     instance: str
