--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.known_red import read_known_red, without_known_red
+from tests.known_red import read_known_red, without_group, without_known_red
 
 
 def pytest_addoption(parser):
@@ -18,12 +18,18 @@
     if any("::" in argument for argument in config.args):
         return
     try:
-        kept = without_known_red([item.nodeid for item in items], read_known_red())
+        kept = without_known_red([_test_id(item) for item in items], read_known_red())
     except ValueError as error:
         raise pytest.UsageError(str(error)) from error
-    left_out = [item for item in items if item.nodeid not in kept]
+    left_out = [item for item in items if _test_id(item) not in kept]
     config.hook.pytest_deselected(items=left_out)
-    items[:] = [item for item in items if item.nodeid in kept]
+    items[:] = [item for item in items if _test_id(item) in kept]
+
+
+def _test_id(item) -> str:
+    """Return a test's id without the name of its group, which xdist's workers append."""
+    group = item.get_closest_marker("xdist_group")
+    return without_group(item.nodeid, group.args[0] if group is not None else "")
 
 
 def pytest_terminal_summary(terminalreporter, config):
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -45,6 +45,11 @@
     return parse_known_red(path.read_text()) if path.exists() else []
 
 
+def without_group(test: str, group: str) -> str:
+    """Return a test's id without the suffix `@group`."""
+    return test.removesuffix(f"@{group}") if group else test
+
+
 def without_known_red(names: list[str], listed: list[KnownRed]) -> set[str]:
     """Return the names to run: all but those listed.
 
--- a/tests/unit/test_known_red.py
+++ b/tests/unit/test_known_red.py
@@ -2,7 +2,13 @@
 
 import pytest
 
-from tests.known_red import KnownRed, parse_known_red, read_known_red, without_known_red
+from tests.known_red import (
+    KnownRed,
+    parse_known_red,
+    read_known_red,
+    without_group,
+    without_known_red,
+)
 
 ENTRY = KnownRed("tests/a.py::test_x", "make test, seed 4", "lost on a cut", "20")
 
@@ -43,5 +49,12 @@
     assert without_known_red(["tests/b.py::test_y"], [ENTRY]) == {"tests/b.py::test_y"}
 
 
+@pytest.mark.parametrize("test", ["tests/a.py::test_x[1@g]", "tests/a.py::test_x[1@g]@g"])
+def test_the_group_of_a_test_is_no_part_of_its_id(test):
+    """Otherwise a listed test of a group is not found by xdist's workers, and no test runs."""
+    assert without_group(test, "g") == "tests/a.py::test_x[1@g]"
+    assert without_group("tests/a.py::test_x", "") == "tests/a.py::test_x"
+
+
 def test_the_list_at_the_root_can_be_read():
     assert len(read_known_red()) <= 3
