Drop connections whose clients have left, and accept few at a time

Cause: the listener accepted the whole queue of the kernel in one turn of the loop, and each request was served in full although its caller had left. Change: the listener drops connections that their clients have closed and accepts 16 at a time; the app server does not handle what a client sent before it closed. The question to the kernel stands once. Measured: the three new tests fail before (200 of 200 requests of clients that had left were served).

--- a/src/finchway/gateway/_http.py
+++ b/src/finchway/gateway/_http.py
@@ -17,7 +17,7 @@
 from msgspec import Struct
 
 from finchway.catalog import Limits
-from finchway.transport import NEXT_REQUEST_GRACE_S, Listener
+from finchway.transport import NEXT_REQUEST_GRACE_S, Listener, has_event, peer_has_closed
 
 _LOG = logging.getLogger(__name__)
 READ_BYTES = 64 * 1024
@@ -95,7 +95,7 @@
     @property
     def has_left(self) -> bool:
         """Whether the caller has closed its connection."""
-        return self._has_event(select.POLLRDHUP)
+        return peer_has_closed(self._stream.socket.fileno())
 
     def close_after_answer(self) -> None:
         """Close the connection after the next answer, which announces it."""
@@ -109,16 +109,9 @@
         """
         if self._in_request or self._http.trailing_data[0]:
             return False
-        return now - self._idle_since >= NEXT_REQUEST_GRACE_S and not self._has_event(select.POLLIN)
-
-    def _has_event(self, event: int) -> bool:
-        """Return whether the socket has an event pending, or is closed."""
-        descriptor = self._stream.socket.fileno()
-        if descriptor < 0:
-            return True
-        poll = select.poll()
-        poll.register(descriptor, event)
-        return bool(poll.poll(0))
+        if now - self._idle_since < NEXT_REQUEST_GRACE_S:
+            return False
+        return not has_event(self._stream.socket.fileno(), select.POLLIN)
 
     async def read(self) -> CallerRequest | None:
         """Return the next request, or None if the connection has ended.
--- a/src/finchway/transport/_app_server.py
+++ b/src/finchway/transport/_app_server.py
@@ -14,16 +14,19 @@
 import trio
 from hypercorn.app_wrappers import ASGIWrapper
 from hypercorn.config import Config
+from hypercorn.events import Closed, RawData
 from hypercorn.trio.tcp_server import TCPServer
 from hypercorn.trio.worker_context import WorkerContext
 from hypercorn.typing import ConnectionState
 
 from finchway.transport._listener import NEXT_REQUEST_GRACE_S, Listener
+from finchway.transport._sockets import peer_has_closed
 
 _LOG = logging.getLogger(__name__)
 # Limit for sending one part of a response, which cancellation of its request does not interrupt.
 _SEND_TIMEOUT_S = 5.0
 _STOP_POLL_INTERVAL_S = 0.02
+_RECEIVE_BYTES = 64 * 1024
 _CONNECTION_CLOSE = (b"connection", b"close")
 
 
@@ -31,13 +34,27 @@
     """A connection that is closed as soon as the client closes it.
 
     hypercorn's `TCPServer` keeps it until the idle timeout, so that many short connections can
-    exhaust the process's file descriptors.
+    exhaust the process's file descriptors. It also serves what a client sent before it closed, and
+    under load the process would spend its time on requests whose clients have left.
     """
 
     async def _read_data(self) -> None:
-        await super()._read_data()
+        try:
+            while data := await self.stream.receive_some(_RECEIVE_BYTES):
+                if self._client_has_left():
+                    break
+                await self.protocol.handle(RawData(bytes(data)))
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            _LOG.debug("a client reset its connection")
+        # The end of the data keeps the protocol from waiting for another request.
+        await self.protocol.handle(RawData(b""))
+        await self.protocol.handle(Closed())
         await self.idle_task.stop()
 
+    def _client_has_left(self) -> bool:
+        stream = getattr(self.stream, "transport_stream", self.stream)
+        return peer_has_closed(stream.socket.fileno())
+
 
 class AppServer:
     """Listens on one address and serves its requests with an ASGI application.
--- a/src/finchway/transport/_listener.py
+++ b/src/finchway/transport/_listener.py
@@ -2,10 +2,15 @@
 
 The kernel completes handshakes on its own: clients may have sent requests on connections that are
 still in the accept queue, and closing the listening socket would reset those.
+
+Clients that give up and connect again fill the accept queue of a process that is short of CPU time.
+Connections whose clients have closed them are dropped there at little cost, and few are accepted at
+a time, so that the process's other tasks go on.
 """
 
 from __future__ import annotations
 
+import enum
 import logging
 import socket
 from collections.abc import Callable
@@ -13,6 +18,7 @@
 import trio
 
 from finchway.exceptions import TransportError
+from finchway.transport._sockets import peer_has_closed
 
 _LOG = logging.getLogger(__name__)
 BACKLOG = 512
@@ -22,6 +28,16 @@
 # request may still be on its way.
 NEXT_REQUEST_GRACE_S = 0.5
 _ACCEPT_RETRY_S = 0.05
+# Connections accepted before other tasks get their turn.
+_ACCEPT_BATCH = 16
+
+
+class _Queue(enum.Enum):
+    """The state of the accept queue after a batch."""
+
+    EMPTY = "empty"
+    MORE = "more"
+    FAILED = "failed"
 
 
 class Listener:
@@ -60,7 +76,8 @@
             with self._accept_scope:
                 await self._accept()
             # More connections may have been established since `stop` was called.
-            self._accept_queued()
+            while self._accept_batch() is _Queue.MORE:
+                pass
         self._closed.set()
 
     async def stop(self) -> None:
@@ -72,20 +89,24 @@
     async def _accept(self) -> None:
         while True:
             await trio.lowlevel.wait_readable(self._socket)
-            if not self._accept_queued():
+            if self._accept_batch() is _Queue.FAILED:
                 await trio.sleep(_ACCEPT_RETRY_S)
 
-    def _accept_queued(self) -> bool:
-        """Accept all connections in the kernel's queue; return False if that failed."""
-        while True:
+    def _accept_batch(self) -> _Queue:
+        """Accept some of the connections in the kernel's queue."""
+        for _ in range(_ACCEPT_BATCH):
             try:
                 accepted, _ = self._socket.accept()
                 accepted.setsockopt(
                     socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
                 )
             except BlockingIOError:
-                return True
+                return _Queue.EMPTY
             except OSError as error:
                 _LOG.warning("accept on %s failed: %s", self._address, error)
-                return False
+                return _Queue.FAILED
+            if peer_has_closed(accepted.fileno()):
+                accepted.close()
+                continue
             self._on_connection(trio.SocketStream(trio.socket.from_stdlib_socket(accepted)))
+        return _Queue.MORE
--- a/tests/transport/test_app_server.py
+++ b/tests/transport/test_app_server.py
@@ -18,6 +18,8 @@
 REQUEST = b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n"
 STOP_DELAYS = 12
 PART = b"x" * 100
+LEAVING_CLIENTS = 200
+MOST_ACCEPTED_AT_ONCE = 32
 
 
 class Server:
@@ -237,3 +239,59 @@
                 await trio.sleep(0.01)
 
     run_with_server(respond_ok, action)
+
+
+class CountingApp:
+    """An application that counts its requests."""
+
+    def __init__(self) -> None:
+        self.requests = 0
+
+    async def __call__(self, scope, receive, send) -> None:
+        self.requests += 1
+        await respond_ok(scope, receive, send)
+
+
+@pytest.mark.parametrize("is_accepted", [False, True])
+def test_requests_of_clients_that_have_left_are_not_served(is_accepted):
+    """A process that falls behind does not serve those who gave up before those who wait."""
+    app = CountingApp()
+
+    async def action(server: Server) -> None:
+        clients = [server.connect() for _ in range(LEAVING_CLIENTS)]
+        if is_accepted:
+            with trio.fail_after(5.0):
+                while server.http.connections < LEAVING_CLIENTS:
+                    await trio.sleep(0.01)
+        for client in clients:
+            client.send(REQUEST)
+            client.close()
+        patient = server.connect()
+        patient.send(REQUEST)
+        assert is_complete(await read_response(patient, b"ok"))
+        with trio.fail_after(5.0):
+            while server.http.connections > 1:
+                await trio.sleep(0.01)
+        patient.close()
+
+    run_with_server(app, action)
+    assert app.requests == 1
+
+
+def test_other_tasks_run_while_many_connections_are_accepted():
+    """No more than a batch of connections is accepted between two turns of another task."""
+    increases = []
+
+    async def action(server: Server) -> None:
+        clients = [server.connect() for _ in range(LEAVING_CLIENTS)]
+        before = 0
+        with trio.fail_after(5.0):
+            while before < LEAVING_CLIENTS:
+                await trio.lowlevel.checkpoint()
+                increases.append(server.http.connections - before)
+                before = server.http.connections
+        for client in clients:
+            client.close()
+
+    run_with_server(respond_ok, action)
+    assert max(increases) <= MOST_ACCEPTED_AT_ONCE
