Compress large answers of the feed

Cause: each of five replicas sends a gateway all of them, 338 KB, over a link of 2 Mbit/s: 6.8 s. Polls give up after 1 s and ask for all of it again, so the link stays full, callers' requests wait behind it, and replicas keep up to 122 MB of answers. Change: answers from 2 KB on are compressed (zlib) for gateways that say that they read it; fields without news are left out; the limits in force are found once a change, not by a search through all items.

--- a/bench/feed.py
+++ b/bench/feed.py
@@ -80,7 +80,13 @@
         rates=[ServiceRate(f"service-{n}", 12.34) for n in range(SERVICES)],
     )
     return Subscribe(
-        beat=heartbeat, revision=1_000, life="0123456789ab", order=1_000, roster=1_000, limits=KNOWN
+        packed=True,
+        beat=heartbeat,
+        revision=1_000,
+        life="0123456789ab",
+        order=1_000,
+        roster=1_000,
+        limits=KNOWN,
     )
 
 
--- a/src/finchway/catalog/_catalog.py
+++ b/src/finchway/catalog/_catalog.py
@@ -26,6 +26,7 @@
     def __init__(self, entries: Iterable[CatalogEntry] = ()) -> None:
         self._entries: dict[str, CatalogEntry] = {entry.item.key: entry for entry in entries}
         self._routes_by_host: dict[str, list[tuple[str, Item]]] | None = None
+        self._limits: Limits | None = None
 
     @property
     def entries(self) -> list[CatalogEntry]:
@@ -40,10 +41,11 @@
     @property
     def limits(self) -> Limits:
         """The limits for callers in force."""
-        for entry in self._entries.values():
-            if isinstance(entry.item.spec, Limits):
-                return entry.item.spec
-        return _DEFAULT_LIMITS
+        if self._limits is None:
+            specs = (entry.item.spec for entry in self._entries.values())
+            found = (spec for spec in specs if isinstance(spec, Limits))
+            self._limits = next(found, _DEFAULT_LIMITS)
+        return self._limits
 
     def active_items(self) -> list[Item]:
         """Return the items that are not deleted, sorted by key."""
@@ -101,6 +103,7 @@
             return False
         self._entries[entry.item.key] = entry
         self._routes_by_host = None
+        self._limits = None
         return True
 
     def match(self, host: str, path: str) -> tuple[str, Route] | None:
--- a/src/finchway/control/_feed.py
+++ b/src/finchway/control/_feed.py
@@ -11,11 +11,13 @@
 from finchway.feed import (
     Feed,
     GatewayTable,
+    PackedFeed,
     ReplicaAddress,
     Roster,
     ShareHeartbeats,
     Subscribe,
     UpstreamHeartbeat,
+    pack,
 )
 from finchway.pushback import LimitLog
 from finchway.registry import AddressOwners, ReceivedHeartbeat, Registration, Registry
@@ -88,7 +90,7 @@
         for received in shared.upstreams:
             self._registry.record(received.registration, now - received.age)
 
-    async def answer(self, poll: Subscribe) -> Feed:
+    async def answer(self, poll: Subscribe) -> Feed | PackedFeed:
         """Answer a gateway, at once if the steering state is newer, else after a hold time."""
         arrived_at = trio.current_time()
         self._gateways.record(poll.beat, arrived_at)
@@ -99,7 +101,8 @@
         if known and not poll.rest and steering.revision <= poll.revision:
             hold = LONG_POLL_S if poll.beat.ready else LONG_POLL_UNREADY_S
             await self._wait_for_changes(poll.revision, hold)
-        return self._build_feed(poll, known, arrived_at)
+        feed = self._build_feed(poll, known, arrived_at)
+        return pack(feed) if poll.packed else feed
 
     async def run(self) -> None:
         """Share heartbeats and update the roster until cancelled."""
--- a/src/finchway/feed/__init__.py
+++ b/src/finchway/feed/__init__.py
@@ -20,10 +20,12 @@
     Subscribe,
     UpstreamHeartbeat,
 )
+from finchway.feed._packing import PackedFeed, pack, unpack
 from finchway.feed._peer_gateways import PeerGateways
 
 __all__ = [
     "Feed",
+    "PackedFeed",
     "PeerGateways",
     "GatewayHeartbeat",
     "GatewayTable",
@@ -39,4 +41,6 @@
     "Subscribe",
     "ClusterView",
     "choose_gateways",
+    "pack",
+    "unpack",
 ]
--- a/src/finchway/feed/_messages.py
+++ b/src/finchway/feed/_messages.py
@@ -16,7 +16,7 @@
     rate: float
 
 
-class GatewayHeartbeat(Struct, frozen=True, kw_only=True):
+class GatewayHeartbeat(Struct, frozen=True, kw_only=True, omit_defaults=True):
     """A gateway's heartbeat.
 
     `address` is for callers and `peer` for finchway's processes. `leaving` excludes it from the
@@ -83,13 +83,13 @@
     replicas: list[ReplicaAddress] = []
 
 
-class Subscribe(Struct, frozen=True, kw_only=True, tag=True):
+class Subscribe(Struct, frozen=True, kw_only=True, tag=True, omit_defaults=True):
     """A gateway's long poll of a replica for changes.
 
     `life` identifies the replica process that `order` and `roster` refer to; another process
     ignores them and sends everything. `demand` requests the regions' demand as well, and `rest`
     the remainder of the last answer, without delay. `limits` is the position up to which changes
-    of upstreams' limits are known.
+    of upstreams' limits are known. `packed` says that the gateway reads a `PackedFeed`.
     """
 
     beat: GatewayHeartbeat
@@ -100,9 +100,10 @@
     demand: bool = True
     rest: bool = False
     limits: LimitLogPosition = LimitLogPosition()
+    packed: bool = False
 
 
-class Feed(Struct, frozen=True, kw_only=True, tag=True):
+class Feed(Struct, frozen=True, kw_only=True, tag=True, omit_defaults=True):
     """The changes since the position in a request; `image` holds the newer steering state.
 
     `upstreams` are those that are new or have changed; `roster` is set if it differs from the
--- a/src/finchway/gateway/_role.py
+++ b/src/finchway/gateway/_role.py
@@ -8,7 +8,7 @@
 import trio
 from msgspec import Struct
 
-from finchway.feed import ClusterView, Feed, GatewayHeartbeat, Subscribe
+from finchway.feed import ClusterView, Feed, GatewayHeartbeat, PackedFeed, Subscribe
 from finchway.gateway._bounds import Bounds
 from finchway.gateway._feed_log import FeedLog
 from finchway.gateway._forward import Forwarder
@@ -127,7 +127,7 @@
         )
         return self._metrics.render(state)
 
-    async def relay(self, request: Subscribe) -> Feed:
+    async def relay(self, request: Subscribe) -> Feed | PackedFeed:
         """Relay the poll of a peer that reaches no replica; raises `UnavailableError`."""
         return await self._session.relay(request)
 
--- a/src/finchway/gateway/_session.py
+++ b/src/finchway/gateway/_session.py
@@ -12,7 +12,15 @@
 import trio
 
 from finchway.exceptions import FinchwayError, UnavailableError
-from finchway.feed import ClusterView, Feed, GatewayHeartbeat, ServiceRate, Subscribe
+from finchway.feed import (
+    ClusterView,
+    Feed,
+    GatewayHeartbeat,
+    PackedFeed,
+    ServiceRate,
+    Subscribe,
+    unpack,
+)
 from finchway.gateway._feed_log import FeedLog
 from finchway.gateway._poll import Poll, ReplicaCursor
 from finchway.gateway._transit import TransitMeter
@@ -155,7 +163,7 @@
             self._apply(answer, sent_at)
         poll.end(succeeded=answer is not None)
 
-    async def relay(self, request: Subscribe) -> Feed:
+    async def relay(self, request: Subscribe) -> Feed | PackedFeed:
         """Relay a peer's poll to a replica that this gateway reaches.
 
         Raises `UnavailableError` if there is none, and the link's errors.
@@ -212,12 +220,15 @@
             demand=self._is_demand_due(),
             rest=cursor.rest,
             limits=cursor.limits,
+            packed=True,
         )
         sent_at = trio.current_time()
         try:
             answer = await self._link.request(
                 address, request, timeout=timeout, send_timeout=POLL_TIMEOUT_S
             )
+            if isinstance(answer, PackedFeed):
+                answer = unpack(answer)
         except FinchwayError as error:
             _LOG.debug("no feed from %s: %s", address, error)
             if request.demand:
--- a/src/finchway/transport/_messages.py
+++ b/src/finchway/transport/_messages.py
@@ -8,7 +8,7 @@
 
 from msgspec import Struct
 
-from finchway.feed import Feed, ReportedRequests, ShareHeartbeats, Subscribe
+from finchway.feed import Feed, PackedFeed, ReportedRequests, ShareHeartbeats, Subscribe
 from finchway.membership import Heartbeat, HeartbeatReply
 from finchway.observe import Event
 from finchway.replication import AnyMessage, Member, Members
@@ -218,6 +218,7 @@
     | RaftBody
     | Subscribe
     | Feed
+    | PackedFeed
     | ShareHeartbeats
     | ReportedRequests
     | Ok
--- /dev/null
+++ b/tests/gateway/test_many_routes.py
@@ -0,0 +1,67 @@
+"""Many routes accepted at once reach gateways on narrow links in time, and only once each."""
+
+import pytest
+import trio
+import trio.testing
+
+from finchway.catalog import Backend, Item, ItemKind, Route, RouteType
+from finchway.state import ChangeItems
+from tests.gateway.test_stale_configuration import MAX_APPLY_DELAY_S
+from tests.gateway.test_startup_feed import REPLICAS, StartingGateway
+
+ROUTES = 1_400
+# The replicas' answers take turns with callers' requests on the link.
+LINK_BYTES_PER_S = 250_000
+SHARES_OF_CALLERS = [0.0, 0.5]
+# Seconds after which the link must be as idle as before.
+SETTLED_AFTER_S = 6.0
+CALM_BYTES_PER_S = 4_000
+
+
+def many_routes() -> ChangeItems:
+    routes = [
+        Item(
+            kind=ItemKind.ROUTE,
+            name=f"r-{number * 7919 % 100_003}",
+            version=2,
+            spec=Route(
+                host=f"host{number * 7907 % 100_003}.example",
+                path_prefix=f"/{number * 7901 % 100_003}/",
+                type=RouteType.SAFE,
+                target_latency=1.2,
+                affinity=True,
+                backends=(Backend("s", 1.0),),
+                timeout=2.5,
+                max_attempts=2,
+            ),
+        )
+        for number in range(ROUTES)
+    ]
+    return ChangeItems(now_ms=0, items=routes)
+
+
+@pytest.mark.parametrize("share_of_callers", SHARES_OF_CALLERS)
+def test_many_routes_are_in_force_in_time_on_a_narrow_link(share_of_callers, monkeypatch):
+    """Guards against polls that give up large answers and ask for all of them again, for good."""
+    free = LINK_BYTES_PER_S * (1 - share_of_callers)
+    monkeypatch.setattr("tests.gateway.test_startup_feed.LINK_BYTES_PER_S", free)
+
+    async def check():
+        gateway = StartingGateway(upstreams=50)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(gateway.session.run)
+            await gateway.wait_for(lambda view: view.is_ready)
+            await trio.sleep(2.0)
+            gateway.link.answers.clear()
+            gateway.change(many_routes())
+            took = await gateway.wait_for(lambda view: view.steering.revision >= 2)
+            assert took <= MAX_APPLY_DELAY_S
+            await trio.sleep(SETTLED_AFTER_S - took)
+            largest = max(size for _, size in gateway.link.answers)
+            total = sum(size for _, size in gateway.link.answers)
+            calm = CALM_BYTES_PER_S * SETTLED_AFTER_S
+            assert total <= 2 * len(REPLICAS) * largest + calm
+            assert gateway.link.idle_in <= 0.1
+            nursery.cancel_scope.cancel()
+
+    trio.run(check, clock=trio.testing.MockClock(autojump_threshold=0))
--- a/tests/gateway/test_startup_feed.py
+++ b/tests/gateway/test_startup_feed.py
@@ -42,6 +42,11 @@
         self._free_at = 0.0
         self.answers: list[tuple[float, int]] = []
 
+    @property
+    def idle_in(self) -> float:
+        """Seconds until all answers that are on their way have been carried."""
+        return max(0.0, self._free_at - trio.current_time())
+
     async def request(self, address, poll, timeout, send_timeout=None):
         with trio.move_on_after(timeout):
             await trio.sleep(ROUND_TRIP_S / 2)
--- /dev/null
+++ b/tests/unit/test_packing.py
@@ -0,0 +1,76 @@
+"""Large answers of the feed are compressed, so that they fit the links of gateways."""
+
+import random
+
+import msgspec
+import pytest
+
+from finchway.catalog import Backend, CatalogEntry, Item, ItemKind, Route, RouteType
+from finchway.exceptions import TransportError
+from finchway.feed import Feed, PackedFeed, pack, unpack
+from finchway.feed._packing import PACK_FROM_BYTES
+from finchway.state import SteeringImage
+
+ROUTES = 1_400
+REPLICAS = 5
+# A gateway's link, and the time within which a change must be in force.
+LINK_BYTES_PER_S = 2_000_000 / 8
+IN_FORCE_WITHIN_S = 3.0
+
+
+def feed_with_routes(count: int) -> Feed:
+    rng = random.Random(1)
+    entries = [
+        CatalogEntry(
+            7,
+            Item(
+                kind=ItemKind.ROUTE,
+                name=f"{rng.getrandbits(40):x}",
+                version=3,
+                spec=Route(
+                    host=f"{rng.getrandbits(24):x}.example",
+                    path_prefix=f"/{rng.getrandbits(24):x}/",
+                    type=RouteType.SAFE,
+                    target_latency=1.2,
+                    affinity=True,
+                    backends=(Backend("rutes", 1.0),),
+                    timeout=2.5,
+                    max_attempts=2,
+                ),
+            ),
+        )
+        for _ in range(count)
+    ]
+    return Feed(life="1", order=1, image=SteeringImage(7, entries), age=0.1)
+
+
+def test_many_new_routes_from_all_replicas_fit_a_gateways_link():
+    """Guards against answers that are given up before they have arrived, and asked for anew."""
+    packed = pack(feed_with_routes(ROUTES))
+    size = len(msgspec.msgpack.encode(packed))
+    assert REPLICAS * size / LINK_BYTES_PER_S <= IN_FORCE_WITHIN_S / 2
+
+
+def test_an_answer_is_the_same_after_packing():
+    feed = feed_with_routes(100)
+    packed = pack(feed)
+    assert isinstance(packed, PackedFeed)
+    assert unpack(packed) == feed
+
+
+def test_small_answers_are_not_packed():
+    feed = feed_with_routes(1)
+    assert len(msgspec.msgpack.encode(feed)) < PACK_FROM_BYTES
+    assert pack(feed) is feed
+
+
+@pytest.mark.parametrize("data", [b"", b"nonsense", pack(feed_with_routes(100)).data[:-20]])
+def test_malformed_packed_answers_are_errors(data):
+    with pytest.raises(TransportError):
+        unpack(PackedFeed(data=data))
+
+
+def test_an_answer_that_would_fill_the_memory_is_refused(monkeypatch):
+    monkeypatch.setattr("finchway.feed._packing.MAX_UNPACKED_BYTES", 10_000)
+    with pytest.raises(TransportError):
+        unpack(pack(feed_with_routes(100)))
