Plan by the service times that all gateways measure

Gateways of one region planned by 535 to 740 ms for one service, 866 to 1,545 ms for another, and placed the same key in different regions. Change: each gateway tells in its heartbeats its estimate of a warm request's time and the mean of the answers from its region, of the last 10 s; replicas pass on the medians. Plans divide slots by the region's mean; slow and cold are judged by the time. Without reports for 10 s a gateway goes by its own answers. The regions' demand is summed ten times a second for all polls together.

--- a/bench/feed.py
+++ b/bench/feed.py
@@ -48,7 +48,7 @@
         return plain
     regions = max(3, gateways // GATEWAYS_A_REGION)
     demand = [
-        RegionDemand(f"region-{region}", f"service-{service}", 1234.56)
+        RegionDemand(f"region-{region}", f"service-{service}", 1234.56, 123, 234)
         for region in range(regions)
         for service in range(SERVICES)
     ]
@@ -77,7 +77,7 @@
         ready=True,
         revision=1_000,
         sequence=1_000,
-        rates=[ServiceRate(f"service-{n}", 12.34) for n in range(SERVICES)],
+        rates=[ServiceRate(f"service-{n}", 12.34, 123, 234) for n in range(SERVICES)],
     )
     return Subscribe(
         packed=True,
--- a/src/finchway/control/_feed.py
+++ b/src/finchway/control/_feed.py
@@ -12,6 +12,7 @@
     Feed,
     GatewayTable,
     PackedFeed,
+    RegionDemand,
     ReplicaAddress,
     Roster,
     ShareHeartbeats,
@@ -35,6 +36,8 @@
 # replicas.
 SHARE_INTERVAL_S = 0.1
 SHARE_SILENT_INTERVAL_S = 2.0
+# Interval at which the demand of all gateways is summed.
+DEMAND_INTERVAL_S = 0.1
 # Heartbeat intervals after which an upstream counts as silent; tolerates two lost in a row.
 SILENT_AFTER_HEARTBEATS = 2.5
 # Bounds the size of an answer, so that it does not delay later changes on a slow link.
@@ -59,6 +62,8 @@
         self._limits_notified_at = float("-inf")
         self._limits_pending = False
         self._unshared: list[str] = []
+        self._demand: list[RegionDemand] = []
+        self._demand_at = float("-inf")
         self._roster = Roster(version=1)
         self._silent_shared_at = float("-inf")
 
@@ -154,12 +159,19 @@
             ],
             more=more,
             roster=None if has_roster else self._roster,
-            demand=self._gateways.demand(now) if poll.demand else None,
+            demand=self._recent_demand(now) if poll.demand else None,
             held=round(now - arrived_at, 3),
             age=round(now - runner.current_as_of, 3),
             limits=self._limits.since(poll.limits, now),
         )
 
+    def _recent_demand(self, now: float) -> list[RegionDemand]:
+        """Return the regions' demand, summed anew only now and then for all gateways together."""
+        if now - self._demand_at >= DEMAND_INTERVAL_S:
+            self._demand_at = now
+            self._demand = self._gateways.demand(now)
+        return self._demand
+
     def _update_roster(self, silent: list[ReceivedHeartbeat] | None, now: float) -> None:
         """Rebuild the roster; without any heartbeats, the silent upstreams are kept unchanged."""
         current = self._roster
--- a/src/finchway/feed/_cluster_view.py
+++ b/src/finchway/feed/_cluster_view.py
@@ -20,6 +20,8 @@
 UNCONFIRMED_WAIT_S = 3.0
 # Age up to which a replica's state counts as confirmed.
 CONFIRMED_MAX_AGE_S = 1.5
+# Age in seconds up to which sums over the fleet are used.
+SUMS_TTL_S = 10.0
 # Window for the largest number of serving gateways; matches that of the retry budget, which is
 # divided by it.
 COUNT_WINDOW_S = 10.0
@@ -33,6 +35,10 @@
     demand: list[RegionDemand] = []
     demand_at: float = float("-inf")
 
+    def is_recent(self, now: float) -> bool:
+        """Return whether its sums over the fleet may still be used."""
+        return self.demand_at >= now - SUMS_TTL_S
+
 
 class ClusterView:
     """The steering state, upstreams and peer gateways as known to a gateway.
@@ -140,12 +146,20 @@
     @property
     def demand(self) -> list[RegionDemand]:
         """The regions' demand, from the fresh replica that lists most gateways."""
-        reports = [report for report in self._fresh_reports() if report.demand]
-        if not reports:
-            return []
-        return max(
-            reports, key=lambda report: (len(report.roster.serving), report.demand_at)
-        ).demand
+        report = self._demand_report()
+        return report.demand if report is not None else []
+
+    def service_time(self, service: str, now: float) -> float | None:
+        """Return the fleet's recent estimate of a service's time in seconds; None without one."""
+        times = (each.service_ms for each in self._recent_demand(now) if each.service == service)
+        return next((service_ms / 1000 for service_ms in times if service_ms > 0), None)
+
+    def mean_time(self, service: str, region: str, now: float) -> float | None:
+        """Return the recent mean time of a region's answers in seconds; None if not known."""
+        for reported in self._recent_demand(now):
+            if (reported.service, reported.region) == (service, region) and reported.mean_ms > 0:
+                return reported.mean_ms / 1000
+        return None
 
     def roster_version(self, incarnation: str) -> int:
         """Return the known roster version of a replica process; 0 for none."""
@@ -227,5 +241,18 @@
             self._silent = merged
             self._changes += 1
 
+    def _recent_demand(self, now: float) -> list[RegionDemand]:
+        report = self._demand_report()
+        return report.demand if report is not None and report.is_recent(now) else []
+
+    def _demand_report(self) -> ReplicaReport | None:
+        """Return the report on demand of the fresh replica that lists most gateways."""
+        reports = [report for report in self._fresh_reports() if report.demand]
+        return max(
+            reports,
+            key=lambda report: (len(report.roster.serving), report.demand_at),
+            default=None,
+        )
+
     def _fresh_reports(self) -> list[ReplicaReport]:
         return list(self._reports.values())
--- a/src/finchway/feed/_gateway_table.py
+++ b/src/finchway/feed/_gateway_table.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from statistics import median_low
+
 from msgspec import Struct
 
 from finchway.feed._messages import GatewayHeartbeat, GatewayPeer, RegionDemand
@@ -59,16 +61,32 @@
         ]
 
     def demand(self, now: float) -> list[RegionDemand]:
-        """Return the request rates per region and service, summed over the live gateways."""
+        """Return the request rates per region and service, summed over the live gateways.
+
+        Each has the median of the estimates of the service's time, which does not follow a few
+        gateways that saw slow upstreams or report nonsense.
+        """
         self._evict_silent(now)
-        sums: dict[tuple[str, str], float] = {}
+        rates: dict[tuple[str, str], float] = {}
+        times: dict[str, list[int]] = {}
+        means: dict[tuple[str, str], list[int]] = {}
         for heartbeat, _ in self._latest.values():
-            for rate in heartbeat.rates:
-                key = (heartbeat.region, rate.service)
-                sums[key] = sums.get(key, 0.0) + rate.rate
+            for reported in heartbeat.rates:
+                key = (heartbeat.region, reported.service)
+                rates[key] = rates.get(key, 0.0) + reported.rate
+                if reported.service_ms > 0:
+                    times.setdefault(reported.service, []).append(reported.service_ms)
+                if reported.mean_ms > 0:
+                    means.setdefault(key, []).append(reported.mean_ms)
         return [
-            RegionDemand(region, service, round(rate, 2))
-            for (region, service), rate in sorted(sums.items())
+            RegionDemand(
+                region,
+                service,
+                round(rate, 2),
+                median_low(times.get(service, [0])),
+                median_low(means.get((region, service), [0])),
+            )
+            for (region, service), rate in sorted(rates.items())
         ]
 
     def is_congested(self, zone: str, now: float) -> bool:
--- a/src/finchway/feed/_messages.py
+++ b/src/finchway/feed/_messages.py
@@ -10,10 +10,16 @@
 
 
 class ServiceRate(Struct, frozen=True, array_like=True):
-    """The rate in requests per second for a service at one gateway."""
+    """The rate in requests per second for a service at one gateway.
+
+    `service_ms` is the gateway's estimate of its time, and `mean_ms` the mean of the answers from
+    the gateway's region; 0 if it has seen too few.
+    """
 
     service: str
     rate: float
+    service_ms: int = 0
+    mean_ms: int = 0
 
 
 class GatewayHeartbeat(Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -41,11 +47,17 @@
 
 
 class RegionDemand(Struct, frozen=True, array_like=True):
-    """The rate in requests per second for a service, over all gateways of a region."""
+    """The rate in requests per second for a service, over all gateways of a region.
+
+    `service_ms` is the median of the estimates of all gateways, of any region, and `mean_ms` the
+    median of the means of the region's gateways; 0 if there are none.
+    """
 
     region: str
     service: str
     rate: float
+    service_ms: int = 0
+    mean_ms: int = 0
 
 
 class UpstreamHeartbeat(Struct, frozen=True, array_like=True):
--- a/src/finchway/gateway/_router.py
+++ b/src/finchway/gateway/_router.py
@@ -46,10 +46,17 @@
         self._split_credits: dict[str, dict[str, float]] = {}
 
     def rates(self) -> list[ServiceRate]:
-        """Return the rates of callers' requests by service, in requests per second."""
+        """Return the rate of callers' requests and the estimated time of each service."""
         now = trio.current_time()
-        plans = sorted(self._plans.items())
-        return [ServiceRate(service, round(plan.rate(now), 2)) for service, plan in plans]
+        return [
+            ServiceRate(
+                service,
+                round(plan.rate(now), 2),
+                round(1000 * plan.estimate.reported_time(now)),
+                round(1000 * plan.estimate.reported_mean(now)),
+            )
+            for service, plan in sorted(self._plans.items())
+        ]
 
     def count_request(self, context: RequestContext, now: float) -> None:
         """Count a caller's request towards the rate and the retry budget of its service."""
@@ -89,7 +96,8 @@
         is_warm = record.is_warm(context.key, now)
         record.record_warm_key(context.key, now)
         if status < 300:
-            estimate.record_answer(seconds, context.route.target_latency)
+            is_home = choice.region == plan.home
+            estimate.record_answer(seconds, context.route.target_latency, now, is_home)
             if is_warm and not record.outlier_state.is_suspect:
                 plan.record_warm_answer(choice.region, seconds)
         if context.request.is_streamed:
--- a/src/finchway/gateway/_service.py
+++ b/src/finchway/gateway/_service.py
@@ -69,6 +69,11 @@
         self._shares: dict[str, float] = {}
         self._shares_at = float("-inf")
 
+    @property
+    def home(self) -> str:
+        """The gateway's region."""
+        return self._home
+
     @property
     def estimate(self) -> ServiceEstimate:
         """The estimates from the service's answers."""
@@ -156,6 +161,7 @@
         """Move the regions' shares and the keys' regions towards the plan."""
         regions = self._table.regions(self._service, now)
         if now - self._spread.followed_at >= PLAN_INTERVAL_S:
+            self._estimate.use_fleet_time(self._view.service_time(self._service, now))
             capacity = {name: float(found.slots) for name, found in regions.items()}
             self._spread.record_capacity(capacity, now)
             self._spread.follow(self._plan(now), now)
@@ -168,10 +174,10 @@
         if not self._growth.record(sum(load.demand for load in loads.values()), now):
             loads = assume_even_demand(loads, set(self._zones().values()))
         plan = plan_spread(self._home, loads)
-        self._log(loads, plan)
+        self._log(loads, plan, now)
         return plan
 
-    def _log(self, loads: dict[str, RegionLoad], plan: dict[str, float]) -> None:
+    def _log(self, loads: dict[str, RegionLoad], plan: dict[str, float], now: float) -> None:
         """Log the plan if the planned or the current local share has changed enough."""
         planned = plan.get(self._home, 0.0)
         before = self._logged_shares
@@ -186,6 +192,7 @@
                         round(load.demand, 1),
                         round(load.capacity, 1),
                         round(plan.get(region, 0.0), 3),
+                        round(1000 * self._mean_time(region, now)),
                     )
                     for region, load in sorted(loads.items())
                 },
@@ -196,19 +203,27 @@
             )
         )
 
-    def _loads(self, now: float) -> dict[str, RegionLoad]:
-        demand = {
+    def _demand(self) -> dict[str, float]:
+        """Return the rate of the service's requests by the region of their gateways."""
+        return {
             reported.region: reported.rate
             for reported in self._view.demand
             if reported.service == self._service
         }
+
+    def _mean_time(self, region: str, now: float) -> float:
+        """Return the mean time of a request in a region, or the service time if not known."""
+        mean_time = self._view.mean_time(self._service, region, now)
+        return self._estimate.service_time if mean_time is None else mean_time
+
+    def _loads(self, now: float) -> dict[str, RegionLoad]:
+        demand = self._demand()
         # Upstreams in backoff, or beyond their named limits, would refuse the requests.
         excluded = self.outliers(now) | self._table.backed_off(now)
-        rate_per_slot = TARGET_UTILISATION / self._estimate.service_time
-        capacity = {
-            region: found.capacity(rate_per_slot, excluded, self._table.limits.named)
-            for region, found in self._table.regions(self._service, now).items()
-        }
+        capacity = {}
+        for region, found in self._table.regions(self._service, now).items():
+            rate_per_slot = TARGET_UTILISATION / self._mean_time(region, now)
+            capacity[region] = found.capacity(rate_per_slot, excluded, self._table.limits.named)
         loads = {
             region: RegionLoad(demand.get(region, 0.0), capacity.get(region, 0.0))
             for region in {*demand, *capacity}
--- a/src/finchway/observe/_decisions.py
+++ b/src/finchway/observe/_decisions.py
@@ -175,11 +175,15 @@
 
 
 class RegionPlan(Struct, frozen=True):
-    """A region in a plan: demand and capacity in requests per second, and the planned fraction."""
+    """A region in a plan: demand and capacity in requests per second, and the planned fraction.
+
+    `mean_ms` is the mean time of its answers, or the service time if its gateways report none.
+    """
 
     demand: float
     capacity: float
     part: float
+    mean_ms: int = 0
 
 
 class PlanChanged(Decision, frozen=True, kw_only=True, tag="plan"):
--- a/tests/gateway/test_router.py
+++ b/tests/gateway/test_router.py
@@ -7,7 +7,14 @@
 import trio.testing
 
 from finchway.catalog import Backend, Item, ItemKind, Limits, Route, RouteType, ServiceSpec
-from finchway.feed import ClusterView, Feed, GatewayPeer, RegionDemand, Roster, UpstreamHeartbeat
+from finchway.feed import (
+    ClusterView,
+    Feed,
+    GatewayPeer,
+    RegionDemand,
+    Roster,
+    UpstreamHeartbeat,
+)
 from finchway.gateway import (
     Bounds,
     CallerRequest,
@@ -137,6 +144,34 @@
     assert await remote_fraction_after(subject, 40.0) == 0.0
 
 
+@on_virtual_time
+async def test_a_region_is_planned_by_the_fleets_service_time():
+    """A gateway that has seen no answers yet spreads the requests like its peers."""
+    demand = [RegionDemand("north", "s", 14.0, 300), RegionDemand("south", "s", 10.0, 300)]
+    subject = RouterUnderTest(small_and_large_region(), target_latency=1.2)
+    until = trio.current_time() + 40.0
+    while trio.current_time() < until:
+        feed = Feed(life="l", order=1, image=SteeringImage(), age=0.0, demand=demand)
+        subject.view.merge(feed, trio.current_time())
+        await remote_fraction_after(subject, 1.0)
+    assert await remote_fraction_after(subject, 0.2) == 0.0
+    # Without reports, the gateway goes by its own estimate, here the target latency.
+    assert await remote_fraction_after(subject, 30.0) >= 0.4
+
+
+@on_virtual_time
+async def test_a_region_that_serves_cold_keys_passes_on_what_it_cannot_bear():
+    """The mean time of its answers counts, which is above that of answers for warm keys."""
+    demand = [RegionDemand("north", "s", 14.0, 300, 1_200), RegionDemand("south", "s", 10.0, 300)]
+    subject = RouterUnderTest(small_and_large_region(), target_latency=1.2)
+    until = trio.current_time() + 20.0
+    while trio.current_time() < until:
+        feed = Feed(life="l", order=1, image=SteeringImage(), age=0.0, demand=demand)
+        subject.view.merge(feed, trio.current_time())
+        await remote_fraction_after(subject, 1.0)
+    assert 0.4 <= await remote_fraction_after(subject, 0.2) <= 0.6
+
+
 @on_virtual_time
 async def test_growing_demand_is_assumed_to_be_even():
     # The first reports come from few gateways; a plan based on them overloads the small region.
