Let refused callers return while their answers can be on time

A refused caller was told 0.4 to 1 s, whatever its route's target: with 1.2 s and half a second of work two of three came back too late to be answered on time, although an upstream would have taken them at once. Change: the time is drawn between 0.2 s and the latest return whose answer is on time, if that leaves 0.2 s to spread callers over, else 0.4 s to 1 s as before, so sites with short targets see no change. Never sooner than an upstream that may take it. In policy/_returns.py, apart from I/O.

--- a/src/finchway/gateway/_forward.py
+++ b/src/finchway/gateway/_forward.py
@@ -33,13 +33,10 @@
 from finchway.gateway._router import Router
 from finchway.gateway._suspects import Clearance, SuspectTracker
 from finchway.gateway._table import UpstreamTable
+from finchway.policy import return_after
 from finchway.pushback import NO_PUSHBACK, is_own_answer, read_pushback
 
-# Range of the random Retry-After of refusals, so that refused callers do not retry together.
-MIN_RETRY_AFTER_S = 0.4
-MAX_RETRY_AFTER_S = 1.0
-# Longest Retry-After while all upstreams are in backoff; new upstreams may register meanwhile.
-RETRY_AFTER_CAP_S = 30.0
+_RANDOM = random.Random()
 CANCELLED = "cancelled: out of time, or the caller left"
 # Time that must be left before the deadline for a further attempt.
 _MIN_ATTEMPT_S = 0.02
@@ -424,8 +421,10 @@
             return
         out_of_time = trio.current_time() >= context.deadline
         if outcome.verdict is Verdict.NOT_RUN and not (out_of_time and context.attempts):
-            context.available_in_s = self._router.available_in(context, trio.current_time())
-            reply = _retry_later(503, context.available_in_s)
+            now = trio.current_time()
+            context.available_in_s = self._router.available_in(context, now)
+            on_time_in = self._router.on_time_in(context, now)
+            reply = _retry_later(503, context.available_in_s, on_time_in)
         else:
             reply = Reply(504 if out_of_time else 502)
         self._log.record_ended(context, reply.status, outcome.detail)
@@ -453,8 +452,7 @@
             upstream.close()
 
 
-def _retry_later(status: int, delay: float = 0.0) -> Reply:
-    """Return a refusal with a randomised Retry-After of at least `delay` seconds, up to a cap."""
-    least = min(max(MIN_RETRY_AFTER_S, delay), RETRY_AFTER_CAP_S)
-    after = random.uniform(least, least + MAX_RETRY_AFTER_S - MIN_RETRY_AFTER_S)
+def _retry_later(status: int, available_in: float = 0.0, on_time_in: float = 0.0) -> Reply:
+    """Return a refusal with a Retry-After that spreads the callers' returns."""
+    after = return_after(available_in, on_time_in, _RANDOM)
     return Reply(status, headers=((b"Retry-After", f"{after:.2f}".encode()),))
--- a/src/finchway/gateway/_router.py
+++ b/src/finchway/gateway/_router.py
@@ -158,6 +158,11 @@
         regions = self._allowed_regions(context, now)
         return self._selector.available_in(self._plan(context), regions, now)
 
+    def on_time_in(self, context: RequestContext, now: float) -> float:
+        """Return the seconds within which a refused caller must return to be answered on time."""
+        due_at = context.request.arrived_at + context.route.target_latency
+        return due_at - now - self._plan(context).estimate.service_time
+
     def _allowed_regions(self, context: RequestContext, now: float) -> dict[str, RegionUpstreams]:
         """Return the upstreams that may serve a request by region."""
         allowed = context.route.allowed_regions
--- a/src/finchway/policy/__init__.py
+++ b/src/finchway/policy/__init__.py
@@ -34,6 +34,7 @@
 from finchway.policy._placement import UPSTREAMS_PER_KEY, Candidate, UpstreamOrders, choose_for_key
 from finchway.policy._region_health import RegionChoice, RegionHealth, RegionTrial
 from finchway.policy._retries import MAX_ATTEMPTS, Attempt, Outcome, RetryBudget, may_retry
+from finchway.policy._returns import return_after
 from finchway.policy._routing import Caller, EntryPoint, Routes, caller_position, client_block
 from finchway.policy._shares import (
     ShareKey,
@@ -123,6 +124,7 @@
     "rank_weighted",
     "recent_percent",
     "retry_after",
+    "return_after",
     "share_name",
     "upstreams_of",
     "usable_slots",
