Load what a role needs when it starts, and wake idle gateways less often

Change: replicas not yet polled are looked for twice a second, peers are tried when a second without an answer has passed, the lag is sampled four times a second; roles and AppServer are imported on use.

--- a/src/finchway/daemon.py
+++ b/src/finchway/daemon.py
@@ -1,4 +1,8 @@
-"""`finchwayd`: assembles the components of one process and runs them."""
+"""`finchwayd`: assembles the components of one process and runs them.
+
+The roles' packages are imported when a role starts. Gateways are restarted often, and loading what
+only entries and replicas need would take a good part of their start.
+"""
 
 from __future__ import annotations
 
@@ -7,22 +11,14 @@
 import random
 import sys
 import time
+from typing import TYPE_CHECKING
 
 import trio
 from absl import flags
-from hypercorn.config import Config
 
 from finchway._clock import BootClock
 from finchway._settings import CONTROL, ENTRY, GATEWAY, Settings, define_flags, read_settings
 from finchway._signals import SignalHandlers
-from finchway.control import (
-    ControlServer,
-    ReplicaRunner,
-    ResourceApi,
-    SteeringService,
-    found_cluster,
-)
-from finchway.entry import EntryApp, EntryRole, platform_source
 from finchway.exceptions import FinchwayError, StorageDamagedError
 from finchway.feed import Subscribe
 from finchway.gateway import GatewayRole, GatewaySettings
@@ -52,7 +48,6 @@
 from finchway.surface import Surface
 from finchway.transport import (
     AnyBody,
-    AppServer,
     Events,
     FetchChanges,
     FetchEvents,
@@ -61,6 +56,11 @@
     load_keys,
 )
 
+if TYPE_CHECKING:
+    from finchway.control import ControlServer, ReplicaRunner, ResourceApi
+    from finchway.entry import EntryApp, EntryRole
+    from finchway.transport import AppServer
+
 _LOG = logging.getLogger(__name__)
 # Calls still open after this time are cancelled at shutdown; watches never finish on their own.
 _API_STOP_TIMEOUT_S = 1.0
@@ -154,6 +154,9 @@
         raise FinchwayError(f"{self._settings.instance} cannot answer {type(body).__name__}")
 
     async def _start_control(self, nursery: trio.Nursery) -> None:
+        from finchway.control import ControlServer, ResourceApi, SteeringService
+        from finchway.entry import platform_source
+
         settings = self._settings
         runner = await self._open_replica()
         platform = settings.platform_address
@@ -191,6 +194,8 @@
 
         Raises `NotBootstrappedError` if the folder is empty and no other replica is configured.
         """
+        from finchway.control import found_cluster
+
         settings = self._settings
         folder = settings.data_folder
         others = self._other_peers()
@@ -214,6 +219,8 @@
         return self._make_runner(create_identity(folder, settings.instance, cluster))
 
     def _make_runner(self, identity: Identity) -> ReplicaRunner:
+        from finchway.control import ReplicaRunner
+
         settings = self._settings
         return ReplicaRunner(
             identity,
@@ -242,6 +249,8 @@
             await trio.sleep(0.2)
 
     async def _start_entry(self, nursery: trio.Nursery) -> None:
+        from finchway.entry import EntryRole
+
         self._entry = EntryRole(
             self._settings,
             self._link,
@@ -277,6 +286,10 @@
         await nursery.start(self._gateway.run)
 
     def _make_server(self, address: str, app: EntryApp | ResourceApi) -> AppServer:
+        from hypercorn.config import Config
+
+        from finchway.transport import AppServer
+
         settings = self._settings
         config = Config()
         config.errorlog = logging.getLogger("hypercorn.error")
--- a/src/finchway/gateway/_session.py
+++ b/src/finchway/gateway/_session.py
@@ -38,6 +38,9 @@
 POLL_PAUSE_S = 0.02
 # Seconds before a failed poll is repeated.
 RETRY_INTERVAL_S = 0.1
+# Interval of checks for replicas that are not polled yet. Timers are a large part of what a gateway
+# costs when it is idle.
+ADDRESS_CHECK_INTERVAL_S = 0.5
 # Replicas that are polled at the same time.
 MAX_REPLICAS = 9
 # Seconds without an answer of any replica after which polls go through peers, and the timeout of
@@ -105,7 +108,7 @@
                     if address not in self._polled:
                         self._polled.add(address)
                         nursery.start_soon(self._poll_replica, address)
-                await trio.sleep(RETRY_INTERVAL_S)
+                await trio.sleep(ADDRESS_CHECK_INTERVAL_S)
 
     def start_leaving(self) -> None:
         """Withdraw from the directory; open polls are renewed to report it."""
@@ -184,7 +187,7 @@
                 a for n, a in sorted(self._view.peers.items()) if n != self._heartbeat.name and a
             ]
             if silent_for < RELAY_AFTER_S or not peers:
-                await trio.sleep(RETRY_INTERVAL_S)
+                await trio.sleep(max(RETRY_INTERVAL_S, RELAY_AFTER_S - silent_for))
                 continue
             address = peers[self._next_peer % len(peers)]
             sent_at = trio.current_time()
--- a/src/finchway/observe/_lag.py
+++ b/src/finchway/observe/_lag.py
@@ -6,7 +6,7 @@
 
 import trio
 
-SAMPLE_INTERVAL_S = 0.1
+SAMPLE_INTERVAL_S = 0.25
 WINDOW_S = 1.0
 
 
--- a/src/finchway/transport/__init__.py
+++ b/src/finchway/transport/__init__.py
@@ -1,6 +1,10 @@
-"""Messaging between finchway's processes, and the servers that accept connections."""
+"""Messaging between finchway's processes, and the servers that accept connections.
+
+`AppServer` is loaded on first use, since gateways do without it and its libraries load slowly.
+"""
+
+from typing import Any
 
-from finchway.transport._app_server import AppServer
 from finchway.transport._keys import Keys, load_keys, make_keys
 from finchway.transport._link import Handler, Link
 from finchway.transport._listener import NEXT_REQUEST_GRACE_S, Listener
@@ -10,7 +14,7 @@
 
 __all__ = [
     "NEXT_REQUEST_GRACE_S",
-    "AppServer",
+    "AppServer",  # noqa: F405
     "Handler",
     "Keys",
     "Link",
@@ -21,3 +25,11 @@
     "peer_has_closed",
     *_messages,
 ]
+
+
+def __getattr__(name: str) -> Any:
+    if name != "AppServer":
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    from finchway.transport._app_server import AppServer
+
+    return AppServer
