--- a/src/finchway/feed/_gateway_table.py
+++ b/src/finchway/feed/_gateway_table.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-from statistics import median_low
-
 from msgspec import Struct
 
+from finchway.feed._demand import DemandSums
 from finchway.feed._messages import GatewayHeartbeat, GatewayPeer, RegionDemand
 
 # Time for which a zone counts as congested after its gateways have reported it. Its callers are
@@ -62,33 +61,12 @@
         ]
 
     def demand(self, now: float) -> list[RegionDemand]:
-        """Return the request rates per region and service, summed over the live gateways.
-
-        Each has the median of the estimates of the service's time, which does not follow a few
-        gateways that saw slow upstreams or report nonsense.
-        """
+        """Return what the live gateways report on requests, by region and service."""
         self._evict_silent(now)
-        rates: dict[tuple[str, str], float] = {}
-        times: dict[str, list[int]] = {}
-        means: dict[tuple[str, str], list[int]] = {}
+        sums = DemandSums()
         for heartbeat, _ in self._latest.values():
-            for reported in heartbeat.rates:
-                key = (heartbeat.region, reported.service)
-                rates[key] = rates.get(key, 0.0) + reported.rate
-                if reported.service_ms > 0:
-                    times.setdefault(reported.service, []).append(reported.service_ms)
-                if reported.mean_ms > 0:
-                    means.setdefault(key, []).append(reported.mean_ms)
-        return [
-            RegionDemand(
-                region,
-                service,
-                round(rate, 2),
-                median_low(times.get(service, [0])),
-                median_low(means.get((region, service), [0])),
-            )
-            for (region, service), rate in sorted(rates.items())
-        ]
+            sums.add(heartbeat)
+        return sums.by_region()
 
     def is_congested(self, zone: str, now: float) -> bool:
         """Return whether the links of a zone's gateways are congested."""
--- a/tests/gateway/test_many_routes.py
+++ b/tests/gateway/test_many_routes.py
@@ -4,10 +4,10 @@
 import trio
 import trio.testing
 
-from finchway.catalog import Backend, Item, ItemKind, Route, RouteType
 from finchway.state import ChangeItems
 from tests.gateway.test_stale_configuration import MAX_APPLY_DELAY_S
 from tests.gateway.test_startup_feed import REPLICAS, StartingGateway
+from tests.unit.test_packing import made_up_routes
 
 ROUTES = 1_400
 # The replicas' answers take turns with callers' requests on the link.
@@ -18,28 +18,6 @@
 CALM_BYTES_PER_S = 4_000
 
 
-def many_routes() -> ChangeItems:
-    routes = [
-        Item(
-            kind=ItemKind.ROUTE,
-            name=f"r-{number * 7919 % 100_003}",
-            version=2,
-            spec=Route(
-                host=f"host{number * 7907 % 100_003}.example",
-                path_prefix=f"/{number * 7901 % 100_003}/",
-                type=RouteType.SAFE,
-                target_latency=1.2,
-                affinity=True,
-                backends=(Backend("s", 1.0),),
-                timeout=2.5,
-                max_attempts=2,
-            ),
-        )
-        for number in range(ROUTES)
-    ]
-    return ChangeItems(now_ms=0, items=routes)
-
-
 @pytest.mark.parametrize("share_of_callers", SHARES_OF_CALLERS)
 def test_many_routes_are_in_force_in_time_on_a_narrow_link(share_of_callers, monkeypatch):
     """Guards against polls that give up large answers and ask for all of them again, for good."""
@@ -53,7 +31,7 @@
             await gateway.wait_for(lambda view: view.is_ready)
             await trio.sleep(2.0)
             gateway.link.answers.clear()
-            gateway.change(many_routes())
+            gateway.change(ChangeItems(now_ms=0, items=made_up_routes(ROUTES)))
             took = await gateway.wait_for(lambda view: view.steering.revision >= 2)
             assert took <= MAX_APPLY_DELAY_S
             await trio.sleep(SETTLED_AFTER_S - took)
--- a/tests/gateway/test_router.py
+++ b/tests/gateway/test_router.py
@@ -129,6 +129,15 @@
     return subject.zones_of(range(400)).count("south-a") / 400
 
 
+async def report_demand(subject, demand, seconds):
+    """Have control report a demand, each second for some seconds of load."""
+    until = trio.current_time() + seconds
+    while trio.current_time() < until:
+        feed = Feed(life="l", order=1, image=SteeringImage(), age=0.0, demand=demand)
+        subject.view.merge(feed, trio.current_time())
+        await remote_fraction_after(subject, 1.0)
+
+
 @on_virtual_time
 async def test_small_region_sends_away_requests_beyond_its_capacity():
     # Two upstreams can serve 12 x 0.7 / 1.2 = 7 of the 14 requests per second.
@@ -149,11 +158,7 @@
     """A gateway that has seen no answers yet spreads the requests like its peers."""
     demand = [RegionDemand("north", "s", 14.0, 300), RegionDemand("south", "s", 10.0, 300)]
     subject = RouterUnderTest(small_and_large_region(), target_latency=1.2)
-    until = trio.current_time() + 40.0
-    while trio.current_time() < until:
-        feed = Feed(life="l", order=1, image=SteeringImage(), age=0.0, demand=demand)
-        subject.view.merge(feed, trio.current_time())
-        await remote_fraction_after(subject, 1.0)
+    await report_demand(subject, demand, 40.0)
     assert await remote_fraction_after(subject, 0.2) == 0.0
     # Without reports, the gateway goes by its own estimate, here the target latency.
     assert await remote_fraction_after(subject, 30.0) >= 0.4
@@ -164,11 +169,7 @@
     """The mean time of its answers counts, which is above that of answers for warm keys."""
     demand = [RegionDemand("north", "s", 14.0, 300, 1_200), RegionDemand("south", "s", 10.0, 300)]
     subject = RouterUnderTest(small_and_large_region(), target_latency=1.2)
-    until = trio.current_time() + 20.0
-    while trio.current_time() < until:
-        feed = Feed(life="l", order=1, image=SteeringImage(), age=0.0, demand=demand)
-        subject.view.merge(feed, trio.current_time())
-        await remote_fraction_after(subject, 1.0)
+    await report_demand(subject, demand, 20.0)
     assert 0.4 <= await remote_fraction_after(subject, 0.2) <= 0.6
 
 
--- a/tests/unit/test_packing.py
+++ b/tests/unit/test_packing.py
@@ -18,29 +18,31 @@
 IN_FORCE_WITHIN_S = 3.0
 
 
-def feed_with_routes(count: int) -> Feed:
+def made_up_routes(count: int) -> list[Item]:
+    """Return routes with random names, hosts and paths, which compress no better than real ones."""
     rng = random.Random(1)
-    entries = [
-        CatalogEntry(
-            7,
-            Item(
-                kind=ItemKind.ROUTE,
-                name=f"{rng.getrandbits(40):x}",
-                version=3,
-                spec=Route(
-                    host=f"{rng.getrandbits(24):x}.example",
-                    path_prefix=f"/{rng.getrandbits(24):x}/",
-                    type=RouteType.SAFE,
-                    target_latency=1.2,
-                    affinity=True,
-                    backends=(Backend("rutes", 1.0),),
-                    timeout=2.5,
-                    max_attempts=2,
-                ),
+    return [
+        Item(
+            kind=ItemKind.ROUTE,
+            name=f"{rng.getrandbits(40):x}",
+            version=3,
+            spec=Route(
+                host=f"{rng.getrandbits(24):x}.example",
+                path_prefix=f"/{rng.getrandbits(24):x}/",
+                type=RouteType.SAFE,
+                target_latency=1.2,
+                affinity=True,
+                backends=(Backend("s", 1.0),),
+                timeout=2.5,
+                max_attempts=2,
             ),
         )
         for _ in range(count)
     ]
+
+
+def feed_with_routes(count: int) -> Feed:
+    entries = [CatalogEntry(7, route) for route in made_up_routes(count)]
     return Feed(life="1", order=1, image=SteeringImage(7, entries), age=0.1)
 
 
