Pack an image of the steering state once for all gateways

Work done again: when 1,400 routes were accepted, each replica collected, encoded and compressed the same image for each of 195 gateways, in one turn of its loop: 0.61 s (0.66 s before compression), in which a leader sends no heartbeats. Change: the image is prepared once for each revision that gateways have, and sent beside the answer's other fields.

--- a/src/finchway/control/_feed.py
+++ b/src/finchway/control/_feed.py
@@ -11,6 +11,7 @@
 from finchway.feed import (
     Feed,
     GatewayTable,
+    ImageCache,
     PackedFeed,
     RegionDemand,
     ReplicaAddress,
@@ -22,6 +23,7 @@
 )
 from finchway.pushback import LimitLog
 from finchway.registry import AddressOwners, ReceivedHeartbeat, Registration, Registry
+from finchway.state import SteeringImage
 from finchway.transport import Link
 
 # Time that a gateway's request is held open while there are no changes (long polling). A gateway
@@ -65,6 +67,7 @@
         self._unshared: list[str] = []
         self._demand: list[RegionDemand] = []
         self._demand_at = float("-inf")
+        self._images = ImageCache()
         self._roster = Roster(version=1)
         self._silent_shared_at = float("-inf")
 
@@ -107,8 +110,10 @@
         if known and not poll.rest and steering.revision <= poll.revision:
             hold = LONG_POLL_S if poll.beat.ready else LONG_POLL_UNREADY_S
             await self._wait_for_changes(poll.revision, hold)
-        feed = self._build_feed(poll, known, arrived_at)
-        return pack(feed) if poll.packed else feed
+            steering = self._runner.machine.steering
+        image = self._images.get(steering, poll.revision if known else -1)
+        feed = self._build_feed(poll, known, arrived_at, image.image)
+        return pack(feed, image.packed) if poll.packed else feed
 
     async def run(self) -> None:
         """Share heartbeats and update the roster until cancelled."""
@@ -141,10 +146,10 @@
         self._limits_changed.set()
         self._limits_changed = trio.Event()
 
-    def _build_feed(self, poll: Subscribe, known: bool, arrived_at: float) -> Feed:
+    def _build_feed(
+        self, poll: Subscribe, known: bool, arrived_at: float, image: SteeringImage
+    ) -> Feed:
         now = trio.current_time()
-        runner = self._runner
-        steering = runner.machine.steering
         order = poll.order if known else -1
         newer = self._registry.since(order)
         page = newer[:MAX_UPSTREAMS_PER_ANSWER]
@@ -153,7 +158,7 @@
         return Feed(
             life=self._incarnation,
             order=page[-1].order if more else self._registry.order,
-            image=steering.image(poll.revision if known else -1),
+            image=image,
             upstreams=[
                 UpstreamHeartbeat(received.registration, round(now - received.received_at, 3))
                 for received in page
@@ -162,7 +167,7 @@
             roster=None if has_roster else self._roster,
             demand=self._recent_demand(now) if poll.demand else None,
             held=round(now - arrived_at, 3),
-            age=round(now - runner.current_as_of, 3),
+            age=round(now - self._runner.current_as_of, 3),
             limits=self._limits.since(poll.limits, now),
         )
 
--- a/src/finchway/feed/__init__.py
+++ b/src/finchway/feed/__init__.py
@@ -20,11 +20,12 @@
     Subscribe,
     UpstreamHeartbeat,
 )
-from finchway.feed._packing import PackedFeed, pack, unpack
+from finchway.feed._packing import ImageCache, PackedFeed, pack, unpack
 from finchway.feed._peer_gateways import PeerGateways
 
 __all__ = [
     "Feed",
+    "ImageCache",
     "PackedFeed",
     "PeerGateways",
     "GatewayHeartbeat",
