Replay many routes at once at 6, 65 and 195 gateways

Each gateway has a narrow link of its own, and all share five replicas: in force at all within 2.5 s, and the links idle by then.

--- a/tests/gateway/test_many_routes.py
+++ b/tests/gateway/test_many_routes.py
@@ -6,7 +6,7 @@
 
 from finchway.state import ChangeItems
 from tests.gateway.test_stale_configuration import MAX_APPLY_DELAY_S
-from tests.gateway.test_startup_feed import REPLICAS, StartingGateway
+from tests.gateway.test_startup_feed import REPLICAS, Replicas, StartingGateway
 from tests.unit.test_packing import made_up_routes
 
 ROUTES = 1_400
@@ -25,7 +25,7 @@
     monkeypatch.setattr("tests.gateway.test_startup_feed.LINK_BYTES_PER_S", free)
 
     async def check():
-        gateway = StartingGateway(upstreams=50)
+        gateway = StartingGateway(Replicas(upstreams=50))
         async with trio.open_nursery() as nursery:
             nursery.start_soon(gateway.session.run)
             await gateway.wait_for(lambda view: view.is_ready)
@@ -43,3 +43,25 @@
             nursery.cancel_scope.cancel()
 
     trio.run(check, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+@pytest.mark.parametrize("count", [6, 65, 195])
+def test_many_routes_are_in_force_at_all_gateways_in_time(count, monkeypatch):
+    """The replicas answer all gateways at once; each has a narrow link of its own."""
+    monkeypatch.setattr("tests.gateway.test_startup_feed.LINK_BYTES_PER_S", LINK_BYTES_PER_S)
+
+    async def check():
+        replicas = Replicas(upstreams=50)
+        gateways = [StartingGateway(replicas, f"g{number}") for number in range(count)]
+        async with trio.open_nursery() as nursery:
+            for gateway in gateways:
+                nursery.start_soon(gateway.session.run)
+            await trio.sleep(4.0)
+            assert all(gateway.view.is_ready for gateway in gateways)
+            replicas.change(ChangeItems(now_ms=0, items=made_up_routes(ROUTES)))
+            await trio.sleep(MAX_APPLY_DELAY_S)
+            assert {gateway.view.steering.revision for gateway in gateways} == {2}
+            assert max(gateway.link.idle_in for gateway in gateways) <= 0.1
+            nursery.cancel_scope.cancel()
+
+    trio.run(check, clock=trio.testing.MockClock(autojump_threshold=0))
--- a/tests/gateway/test_startup_feed.py
+++ b/tests/gateway/test_startup_feed.py
@@ -60,31 +60,39 @@
         raise TransportError(f"no answer from {address}")
 
 
-class StartingGateway:
-    """A gateway that starts with five replicas that hold many upstreams."""
+class Replicas:
+    """Five replicas that hold many upstreams."""
 
     def __init__(self, upstreams: int) -> None:
-        self.runners = {address: StubRunner() for address in REPLICAS}
-        feeds = {address: FeedServer(r, None, 1.5) for address, r in self.runners.items()}
-        for feed in feeds.values():
+        self._runners = {address: StubRunner() for address in REPLICAS}
+        self.feeds = {address: FeedServer(r, None, 1.5) for address, r in self._runners.items()}
+        for feed in self.feeds.values():
             for number in range(upstreams):
                 feed.registry.record(registration(number), trio.current_time())
         self.change(route_change(1, "old"))
-        self.link = NarrowLink(feeds)
+
+    def change(self, command) -> None:
+        """Apply a committed change at all replicas."""
+        for runner in self._runners.values():
+            runner.change(command)
+
+
+class StartingGateway:
+    """A gateway that starts with five replicas that hold many upstreams."""
+
+    def __init__(self, replicas: Replicas, name: str = "g") -> None:
+        self.change = replicas.change
+        self.link = NarrowLink(replicas.feeds)
         self.view = ClusterView()
         self.session = GatewaySession(
-            BEAT,
+            msgspec.structs.replace(BEAT, name=name),
             self.link,
             self.view,
             lambda: REPLICAS,
             list,
-            FeedLog(DecisionLog("g", LogWriter()), GatewayMetrics("g"), LoopLag()),
+            FeedLog(DecisionLog(name, LogWriter()), GatewayMetrics(name), LoopLag()),
         )
 
-    def change(self, command) -> None:
-        for runner in self.runners.values():
-            runner.change(command)
-
     async def wait_for(self, condition) -> float:
         """Return the seconds until a condition holds, 30 at most."""
         started = trio.current_time()
@@ -98,7 +106,7 @@
     """Run a script beside a starting gateway on virtual time."""
 
     async def run():
-        gateway = StartingGateway(upstreams)
+        gateway = StartingGateway(Replicas(upstreams))
         async with trio.open_nursery() as nursery:
             nursery.start_soon(gateway.session.run)
             await script(gateway)
