Count callers that left before they were accepted, in both planes

An operator could not see that a process drops them: callers_left_total, at entries and replicas and at gateways. Measured: the tests alone; the counter is one call for each dropped connection.

--- a/src/finchway/daemon.py
+++ b/src/finchway/daemon.py
@@ -300,7 +300,13 @@
         if settings.tls_certificate and settings.tls_key:
             config.certfile = str(settings.tls_certificate)
             config.keyfile = str(settings.tls_key)
-        return AppServer(address, app, config, self._metrics.count_connection_failure)
+        return AppServer(
+            address,
+            app,
+            config,
+            self._metrics.count_connection_failure,
+            self._metrics.count_left,
+        )
 
     def _lease_timing(self) -> LeaseTiming:
         settings = self._settings
--- a/src/finchway/gateway/_http.py
+++ b/src/finchway/gateway/_http.py
@@ -307,7 +307,10 @@
 
 
 class HttpServer:
-    """Listens on an address and passes each request to `serve`."""
+    """Listens on an address and passes each request to `serve`.
+
+    `on_left` is called for each connection that its caller has closed before it was accepted.
+    """
 
     def __init__(
         self,
@@ -315,12 +318,13 @@
         serve: Serve,
         limits: Callable[[], Limits] = Limits,
         max_connections: int = 3_000,
+        on_left: Callable[[], None] = lambda: None,
     ) -> None:
         self._serve = serve
         self._limits = limits
         self._max_connections = max_connections
         self._connections: dict[CallerConnection, trio.CancelScope] = {}
-        self._listener = Listener(address, self._accept)
+        self._listener = Listener(address, self._accept, on_left)
         self._nursery: trio.Nursery | None = None
         self._leaving = False
         self._drained = trio.Event()
--- a/src/finchway/gateway/_role.py
+++ b/src/finchway/gateway/_role.py
@@ -93,6 +93,7 @@
             settings.address,
             self._forwarder.serve,
             lambda: self._view.steering.catalog.limits,
+            on_left=self._metrics.count_left,
         )
 
     @property
--- a/src/finchway/observe/_gateway_metrics.py
+++ b/src/finchway/observe/_gateway_metrics.py
@@ -90,6 +90,12 @@
             registry,
             buckets=LATENCY_BUCKETS_S,
         )
+        self._left = Counter(
+            "finchway_gateway_callers_left_total",
+            "Connections that their callers had closed before they were accepted",
+            labels,
+            registry,
+        )
         self._state = Gauge("finchway_gateway_state", "State by name", labels, registry)
         self._upstreams = Gauge(
             "finchway_gateway_upstreams", "Upstreams by state", labels, registry
@@ -131,6 +137,10 @@
         self._polls.inc({"outcome": "answered"})
         self._poll_latency.observe({}, transit_s)
 
+    def count_left(self) -> None:
+        """Count a connection that its caller had closed before it was accepted."""
+        self._left.inc({})
+
     def count_retry_denied(self, service: str, reason: str) -> None:
         """Count a retry that was not made."""
         self._retries_denied.inc({"service": service, "reason": reason})
--- a/src/finchway/observe/_metrics.py
+++ b/src/finchway/observe/_metrics.py
@@ -35,6 +35,12 @@
             labels,
             registry,
         )
+        self._left = Counter(
+            "finchway_callers_left_total",
+            "Connections that their callers had closed before they were accepted",
+            labels,
+            registry,
+        )
         self._state = Gauge("finchway_state", "State by name", labels, registry)
         self._latency_gauge = Gauge(
             "finchway_latency_seconds", "Latency by quantile", labels, registry
@@ -61,6 +67,10 @@
         """Count a caller's connection that was closed by an error."""
         self._connection_failures.inc({})
 
+    def count_left(self) -> None:
+        """Count a connection that its caller had closed before it was accepted."""
+        self._left.inc({})
+
     def count_steering_answer(self, service: str) -> None:
         self._steering_answers.inc({"service": service})
 
--- a/src/finchway/transport/_app_server.py
+++ b/src/finchway/transport/_app_server.py
@@ -59,11 +59,17 @@
 class AppServer:
     """Listens on one address and serves its requests with an ASGI application.
 
-    `on_failure` is called once for each connection that is closed by an error.
+    `on_failure` is called once for each connection that is closed by an error, `on_left` for each
+    that its client has closed before it was accepted.
     """
 
     def __init__(
-        self, address: str, app: Any, config: Config, on_failure: Callable[[], None]
+        self,
+        address: str,
+        app: Any,
+        config: Config,
+        on_failure: Callable[[], None],
+        on_left: Callable[[], None] = lambda: None,
     ) -> None:
         self._app = app
         self._config = config
@@ -71,7 +77,7 @@
         self._tls: ssl.SSLContext | None = None
         self._asgi = ASGIWrapper(self._serve)
         self._context = WorkerContext(None)
-        self._listener = Listener(address, self._start_connection)
+        self._listener = Listener(address, self._start_connection, on_left)
         self._nursery: trio.Nursery | None = None
         self._draining = False
         self._connections = 0
--- a/src/finchway/transport/_listener.py
+++ b/src/finchway/transport/_listener.py
@@ -41,11 +41,20 @@
 
 
 class Listener:
-    """Listens on an address and passes each connection to `on_connection`, which must not block."""
+    """Listens on an address and passes each connection to `on_connection`, which must not block.
 
-    def __init__(self, address: str, on_connection: Callable[[trio.SocketStream], None]) -> None:
+    `on_left` is called for each connection that its client has closed before it was accepted.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        on_connection: Callable[[trio.SocketStream], None],
+        on_left: Callable[[], None] = lambda: None,
+    ) -> None:
         self._address = address
         self._on_connection = on_connection
+        self._on_left = on_left
         self._socket: socket.socket | None = None
         self._accept_scope = trio.CancelScope()
         self._closed = trio.Event()
@@ -107,6 +116,7 @@
                 return _Queue.FAILED
             if peer_has_closed(accepted.fileno()):
                 accepted.close()
+                self._on_left()
                 continue
             self._on_connection(trio.SocketStream(trio.socket.from_stdlib_socket(accepted)))
         return _Queue.MORE
--- a/tests/transport/test_app_server.py
+++ b/tests/transport/test_app_server.py
@@ -28,14 +28,18 @@
     def __init__(self, app) -> None:
         self.address = f"127.0.0.1:{free_ports(1)[0]}"
         self.failures = 0
+        self.left = 0
         config = Config()
         config.include_server_header = False
         config.errorlog = None
-        self.http = AppServer(self.address, app, config, self._count_failure)
+        self.http = AppServer(self.address, app, config, self._count_failure, self._count_left)
 
     def _count_failure(self) -> None:
         self.failures += 1
 
+    def _count_left(self) -> None:
+        self.left += 1
+
     def connect(self) -> socket.socket:
         """Return a client connection; the kernel completes it independent of the server."""
         host, _, port = self.address.rpartition(":")
@@ -273,6 +277,7 @@
             while server.http.connections > 1:
                 await trio.sleep(0.01)
         patient.close()
+        assert server.left == (0 if is_accepted else LEAVING_CLIENTS)
 
     run_with_server(app, action)
     assert app.requests == 1
