Test that a limit is used when one of many gateways is asked most

Change: a test with the target of the issue, half of the limit, for a busiest gateway with and without a part.

--- a/tests/gateway/test_named_limit.py
+++ b/tests/gateway/test_named_limit.py
@@ -89,6 +89,26 @@
     assert upstream.received_between(start, start + WINDOW_S) >= 0.6 * WINDOW_S * 10.0
 
 
+@pytest.mark.parametrize(
+    ("busiest", "has_part", "fraction"), [(0, False, 0.75), (4, True, 0.75), (0, False, 1.0)]
+)
+@on_trio
+async def test_at_least_half_of_a_limit_is_used_when_one_of_many_gateways_is_asked_most(
+    busiest, has_part, fraction
+):
+    upstream = LimitedUpstream(2.7)
+    async with peer_gateways(12, upstream) as subjects:
+        async with trio.open_nursery() as nursery:
+            for number, subject in enumerate(subjects):
+                rate = 60 * (fraction if number == busiest else (1 - fraction) / 11)
+                nursery.start_soon(Calls(subject).run_for, LOAD_S, rate)
+        start = upstream.named_at + KNOWN_WITHIN_S
+        part = subjects[busiest].table.limits.rate_limiter.part("i-1", start)
+    assert (part.rate > 0) == has_part
+    assert upstream.received_between(start, start + WINDOW_S) >= 0.5 * WINDOW_S * 2.7
+    assert upstream.most_in_a_window() <= borne(2.7)
+
+
 @on_trio
 async def test_requests_over_the_limit_are_refused_at_once_with_retry_after():
     upstream = LimitedUpstream(1.0)
