Send a large change of the configuration to a gateway once

Cause: all replicas answered a gateway's held polls with the same image, and polls that timed out meanwhile asked for it again. 11,200 routes (224 KB, compressed) kept a link of 2 Mbit/s busy with 10 copies, for 3 s after they were in force; beside callers with 15 copies, for 21 s.

Change: one poll of a gateway at a time may return a large image (from 25 KB); the other replicas announce its revision, and are polled again once it has arrived or after 0.5 s. Polls and answers of the build before mean what they did.

Tried and left out: ending the turn when its poll times out.

--- a/src/finchway/control/_feed.py
+++ b/src/finchway/control/_feed.py
@@ -112,6 +112,8 @@
             await self._wait_for_changes(poll.revision, hold)
             steering = self._runner.machine.steering
         image = self._images.get(steering, poll.revision if known else -1)
+        if image.is_large and not poll.large_images:
+            return self._announce(poll, known, arrived_at, steering.revision)
         feed = self._build_feed(poll, known, arrived_at, image.image)
         return pack(feed, image.packed) if poll.packed else feed
 
@@ -126,6 +128,14 @@
             self._share_heartbeats(silent or [], now)
             self._notify_limits(now)
 
+    def _announce(
+        self, poll: Subscribe, known: bool, arrived_at: float, revision: int
+    ) -> Feed | PackedFeed:
+        """Return an answer without the image of the steering state, which is only announced."""
+        feed = self._build_feed(poll, known, arrived_at, SteeringImage())
+        feed = msgspec.structs.replace(feed, age=float("inf"), announced=revision)
+        return pack(feed) if poll.packed else feed
+
     async def _wait_for_changes(self, revision: int, hold: float) -> None:
         with trio.move_on_after(hold):
             async with trio.open_nursery() as nursery:
--- a/src/finchway/feed/_messages.py
+++ b/src/finchway/feed/_messages.py
@@ -101,7 +101,8 @@
     `life` identifies the replica process that `order` and `roster` refer to; another process
     ignores them and sends everything. `demand` requests the regions' demand as well, and `rest`
     the remainder of the last answer, without delay. `limits` is the position up to which changes
-    of upstreams' limits are known. `packed` says that the gateway reads a `PackedFeed`.
+    of upstreams' limits are known. `packed` says that the gateway reads a `PackedFeed`. Without
+    `large_images`, a large image is only announced.
     """
 
     beat: GatewayHeartbeat
@@ -113,6 +114,7 @@
     rest: bool = False
     limits: LimitLogPosition = LimitLogPosition()
     packed: bool = False
+    large_images: bool = True
 
 
 class Feed(Struct, frozen=True, kw_only=True, tag=True, omit_defaults=True):
@@ -123,6 +125,8 @@
     open. Every change accepted `age` seconds before the answer was sent, or earlier, is included;
     it is infinite if no leader has confirmed the state yet. With `more`, the next answer continues
     with the upstreams after `order`. `limits` are upstreams' changed limits, if there are any.
+    `announced` is the revision of a large image that was left out; the state in such an answer is
+    of infinite age.
     """
 
     life: str
@@ -135,6 +139,7 @@
     roster: Roster | None = None
     demand: list[RegionDemand] | None = None
     limits: LimitLogEntries | None = None
+    announced: int = 0
 
 
 class ReportedRequests(Struct, frozen=True, kw_only=True, tag=True):
--- a/src/finchway/feed/_packing.py
+++ b/src/finchway/feed/_packing.py
@@ -19,6 +19,8 @@
 
 # Encoded size from which an answer is compressed; smaller ones gain little.
 PACK_FROM_BYTES = 2_000
+# Compressed size from which an image is large: a tenth of a second on a link of 2 Mbit/s.
+LARGE_IMAGE_BYTES = 25_000
 # Bounds the memory that an answer can take.
 MAX_UNPACKED_BYTES = 64 * 1024 * 1024
 # Images that are kept; gateways ask for changes since a few revisions only.
@@ -43,6 +45,11 @@
     image: SteeringImage
     packed: bytes = b""
 
+    @property
+    def is_large(self) -> bool:
+        """Whether it occupies a gateway's link for long."""
+        return len(self.packed) >= LARGE_IMAGE_BYTES
+
 
 class ImageCache:
     """The images of one steering state that gateways have asked for.
--- a/src/finchway/gateway/_feed_log.py
+++ b/src/finchway/gateway/_feed_log.py
@@ -39,12 +39,14 @@
     def record_answer(
         self, address: str, request: Subscribe, sent_at: float, answer: Feed, late_after: float
     ) -> None:
-        """Count an answer; log it if it is slow, late, or the first of a replica's incarnation."""
+        """Count an answer; log it if it is a replica's first, announces an image, is late or slow."""
         seconds = trio.current_time() - sent_at
         transit = seconds - answer.held
         self._metrics.count_poll(transit)
         if answer.life != request.life:
             outcome = PollOutcome.FIRST
+        elif answer.announced > request.revision:
+            outcome = PollOutcome.ANNOUNCED
         elif seconds >= late_after:
             outcome = PollOutcome.LATE
         elif transit >= SLOW_TRANSIT_S:
--- a/src/finchway/gateway/_poll.py
+++ b/src/finchway/gateway/_poll.py
@@ -32,16 +32,17 @@
 
     `incarnation` is the replica's, `order` the position up to which its upstreams have been
     received; `rest` is set if its last answer was incomplete. `limits` is the position of its
-    limits.
+    limits. `announced` is the revision of a large image that it announced.
     """
 
-    __slots__ = ("incarnation", "limits", "order", "rest")
+    __slots__ = ("announced", "incarnation", "limits", "order", "rest")
 
     def __init__(self) -> None:
         self.incarnation = ""
         self.order = 0
         self.rest = False
         self.limits = LimitLogPosition()
+        self.announced = 0
 
     def record(self, answer: Feed) -> None:
         """Advance to an answer; a late one of the same incarnation never moves back."""
@@ -49,6 +50,7 @@
             self.incarnation, self.order = answer.life, answer.order
         if answer.order >= self.order:
             self.order, self.rest = answer.order, answer.more
+        self.announced = answer.announced
         if answer.limits is not None:
             self._record_limits(answer.limits.position)
 
--- a/src/finchway/gateway/_session.py
+++ b/src/finchway/gateway/_session.py
@@ -22,6 +22,7 @@
     unpack,
 )
 from finchway.gateway._feed_log import FeedLog
+from finchway.gateway._image_turn import ImageTurn
 from finchway.gateway._poll import Poll, ReplicaCursor
 from finchway.gateway._transit import TransitMeter
 from finchway.pushback import LimitReport
@@ -36,6 +37,9 @@
 LATE_ANSWER_TIMEOUT_S = 4.0
 # Seconds between an answer and the next poll, so that a burst of commits arrives in one answer.
 POLL_PAUSE_S = 0.02
+# Longest pause before a replica that announced a large image is polled again, so that it still
+# receives this gateway's heartbeats.
+ANNOUNCED_PAUSE_S = 0.5
 # Seconds before a failed poll is repeated.
 RETRY_INTERVAL_S = 0.1
 # Interval of checks for replicas that are not polled yet. Timers are a large part of what a gateway
@@ -78,6 +82,7 @@
         self._seeds = seeds
         self._rates = rates
         self._transits = TransitMeter()
+        self._image_turn = ImageTurn()
         self._sequence = 0
         self._leaving = False
         self._polled: set[str] = set()
@@ -147,21 +152,35 @@
                     if not poll.succeeded:
                         self._record_unreachable(address)
                     await trio.sleep(POLL_PAUSE_S if poll.succeeded else RETRY_INTERVAL_S)
+                    await self._wait_for_image(cursor.announced)
                 nursery.cancel_scope.cancel()
         finally:
             self._polls.pop(address, None)
             self._polled.discard(address)
             self._reachable.discard(address)
 
+    async def _wait_for_image(self, announced: int) -> None:
+        """Return when an announced image has arrived or may be requested, or after a pause."""
+        with trio.move_on_after(ANNOUNCED_PAUSE_S):
+            while self._view.steering.revision < announced:
+                if self._image_turn.is_free(trio.current_time()):
+                    return
+                await trio.sleep(POLL_PAUSE_S)
+
     async def _poll_once(self, address: str, cursor: ReplicaCursor, poll: Poll) -> None:
         """Poll once, and apply the answer even if it is late.
 
         On a congested link all answers are late, so a gateway that dropped them would get none.
         """
         sent_at = trio.current_time()
-        answer = await self._request_feed(address, cursor, LATE_ANSWER_TIMEOUT_S)
+        large_images = self._image_turn.take(address, sent_at)
+        answer = await self._request_feed(address, cursor, LATE_ANSWER_TIMEOUT_S, large_images)
+        if large_images:
+            self._image_turn.release(address)
         if answer is not None:
             self._record_reachable(address)
+            if answer.announced > self._view.steering.revision:
+                self._image_turn.announce(trio.current_time())
             cursor.record(answer)
             self._apply(answer, sent_at)
         poll.end(succeeded=answer is not None)
@@ -212,7 +231,7 @@
             self._log.record_regained(address)
 
     async def _request_feed(
-        self, address: str, cursor: ReplicaCursor, timeout: float
+        self, address: str, cursor: ReplicaCursor, timeout: float, large_images: bool = True
     ) -> Feed | None:
         request = Subscribe(
             beat=self._next_heartbeat(),
@@ -224,6 +243,7 @@
             rest=cursor.rest,
             limits=cursor.limits,
             packed=True,
+            large_images=large_images,
         )
         sent_at = trio.current_time()
         try:
--- a/src/finchway/observe/_decisions.py
+++ b/src/finchway/observe/_decisions.py
@@ -141,13 +141,14 @@
     """Outcome of a poll of a replica that is logged."""
 
     FIRST = "first"
+    ANNOUNCED = "announced"
     SLOW = "slow"
     LATE = "late"
     GIVEN_UP = "given-up"
 
 
 class PollEnded(Decision, frozen=True, kw_only=True, tag="feed"):
-    """A replica's first answer, a slow or late one, or a poll that was given up.
+    """A replica's first answer, one that announces a large image, a slow or late one, or none.
 
     `ms` is the time since the poll was sent, `held_ms` the part of it for which the replica waited
     for changes; `upstreams` counts those in the answer, `revision` is the steering revision known
--- a/tests/gateway/test_startup_feed.py
+++ b/tests/gateway/test_startup_feed.py
@@ -41,6 +41,7 @@
         self._feeds = feeds
         self._free_at = 0.0
         self.answers: list[tuple[float, int]] = []
+        self.cut_off: set[str] = set()
 
     @property
     def idle_in(self) -> float:
@@ -50,6 +51,8 @@
     async def request(self, address, poll, timeout, send_timeout=None):
         with trio.move_on_after(timeout):
             await trio.sleep(ROUND_TRIP_S / 2)
+            if address in self.cut_off:
+                await trio.sleep_forever()
             answer = await self._feeds[address].answer(poll)
             size = len(msgspec.msgpack.encode(answer))
             now = trio.current_time()
--- a/tests/unit/test_feed_server.py
+++ b/tests/unit/test_feed_server.py
@@ -6,10 +6,12 @@
 import trio.testing
 
 from finchway.control._feed import LONG_POLL_S, LONG_POLL_UNREADY_S, FeedServer
-from finchway.feed import GatewayHeartbeat, Subscribe
+from finchway.feed import Feed, GatewayHeartbeat, Subscribe, unpack
 from finchway.pushback import LimitLogPosition, LimitReport
 from finchway.replication import Members
-from finchway.state import Steering
+from finchway.state import ChangeItems, Steering
+from tests.gateway.test_stale_configuration import StubRunner, route_change
+from tests.unit.test_packing import made_up_routes
 
 
 class IdleCore:
@@ -100,3 +102,30 @@
             nursery.cancel_scope.cancel()
 
     trio.run(check, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+@pytest.mark.parametrize(("routes", "is_announced"), [(10, False), (2_000, True)])
+def test_only_a_large_image_is_announced_instead_of_sent(routes, is_announced):
+    """A gateway must not take an announcement for state that it has received."""
+
+    async def check():
+        runner = StubRunner()
+        server = FeedServer(runner, None, 1.5)
+        runner.change(route_change(1))
+        runner.change(ChangeItems(now_ms=0, items=made_up_routes(routes)))
+        beat = GatewayHeartbeat(name="g1", incarnation="1", address="", zone="z", region="r")
+        poll = Subscribe(beat=beat, revision=0, packed=True)
+        brief = await server.answer(msgspec.structs.replace(poll, large_images=False))
+        brief = brief if isinstance(brief, Feed) else unpack(brief)
+        items = len(runner.machine.steering.image().items)
+        if is_announced:
+            assert (brief.announced, brief.age) == (2, float("inf"))
+            assert (brief.image.revision, brief.image.items) == (0, [])
+        else:
+            assert (brief.announced, brief.age) == (0, 0.0)
+            assert (brief.image.revision, len(brief.image.items)) == (2, items)
+        whole = await server.answer(poll)
+        whole = whole if isinstance(whole, Feed) else unpack(whole)
+        assert (whole.announced, whole.age, len(whole.image.items)) == (0, 0.0, items)
+
+    trio.run(check, clock=trio.testing.MockClock(autojump_threshold=0))
--- a/tests/unit/test_rolling_upgrade.py
+++ b/tests/unit/test_rolling_upgrade.py
@@ -101,6 +101,7 @@
     read = recode(SubscribeBefore(beat=beat, revision=3), Subscribe)
     assert read.beat.rates == [ServiceRate("s", 5.0)]
     assert not read.packed
+    assert read.large_images
 
 
 def test_a_gateway_of_the_build_before_reads_the_answer_of_this_one():
