--- a/src/finchway/gateway/_feed_log.py
+++ b/src/finchway/gateway/_feed_log.py
@@ -39,7 +39,7 @@
     def record_answer(
         self, address: str, request: Subscribe, sent_at: float, answer: Feed, late_after: float
     ) -> None:
-        """Count an answer; log it if it is a replica's first, announces an image, is late or slow."""
+        """Count an answer; log a replica's first one, an announcement, and late or slow ones."""
         seconds = trio.current_time() - sent_at
         transit = seconds - answer.held
         self._metrics.count_poll(transit)
