Let a region take requests back late

Keys that it had taken back were cold there, and cold again where they went next.

Change: the home region's part grows no further than to the smallest part that plans gave it in the last 10 s, except after the loss or return of capacity.

Tests: two new ones fail before.

--- a/src/finchway/policy/_spread.py
+++ b/src/finchway/policy/_spread.py
@@ -3,10 +3,16 @@
 A region serves its own callers up to its capacity and passes the excess to regions with spare
 capacity. The parts change at a bounded rate, so that traffic shifts stay under their cap. Each
 gateway computes them independently from the same reports.
+
+Callers come in waves. A small region that took requests back in each trough would pass them on too
+late in the next wave, at a bounded rate, and both ways meet cold upstreams. It takes back only what
+it could have served throughout the last seconds.
 """
 
 from __future__ import annotations
 
+from collections import deque
+
 from msgspec import Struct
 
 # Assumed fraction of total capacity in use until the demand is known.
@@ -103,6 +109,8 @@
 class Spread:
     """The current parts, which follow the plan at a bounded rate."""
 
+    # Seconds for which plans must have allowed the home region a larger part before it grows.
+    RETURN_AFTER_S = 10.0
     # Relative change of a region's capacity that allows fast changes: the loss or return of a zone,
     # not the replacement of some upstreams.
     CAPACITY_CHANGE = 0.3
@@ -116,6 +124,7 @@
         self._capacity: dict[str, float] = {}
         self._fast_until = float("-inf")
         self._parts: dict[str, float] | None = None
+        self._planned: deque[tuple[float, float]] = deque()
         self._followed_at = float("-inf")
 
     @property
@@ -149,11 +158,15 @@
 
     def follow(self, plan: dict[str, float], now: float) -> None:
         """Move the parts towards a plan, by at most `speed` per second in total."""
+        lowest = self._lowest_planned(plan.get(self._home, 0.0), now)
         if self._parts is None:
             self._parts = dict(plan)
             self._followed_at = now
             return
-        speed = self._speed * (self.FAST_FACTOR if now < self._fast_until else 1.0)
+        is_fast = now < self._fast_until
+        if not is_fast:
+            plan = self._without_early_return(plan, lowest)
+        speed = self._speed * (self.FAST_FACTOR if is_fast else 1.0)
         step = speed * max(0.0, now - self._followed_at)
         self._followed_at = now
         regions = set(plan) | set(self._parts)
@@ -162,3 +175,24 @@
         scale = min(1.0, step / moved) if moved > 0 else 0.0
         parts = {r: self._parts.get(r, 0.0) + wanted[r] * scale for r in regions}
         self._parts = {r: part for r, part in parts.items() if part > 1e-6}
+
+    def _lowest_planned(self, part: float, now: float) -> float:
+        """Return the smallest part that the home region was to keep in the last seconds."""
+        while self._planned and self._planned[-1][1] >= part:
+            self._planned.pop()
+        self._planned.append((now, part))
+        while self._planned[0][0] < now - self.RETURN_AFTER_S:
+            self._planned.popleft()
+        return self._planned[0][1]
+
+    def _without_early_return(self, plan: dict[str, float], lowest: float) -> dict[str, float]:
+        """Return a plan in which the home region's part grows no further than to the lowest."""
+        current = self._parts.get(self._home, 0.0)
+        growth = plan.get(self._home, 0.0) - current
+        if growth <= 0:
+            return plan
+        fraction = max(0.0, lowest - current) / growth
+        return {
+            region: (1 - fraction) * self._parts.get(region, 0.0) + fraction * plan.get(region, 0.0)
+            for region in set(plan) | set(self._parts)
+        }
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -1,5 +1,7 @@
 """Upstream choice by key, distribution over regions, and windowed limits."""
 
+import math
+
 import pytest
 
 from finchway.policy import (
@@ -213,3 +215,35 @@
         meter.add()
         meter.rate(step / 100)
     assert meter.rate(3.0) == pytest.approx(100, rel=0.1)
+
+
+def test_a_region_takes_back_only_what_plans_have_allowed_for_long():
+    spread = Spread("north", speed=0.05)
+    spread.follow({"north": 0.4, "south": 0.6}, 0.0)
+    for now in range(1, 11):
+        spread.follow({"north": 1.0}, float(now))
+        assert spread.parts["north"] == pytest.approx(0.4)
+    spread.follow({"north": 0.7, "south": 0.3}, 10.5)
+    spread.follow({"north": 0.9, "south": 0.1}, 11.5)
+    assert 0.4 < spread.parts["north"] <= 0.5
+    for now in range(12, 20):
+        spread.follow({"north": 1.0}, float(now))
+    assert spread.parts["north"] == pytest.approx(0.7)
+    assert sum(spread.parts.values()) == pytest.approx(1)
+
+
+def test_a_small_region_is_not_overloaded_by_the_next_wave_of_demand():
+    """Guards against a region that takes requests back in each trough.
+
+    In the next wave it would pass them on too late, at the bounded rate.
+    """
+    capacity = 30.0
+    spread = Spread("north", speed=0.0375)
+    most_kept = 0.0
+    for tenth in range(1_080):
+        now = tenth / 10
+        demand = 90 * (1 + 0.55 * math.sin(2 * math.pi * now / 36))
+        loads = {"north": RegionLoad(demand, capacity), "south": RegionLoad(60, 240)}
+        spread.follow(plan_spread("north", loads), now)
+        most_kept = max(most_kept, spread.parts["north"] * demand)
+    assert most_kept <= 1.1 * capacity
