Replay waves and single images at 6, 65 and 195 gateways

Cause: late returns had tests of one gateway only, and the replay of many routes at three sizes did not count the copies that each gateway gets.

Change: a wave of which 6, 65 and 195 gateways hear at different moments, with the bound of the case of one; each gateway's link carries exactly one large answer at all three sizes. The start of a gateway in test_many_routes.py stands once. No bound of an existing check has changed.

--- a/tests/gateway/test_many_routes.py
+++ b/tests/gateway/test_many_routes.py
@@ -5,6 +5,7 @@
 import trio
 import trio.testing
 
+from finchway.feed._packing import LARGE_IMAGE_BYTES
 from finchway.gateway._image_turn import MAX_WAIT_S
 from finchway.state import ChangeItems
 from tests.gateway.test_stale_configuration import MAX_APPLY_DELAY_S
@@ -21,6 +22,15 @@
 CALM_BYTES_PER_S = 4_000
 
 
+async def start_gateway(nursery: trio.Nursery) -> StartingGateway:
+    """Return a gateway that knows all upstreams and has nothing on its way."""
+    gateway = StartingGateway(Replicas(upstreams=50))
+    nursery.start_soon(gateway.session.run)
+    await gateway.wait_for(lambda view: view.is_ready)
+    await trio.sleep(2.0)
+    return gateway
+
+
 @pytest.mark.parametrize("routes", [ROUTES, MANY_MORE_ROUTES])
 @pytest.mark.parametrize("share_of_callers", SHARES_OF_CALLERS)
 def test_many_routes_are_in_force_in_time_on_a_narrow_link(share_of_callers, routes, monkeypatch):
@@ -29,11 +39,8 @@
     monkeypatch.setattr("tests.gateway.test_startup_feed.LINK_BYTES_PER_S", free)
 
     async def check():
-        gateway = StartingGateway(Replicas(upstreams=50))
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(gateway.session.run)
-            await gateway.wait_for(lambda view: view.is_ready)
-            await trio.sleep(2.0)
+            gateway = await start_gateway(nursery)
             gateway.link.answers.clear()
             gateway.change(ChangeItems(now_ms=0, items=made_up_routes(routes)))
             took = await gateway.wait_for(lambda view: view.steering.revision >= 2)
@@ -56,10 +63,8 @@
     monkeypatch.setattr("tests.gateway.test_startup_feed.LINK_BYTES_PER_S", LINK_BYTES_PER_S)
 
     async def check():
-        gateway = StartingGateway(Replicas(upstreams=50))
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(gateway.session.run)
-            await gateway.wait_for(lambda view: view.is_ready)
+            gateway = await start_gateway(nursery)
             for version, address in enumerate(REPLICAS, start=4):
                 await trio.sleep(2.0)
                 gateway.link.cut_off = {address}
@@ -94,6 +99,9 @@
             await trio.sleep(MAX_APPLY_DELAY_S)
             assert {gateway.view.steering.revision for gateway in gateways} == {2}
             assert max(gateway.link.idle_in for gateway in gateways) <= 0.1
+            for gateway in gateways:
+                sizes = [size for _, size in gateway.link.answers]
+                assert sum(size >= LARGE_IMAGE_BYTES for size in sizes) == 1
             nursery.cancel_scope.cancel()
 
     trio.run(check, clock=trio.testing.MockClock(autojump_threshold=0))
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -247,3 +247,21 @@
         spread.follow(plan_spread("north", loads), now)
         most_kept = max(most_kept, spread.parts["north"] * demand)
     assert most_kept <= 1.1 * capacity
+
+
+@pytest.mark.parametrize("gateways", [6, 65, 195])
+def test_gateways_that_hear_of_a_wave_at_different_times_do_not_overload_a_small_region(gateways):
+    """Each gateway hears of the demand twice a second, at a moment of its own."""
+    capacity = 30.0
+    spreads = [Spread("north", speed=0.0375) for _ in range(gateways)]
+    most_kept = 0.0
+    for tenth in range(1_080):
+        demand = 90 * (1 + 0.55 * math.sin(2 * math.pi * tenth / 360))
+        loads = {"north": RegionLoad(demand, capacity), "south": RegionLoad(60, 240)}
+        plan = plan_spread("north", loads)
+        for number, spread in enumerate(spreads):
+            if tenth == 0 or (tenth + number) % 5 == 0:
+                spread.follow(plan, tenth / 10)
+        kept = sum(spread.parts["north"] for spread in spreads) / gateways * demand
+        most_kept = max(most_kept, kept)
+    assert most_kept <= 1.1 * capacity
