Freeze a machine for each old order in case 2, and note what clients send

Change: the script of case 2 freezes two followers, as many as may be lost at once, and records each request that is sent. The check, its bounds and the length of the freeze are as they were.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,9 +1,9 @@
-"""A frozen control machine wakes and carries out orders that their caller left long ago.
+"""Frozen control machines wake and carry out orders that their caller left long ago.
 
-The operator ends the evacuations of two zones. The node that it asks is frozen, so it closes the
-connections after a second and has the orders acknowledged by another node. Later it starts both
-evacuations again, which is acknowledged as well. Then the first node wakes, reads the old orders
-and carries them out. One order is sent on a connection that was used before, one on a new
+The operator ends the evacuations of two zones. Each of the two nodes that it asks is frozen, so it
+closes the connections after a second and has the orders acknowledged by another node. Later it
+starts both evacuations again, which is acknowledged as well. Then the two nodes wake, read the old
+orders and carry them out. One order is sent on a connection that was used before, one on a new
 connection that the node accepted just before it froze.
 """
 
@@ -88,9 +88,9 @@
     await asyncio.sleep(4.0)
     tasks.append(asyncio.create_task(send_forever(machines, record)))
     await asyncio.sleep(2.0)
-    node = await follower(machines)
-    others = [core for core in machines.cores if core != node]
-    connections = {zone: OperatorConnection(machines, record, node) for zone in ZONES}
+    nodes = dict(zip(ZONES, await followers(machines), strict=True))
+    others = [core for core in machines.cores if core not in nodes.values()]
+    connections = {zone: OperatorConnection(machines, record, nodes[zone]) for zone in ZONES}
 
     await connections[ON_KEPT_CONNECTION].open()
     if not await connections[ON_KEPT_CONNECTION].order(
@@ -101,7 +101,7 @@
     await asyncio.sleep(3.0)
     await connections[ON_NEW_CONNECTION].open()
     await asyncio.sleep(0.1)
-    if TROUBLE:
+    for node in nodes.values() if TROUBLE else ():
         machines.send_signal(node, signal.SIGSTOP)
     frozen_at = record.now()
     await asyncio.gather(*(end(operator, connections[zone], zone, others) for zone in ZONES))
@@ -110,9 +110,9 @@
     for zone in ZONES:
         started[zone] = await operator.order(f"/-/Evacuations.Start/{zone}", nodes=others)
     await asyncio.sleep(max(0.0, frozen_at + FREEZE_S - record.now()))
+    for node in nodes.values() if TROUBLE else ():
+        machines.send_signal(node, signal.SIGCONT)
     woken_at = record.now()
-    if TROUBLE:
-        woken_at = machines.send_signal(node, signal.SIGCONT)
 
     # From here on all machines are in touch again, and the time for the evacuations is over.
     judged_from = max(*started.values(), woken_at - EVACUATE_S + CONTACT_S) + EVACUATE_S + 0.5
@@ -149,12 +149,12 @@
     return BROKEN if any(late[zone] for zone in ZONES) else HELD
 
 
-async def follower(machines) -> str:
-    """Return a core machine that does not lead."""
-    for core in reversed(machines.cores):
-        if not await machines.is_leader(core):
-            return core
-    raise CouldNotRunError("all core machines say that they lead")
+async def followers(machines) -> list[str]:
+    """Return two core machines that do not lead; as many may be lost at once."""
+    found = [core for core in reversed(machines.cores) if not await machines.is_leader(core)]
+    if len(found) < 4:
+        raise CouldNotRunError("several core machines say that they lead")
+    return found[:2]
 
 
 async def send_forever(machines, record) -> None:
@@ -176,6 +176,7 @@
         "X-Finchway-Deadline-Ms": "2500",
     }
     writer = None
+    record.write("client", f"sends {request_id} to {edge}")
     try:
         async with asyncio.timeout(2.5):
             reader, writer = await asyncio.open_connection(*machines.address(edge, "front"))
