Log how old an order can be as it is taken up, and whether its caller has left

The log of a replica said neither how long an order had waited in its sockets nor whether its caller was still there, so a call that is read late could not be told from one that comes late (a link, a client that sends twice), nor one whose caller has closed from one whose caller left without closing.

Change: the servers of the control calls bound when a request had arrived: not before its socket was last seen without data, by the polls of the event loop and, for new connections, by when the accept queue was last seen empty. The bound and a look at the connection travel with the call (CallOrigin); the line of an order has them as age_ms and left. Nothing is decided by them yet. The request path of gateways and entries doesn't time arrivals.

--- a/src/finchway/control/_api.py
+++ b/src/finchway/control/_api.py
@@ -155,7 +155,7 @@
             case _, ["v1", "steering", *parts]:
                 await self._authorise(request, Role.CHANGE)
                 body = await request.read(MAX_BODY_BYTES)
-                answer = await self._steering.change(request.method, parts, body)
+                answer = await self._steering.change(request.method, parts, body, request.origin)
                 await send_json(respond, answer)
             case "GET", ["v1", "events"]:
                 await self._authorise(request, Role.READ, needs_quorum=False)
--- a/src/finchway/control/_steering.py
+++ b/src/finchway/control/_steering.py
@@ -38,6 +38,7 @@
     Steered,
     VersionTaken,
 )
+from finchway.transport import CallOrigin
 
 MAX_LOGGED_ITEMS = 5
 # Time without messages from the leader after which the metrics report the contact as lost: fifteen
@@ -68,7 +69,7 @@
         """The control role that handles the calls."""
         return self._control
 
-    async def change_items(self, items: list[Item]) -> int:
+    async def change_items(self, items: list[Item], origin: CallOrigin) -> int:
         """Set and delete items atomically; return the steering revision of the change.
 
         Raises `ResourceError` with all findings, or `ConflictError` if a version exists with other
@@ -77,7 +78,7 @@
         subject = ", ".join(
             f"{item.key} version {item.version}" for item in items[:MAX_LOGGED_ITEMS]
         )
-        with self._log_command("change", subject):
+        with self._log_command("change", subject, origin):
             result = await self._submit(ChangeItems(now_ms=WALL_CLOCK.now_ms(), items=items))
             match result:
                 case Rejected(findings=findings):
@@ -92,7 +93,7 @@
         await self._control.confirm()
         return self._control.runner.machine.steering.catalog.active_items()
 
-    async def record_heartbeat(self, registration: Registration) -> None:
+    async def record_heartbeat(self, registration: Registration, origin: CallOrigin) -> None:
         """Record an upstream's heartbeat; a draining state is committed before it returns.
 
         Raises `ResourceError` for an invalid heartbeat.
@@ -102,21 +103,23 @@
         if not self._control.feed.record_heartbeat(registration):
             self._log_late_heartbeat(registration)
         if registration.state is UpstreamState.DRAINING:
-            await self._commit_mark(registration.instance, registration.born, MarkKind.DRAINING)
+            await self._commit_mark(
+                registration.instance, registration.born, MarkKind.DRAINING, origin
+            )
 
-    async def deregister(self, instance: str, born: int = 0) -> None:
-        """Mark an incarnation of an upstream as gone, by default the one seen last."""
+    async def deregister(self, instance: str, born: int, origin: CallOrigin) -> None:
+        """Mark an incarnation of an upstream as gone; if `born` is 0, the one seen last."""
         known = self._control.feed.registry.get(instance)
         if known is not None and not (born and known.registration.born):
             born = known.registration.born
-        await self._commit_mark(instance, born, MarkKind.GONE)
+        await self._commit_mark(instance, born, MarkKind.GONE, origin)
 
-    async def evacuate(self, zone: str, active: bool) -> None:
+    async def evacuate(self, zone: str, active: bool, origin: CallOrigin) -> None:
         """Begin or end the evacuation of a zone."""
-        with self._log_command("evacuate" if active else "readmit", f"zone/{zone}"):
+        with self._log_command("evacuate" if active else "readmit", f"zone/{zone}", origin):
             await self._submit(SetEvacuation(now_ms=WALL_CLOCK.now_ms(), zone=zone, active=active))
 
-    async def release(self, request: str) -> None:
+    async def release(self, request: str, origin: CallOrigin) -> None:
         """Release a request that is suspected of crashing upstreams.
 
         Raises `NotFoundError` if it is not suspected.
@@ -128,7 +131,7 @@
                 "the list of suspects in `finchway steering` has the digests",
             )
         report = RequestReport(request, answered=True)
-        with self._log_command("release", f"request/{request}"):
+        with self._log_command("release", f"request/{request}", origin):
             await self._submit(ReportRequests(now_ms=WALL_CLOCK.now_ms(), reports=[report]))
 
     def gateways(self, host: str, region: str, zone: str) -> list[str]:
@@ -190,13 +193,15 @@
             StateChanged(subject=f"zone/{zone}", now=now, before=before, source="gateways")
         )
 
-    async def _commit_mark(self, instance: str, born: int, kind: MarkKind) -> None:
+    async def _commit_mark(
+        self, instance: str, born: int, kind: MarkKind, origin: CallOrigin
+    ) -> None:
         incarnation = incarnation_name(instance, born)
         current = self._control.runner.machine.steering.marks.get(incarnation)
         if current is not None and (current.kind is kind or current.kind is MarkKind.GONE):
             return
         command = MarkUpstream(now_ms=WALL_CLOCK.now_ms(), instance=instance, kind=kind, born=born)
-        with self._log_command(kind.value, f"upstream/{incarnation}"):
+        with self._log_command(kind.value, f"upstream/{incarnation}", origin):
             await self._submit(command)
 
     def render_metrics(self) -> bytes:
@@ -222,9 +227,10 @@
         )
 
     @contextmanager
-    def _log_command(self, command: str, subject: str) -> Iterator[None]:
+    def _log_command(self, command: str, subject: str, origin: CallOrigin) -> Iterator[None]:
         """Log and count a command with its outcome."""
         started = trio.current_time()
+        has_left = origin.has_left()
         outcome, detail = "open", "cut short"
         try:
             yield
@@ -248,6 +254,8 @@
                     outcome=outcome,
                     detail=detail,
                     revision=self._control.runner.machine.steering.revision,
+                    age_ms=round((started - origin.arrived_after) * 1000, 1),
+                    left=has_left,
                     ms=round(seconds * 1000, 1),
                 )
             )
--- a/src/finchway/control/_steering_api.py
+++ b/src/finchway/control/_steering_api.py
@@ -14,6 +14,7 @@
 from finchway.exceptions import Finding, InputError, NotFoundError, ResourceError
 from finchway.registry import Registration
 from finchway.state import Steering, Suspect
+from finchway.transport import CallOrigin
 
 _SPECS = {ItemKind.ROUTE: Route, ItemKind.SERVICE: ServiceSpec, ItemKind.LIMITS: Limits}
 
@@ -99,35 +100,36 @@
                 return {"addresses": self._service.gateways(*caller)}
         raise NotFoundError(f"no such path below /v1/steering: {'/'.join(parts)}")
 
-    async def change(self, method: str, parts: list[str], body: bytes) -> Any:
+    async def change(self, method: str, parts: list[str], body: bytes, origin: CallOrigin) -> Any:
         """Serve a call that changes state; it returns once the change is committed."""
         try:
-            return await self._change(method, parts, body)
+            return await self._change(method, parts, body, origin)
         except InputError as error:
             self._service.record_refused(parts[0] if parts else "", error)
             raise
 
-    async def _change(self, method: str, parts: list[str], body: bytes) -> Any:
+    async def _change(self, method: str, parts: list[str], body: bytes, origin: CallOrigin) -> Any:
         match method, parts:
             case "POST", ["items"]:
-                return {"revision": await self._service.change_items(parse_items(_decode(body)))}
+                items = parse_items(_decode(body))
+                return {"revision": await self._service.change_items(items, origin)}
             case "POST", ["evacuations", zone]:
                 active = _convert(_decode(body), _Evacuation, "body").active
-                await self._service.evacuate(zone, active)
+                await self._service.evacuate(zone, active, origin)
                 return {"zone": zone, "active": active}
             case "PUT", ["upstreams", instance]:
                 document = _decode(body)
                 named = (
                     document | {"instance": instance} if isinstance(document, dict) else document
                 )
-                await self._service.record_heartbeat(_convert(named, Registration, "body"))
+                await self._service.record_heartbeat(_convert(named, Registration, "body"), origin)
                 return {"instance": instance}
             case "POST", ["suspects", request, "release"]:
-                await self._service.release(request)
+                await self._service.release(request, origin)
                 return {"request": request}
             case "DELETE", ["upstreams", instance]:
                 born = _convert(_decode(body or b"{}"), _Leaving, "body").born
-                await self._service.deregister(instance, born)
+                await self._service.deregister(instance, born, origin)
                 return {"instance": instance}
         raise NotFoundError(f"no such call below /v1/steering: {method} {'/'.join(parts)}")
 
--- a/src/finchway/daemon.py
+++ b/src/finchway/daemon.py
@@ -203,7 +203,7 @@
             settings.peer_address,
         )
         nursery.start_soon(self._control.run)
-        self._api_server = self._make_server(settings.api_address, api)
+        self._api_server = self._make_server(settings.api_address, api, times_arrivals=True)
         await nursery.start(self._api_server.run)
 
     async def _open_replica(self) -> ReplicaRunner:
@@ -301,7 +301,9 @@
         await self._start_surface(self._surface.gateway_servers(self._gateway), nursery)
         await nursery.start(self._gateway.run)
 
-    def _make_server(self, address: str, app: EntryApp | ResourceApi) -> AppServer:
+    def _make_server(
+        self, address: str, app: EntryApp | ResourceApi, times_arrivals: bool = False
+    ) -> AppServer:
         from hypercorn.config import Config
 
         from finchway.transport import AppServer
@@ -322,6 +324,7 @@
             config,
             self._metrics.count_connection_failure,
             self._metrics.count_left,
+            times_arrivals,
         )
 
     def _lease_timing(self) -> LeaseTiming:
--- a/src/finchway/gateway/_http.py
+++ b/src/finchway/gateway/_http.py
@@ -17,7 +17,15 @@
 from msgspec import Struct
 
 from finchway.catalog import Limits
-from finchway.transport import NEXT_REQUEST_GRACE_S, Listener, has_event, peer_has_closed
+from finchway.transport import (
+    NEXT_REQUEST_GRACE_S,
+    AcceptedStream,
+    CallOrigin,
+    Listener,
+    has_event,
+    origin_of,
+    peer_has_closed,
+)
 
 _LOG = logging.getLogger(__name__)
 READ_BYTES = 64 * 1024
@@ -74,7 +82,7 @@
 class CallerConnection:
     """A caller's connection, and the request that is being handled on it."""
 
-    def __init__(self, stream: trio.SocketStream, limits: Callable[[], Limits]) -> None:
+    def __init__(self, stream: AcceptedStream, limits: Callable[[], Limits]) -> None:
         self._stream = stream
         self._caller = _address_of(stream)
         self._limits = limits
@@ -97,6 +105,11 @@
         """Whether the caller has closed its connection."""
         return peer_has_closed(self._stream.socket.fileno())
 
+    @property
+    def origin(self) -> CallOrigin:
+        """What is known about the caller of the request that was read last."""
+        return origin_of(self._stream)
+
     def close_after_answer(self) -> None:
         """Close the connection after the next answer, which announces it."""
         self._closing = True
@@ -295,7 +308,7 @@
             raise CallerLeftError from error
 
 
-def _address_of(stream: trio.SocketStream) -> str:
+def _address_of(stream: AcceptedStream) -> str:
     """Return the remote address of a connection; empty if it is closed."""
     try:
         return str(stream.socket.getpeername()[0])
@@ -309,7 +322,8 @@
 class HttpServer:
     """Listens on an address and passes each request to `serve`.
 
-    `on_left` is called for each connection that its caller has closed before it was accepted.
+    `on_left` is called for each connection that its caller has closed before it was accepted. With
+    `times_arrivals`, `CallerConnection.origin` bounds the age of a request.
     """
 
     def __init__(
@@ -319,12 +333,13 @@
         limits: Callable[[], Limits] = Limits,
         max_connections: int = 3_000,
         on_left: Callable[[], None] = lambda: None,
+        times_arrivals: bool = False,
     ) -> None:
         self._serve = serve
         self._limits = limits
         self._max_connections = max_connections
         self._connections: dict[CallerConnection, trio.CancelScope] = {}
-        self._listener = Listener(address, self._accept, on_left)
+        self._listener = Listener(address, self._accept, on_left, times_arrivals)
         self._nursery: trio.Nursery | None = None
         self._leaving = False
         self._drained = trio.Event()
@@ -347,7 +362,7 @@
             task_status.started()
             await self._listener.run()
 
-    def _accept(self, stream: trio.SocketStream) -> None:
+    def _accept(self, stream: AcceptedStream) -> None:
         """Start the task of a connection, which counts as open even before the task runs."""
         if len(self._connections) >= self._max_connections:
             stream.socket.close()
--- a/src/finchway/observe/_decisions.py
+++ b/src/finchway/observe/_decisions.py
@@ -244,7 +244,8 @@
     """The end of a command from an operator or an upstream at a replica.
 
     `outcome` is committed, refused, conflict or open (no quorum confirmed it in time); `revision`
-    is the steering revision at this replica.
+    is the steering revision at this replica. The command was at most `age_ms` old when it was taken
+    up, and `left` tells whether its caller had closed the connection by then.
     """
 
     order: str
@@ -252,6 +253,8 @@
     outcome: str
     detail: str = ""
     revision: int = 0
+    age_ms: float = -1.0
+    left: bool = False
     ms: float
 
 
--- a/src/finchway/transport/__init__.py
+++ b/src/finchway/transport/__init__.py
@@ -5,6 +5,7 @@
 
 from typing import Any
 
+from finchway.transport._arrivals import AcceptedStream, CallOrigin, origin_of
 from finchway.transport._keys import Keys, load_keys, make_keys
 from finchway.transport._link import Handler, Link
 from finchway.transport._listener import NEXT_REQUEST_GRACE_S, Listener
@@ -14,7 +15,9 @@
 
 __all__ = [
     "NEXT_REQUEST_GRACE_S",
+    "AcceptedStream",
     "AppServer",  # noqa: F405
+    "CallOrigin",
     "Handler",
     "Keys",
     "Link",
@@ -22,6 +25,7 @@
     "has_event",
     "load_keys",
     "make_keys",
+    "origin_of",
     "peer_has_closed",
     *_messages,
 ]
--- a/src/finchway/transport/_app_server.py
+++ b/src/finchway/transport/_app_server.py
@@ -19,6 +19,8 @@
 from hypercorn.trio.worker_context import WorkerContext
 from hypercorn.typing import ConnectionState
 
+from finchway.transport._arrivals import AcceptedStream, origin_of
+from finchway.transport._http import ORIGIN
 from finchway.transport._listener import NEXT_REQUEST_GRACE_S, Listener
 from finchway.transport._sockets import peer_has_closed
 
@@ -36,6 +38,8 @@
     hypercorn's `TCPServer` keeps it until the idle timeout, so that many short connections can
     exhaust the process's file descriptors. It also serves what a client sent before it closed, and
     under load the process would spend its time on requests whose clients have left.
+
+    Each request's scope has its `CallOrigin` in the state.
     """
 
     async def _read_data(self) -> None:
@@ -43,6 +47,7 @@
             while data := await self.stream.receive_some(_RECEIVE_BYTES):
                 if self._client_has_left():
                     break
+                self.state[ORIGIN] = origin_of(self._socket_stream)
                 await self.protocol.handle(RawData(bytes(data)))
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             _LOG.debug("a client reset its connection")
@@ -51,16 +56,20 @@
         await self.protocol.handle(Closed())
         await self.idle_task.stop()
 
+    @property
+    def _socket_stream(self) -> AcceptedStream:
+        return getattr(self.stream, "transport_stream", self.stream)
+
     def _client_has_left(self) -> bool:
-        stream = getattr(self.stream, "transport_stream", self.stream)
-        return peer_has_closed(stream.socket.fileno())
+        return peer_has_closed(self._socket_stream.socket.fileno())
 
 
 class AppServer:
     """Listens on one address and serves its requests with an ASGI application.
 
     `on_failure` is called once for each connection that is closed by an error, `on_left` for each
-    that its client has closed before it was accepted.
+    that its client has closed before it was accepted. With `times_arrivals`, the `CallOrigin` of a
+    request bounds its age.
     """
 
     def __init__(
@@ -70,6 +79,7 @@
         config: Config,
         on_failure: Callable[[], None],
         on_left: Callable[[], None] = lambda: None,
+        times_arrivals: bool = False,
     ) -> None:
         self._app = app
         self._config = config
@@ -77,7 +87,7 @@
         self._tls: ssl.SSLContext | None = None
         self._asgi = ASGIWrapper(self._serve)
         self._context = WorkerContext(None)
-        self._listener = Listener(address, self._start_connection, on_left)
+        self._listener = Listener(address, self._start_connection, on_left, times_arrivals)
         self._nursery: trio.Nursery | None = None
         self._draining = False
         self._connections = 0
@@ -113,11 +123,11 @@
         while self._connections:
             await trio.sleep(_STOP_POLL_INTERVAL_S)
 
-    def _start_connection(self, stream: trio.SocketStream) -> None:
+    def _start_connection(self, stream: AcceptedStream) -> None:
         self._connections += 1
         self._nursery.start_soon(self._handle, stream)
 
-    async def _handle(self, stream: trio.SocketStream) -> None:
+    async def _handle(self, stream: AcceptedStream) -> None:
         """Serve one connection; its errors are logged and affect no other connection."""
         try:
             await _Connection(
@@ -135,7 +145,7 @@
             await trio.aclose_forcefully(stream)
             self._connections -= 1
 
-    def _with_tls(self, stream: trio.SocketStream) -> trio.SocketStream | trio.SSLStream:
+    def _with_tls(self, stream: AcceptedStream) -> AcceptedStream | trio.SSLStream:
         if self._tls is None:
             return stream
         return trio.SSLStream(stream, self._tls, server_side=True, https_compatible=True)
--- a/src/finchway/transport/_http.py
+++ b/src/finchway/transport/_http.py
@@ -10,10 +10,14 @@
 import trio
 from msgspec import Struct
 
+from finchway.transport._arrivals import UNKNOWN_ORIGIN, CallOrigin
+
 JSON = b"application/json"
 PROBLEM = b"application/problem+json"
 PROMETHEUS_TEXT = b"text/plain; version=0.0.4"
 READ_TIMEOUT_S = 30.0
+# The key of a request's `CallOrigin` in the state of its scope.
+ORIGIN = "origin"
 
 
 class Problem(Struct, frozen=True, omit_defaults=True):
@@ -37,7 +41,7 @@
 class Request:
     """An ASGI request with decoded headers and query."""
 
-    __slots__ = ("_receive", "headers", "method", "path", "query", "scope")
+    __slots__ = ("_receive", "headers", "method", "origin", "path", "query", "scope")
 
     def __init__(self, scope: dict[str, Any], receive) -> None:
         self.scope = scope
@@ -48,6 +52,7 @@
         }
         query = parse_qs(scope["query_string"].decode("latin-1"))
         self.query = {key: values[-1] for key, values in query.items()}
+        self.origin: CallOrigin = scope.get("state", {}).get(ORIGIN, UNKNOWN_ORIGIN)
         self._receive = receive
 
     @property
--- a/src/finchway/transport/_listener.py
+++ b/src/finchway/transport/_listener.py
@@ -18,6 +18,7 @@
 import trio
 
 from finchway.exceptions import TransportError
+from finchway.transport._arrivals import AcceptedStream, ArrivalClock, TimedStream
 from finchway.transport._sockets import peer_has_closed
 
 _LOG = logging.getLogger(__name__)
@@ -43,18 +44,22 @@
 class Listener:
     """Listens on an address and passes each connection to `on_connection`, which must not block.
 
-    `on_left` is called for each connection that its client has closed before it was accepted.
+    `on_left` is called for each connection that its client has closed before it was accepted. With
+    `times_arrivals`, connections are passed on as `TimedStream`.
     """
 
     def __init__(
         self,
         address: str,
-        on_connection: Callable[[trio.SocketStream], None],
+        on_connection: Callable[[AcceptedStream], None],
         on_left: Callable[[], None] = lambda: None,
+        times_arrivals: bool = False,
     ) -> None:
         self._address = address
         self._on_connection = on_connection
         self._on_left = on_left
+        self._times_arrivals = times_arrivals
+        self._arrivals: ArrivalClock | None = None
         self._socket: socket.socket | None = None
         self._accept_scope = trio.CancelScope()
         self._closed = trio.Event()
@@ -81,6 +86,8 @@
 
     async def run(self) -> None:
         """Accept until `stop` is called, or until cancelled."""
+        if self._times_arrivals:
+            self._arrivals = ArrivalClock(trio.current_time())
         with self._socket:
             with self._accept_scope:
                 await self._accept()
@@ -97,10 +104,18 @@
 
     async def _accept(self) -> None:
         while True:
-            await trio.lowlevel.wait_readable(self._socket)
+            await self._wait_readable()
             if self._accept_batch() is _Queue.FAILED:
                 await trio.sleep(_ACCEPT_RETRY_S)
 
+    async def _wait_readable(self) -> None:
+        if self._arrivals is None:
+            await trio.lowlevel.wait_readable(self._socket)
+            return
+        polls = self._arrivals.before_wait(self._socket.fileno())
+        await trio.lowlevel.wait_readable(self._socket)
+        self._arrivals.after_wait(polls)
+
     def _accept_batch(self) -> _Queue:
         """Accept some of the connections in the kernel's queue."""
         for _ in range(_ACCEPT_BATCH):
@@ -118,5 +133,11 @@
                 accepted.close()
                 self._on_left()
                 continue
-            self._on_connection(trio.SocketStream(trio.socket.from_stdlib_socket(accepted)))
+            self._on_connection(self._stream_of(accepted))
         return _Queue.MORE
+
+    def _stream_of(self, accepted: socket.socket) -> AcceptedStream:
+        stream = trio.SocketStream(trio.socket.from_stdlib_socket(accepted))
+        if self._arrivals is None:
+            return stream
+        return TimedStream(stream, self._arrivals.arrived_after)
--- a/tests/unit/test_steering_log.py
+++ b/tests/unit/test_steering_log.py
@@ -6,6 +6,7 @@
 from finchway.control import SteeringService
 from finchway.control._feed import FeedServer
 from finchway.observe import ReplicaMetrics, StateChanged
+from finchway.transport import CallOrigin
 from tests.unit.test_feed_server import IdleRunner
 from tests.unit.test_registry import gateway_heartbeat, registration
 
@@ -42,7 +43,8 @@
 def test_a_late_heartbeat_is_logged():
     async def script(service):
         for name, sequence in (("old", 1), ("new", 1), ("old", 7)):
-            await service.record_heartbeat(registration(name, sequence))
+            origin = CallOrigin(trio.current_time(), lambda: False)
+            await service.record_heartbeat(registration(name, sequence), origin)
 
     assert play(script) == [("upstream/old", "heartbeat 7 came late and is passed over")]
 
