Drop orders that enter the log too late for their callers

Cause: an order was carried out whenever it was read, however long after it had been sent. Its caller waits a second, has it done by another replica and goes on; the copy that is carried out later undoes what was ordered since. Orders carry no version that would tell a copy.

Change: an order enters the log only within 0.8 s of when it can have arrived at the earliest (callers wait for a second). The replica that reads it looks at that and at its connection, again on each try to reach the leader, and hands the leader the end of its validity on the leader's own clock, of which each confirmation says the time; the leader looks again as it appends the order, behind whatever it waited for. All orders go through submit, which wants their origin: the platform's calls, the resource API's, marks of leaving upstreams. What comes too late is answered 503 (resource API: outcome not-run), and logged as expired with its age. An order that finds at the log that the leader has changed is now sent on at once, not after 3 s.

Why it works: an acknowledgement elsewhere comes a second after the order was sent or later, so whatever enters the log within 0.8 s is behind no newer order. A bound can only be too strict: the arrival is taken as early as the event loop allows, the leader's clock as little ahead as the reply allows.

--- a/src/finchway/control/_api.py
+++ b/src/finchway/control/_api.py
@@ -31,6 +31,7 @@
     GoneError,
     InputError,
     NotFoundError,
+    OrderExpiredError,
     ResourceError,
     TransportError,
     UnavailableError,
@@ -48,6 +49,7 @@
     Reused,
 )
 from finchway.transport import (
+    CallOrigin,
     ChangeReplicas,
     EntryQuery,
     Events,
@@ -227,7 +229,7 @@
             change_id=body.change_id,
             operator=operator,
         )
-        await self._change(command, respond)
+        await self._change(command, request.origin, respond)
 
     async def _delete(self, request: Request, kind: str, name: str, operator: str, respond) -> None:
         _check_kind(kind, (*OPERATOR_KINDS, "instance"))
@@ -242,10 +244,12 @@
             change_id=request.query.get("change_id", ""),
             operator=operator,
         )
-        await self._change(command, respond)
+        await self._change(command, request.origin, respond)
 
-    async def _change(self, command: PutResource | DeleteResource, respond) -> None:
-        result = await self._server.submit(command)
+    async def _change(
+        self, command: PutResource | DeleteResource, origin: CallOrigin, respond
+    ) -> None:
+        result = await self._server.submit(command, origin)
         accepted = _require_accepted(result, f"{command.kind}/{command.name}")
         answer = {
             "revision": accepted.revision,
@@ -404,6 +408,15 @@
         case DeniedError():
             status = 401 if "credential" in error.message else 403
             return Problem("denied", "not allowed", status, error.message)
+        case OrderExpiredError():
+            return Problem(
+                "expired",
+                "the order came too late",
+                503,
+                error.message,
+                outcome="not-run",
+                retry_after_s=1.0,
+            )
         case UnavailableError() | TransportError():
             return Problem(
                 "unavailable",
--- a/src/finchway/control/_replica.py
+++ b/src/finchway/control/_replica.py
@@ -15,7 +15,13 @@
 import trio
 from msgspec import Struct
 
-from finchway.exceptions import NotLeaderError, StorageError, UnavailableError
+from finchway.exceptions import (
+    FinchwayError,
+    NotLeaderError,
+    OrderExpiredError,
+    StorageError,
+    UnavailableError,
+)
 from finchway.observe import EventKind, Timeline
 from finchway.replication import (
     AnyMessage,
@@ -32,7 +38,7 @@
     Timing,
 )
 from finchway.state import AnyCommand, AnyResult, StateMachine, decode_command, encode_command
-from finchway.transport import Join, Link, RaftBody, Replica
+from finchway.transport import Join, Link, RaftBody, Replica, Validity
 
 _LOG = logging.getLogger(__name__)
 SNAPSHOT_MIN_ENTRIES = 5_000
@@ -48,9 +54,18 @@
     term: int
     event: trio.Event
     result: AnyResult | None = None
+    error: FinchwayError | None = None
     index: int = -1
 
 
+class _Proposal(Struct, eq=False):
+    """A command that has yet to enter the log."""
+
+    command: AnyCommand
+    validity: Validity | None
+    waiter: _Waiter
+
+
 class ReplicaRunner:
     """Runs one replica of the log and its state machine."""
 
@@ -81,7 +96,7 @@
         self._timing = timing
         self._senders: dict[str, str] = {}
         self._inbox: deque[AnyMessage] = deque()
-        self._proposals: deque[tuple[AnyCommand, _Waiter]] = deque()
+        self._proposals: deque[_Proposal] = deque()
         self._waiting: dict[int, _Waiter] = {}
         self._reads: dict[int, _Waiter] = {}
         self._last_read_number = 0
@@ -154,23 +169,44 @@
             self._inbox.append(message)
             self._wake.set()
 
-    async def submit(self, command: AnyCommand, timeout: float = SUBMIT_TIMEOUT_S) -> AnyResult:
+    async def submit(
+        self,
+        command: AnyCommand,
+        validity: Validity | None = None,
+        timeout: float = SUBMIT_TIMEOUT_S,
+    ) -> AnyResult:
         """Commit a command and return the result of applying it.
 
-        Raises `NotLeaderError` with the leader's address, or `UnavailableError` on a timeout, after
-        which the command may still be applied.
+        Raises `NotLeaderError` with the leader's address, `OrderExpiredError` if the command did
+        not enter the log while it was valid, or `UnavailableError` on a timeout, after which the
+        command may still be applied.
         """
         if not self.is_leader:
             raise NotLeaderError(self.leader_address())
         waiter = _Waiter(self._core.term, trio.Event())
-        self._proposals.append((command, waiter))
+        self._proposals.append(_Proposal(command, validity, waiter))
         self._wake.set()
         with trio.move_on_after(timeout):
             await waiter.event.wait()
+        if waiter.error is not None:
+            raise waiter.error
         if waiter.result is None:
             raise UnavailableError("no quorum confirmed the change in time")
         return waiter.result
 
+    def require_valid(self, validity: Validity | None) -> None:
+        """Raise `OrderExpiredError` if an order may no longer enter the log.
+
+        Raises `NotLeaderError` if the validity is on the clock of another leader.
+        """
+        if validity is None:
+            return
+        if validity.term != self._core.term:
+            raise NotLeaderError(self.leader_address())
+        late_s = trio.current_time() - validity.until
+        if late_s >= 0.0:
+            raise OrderExpiredError(f"the order reached the log {late_s:.1f} s too late")
+
     async def confirm(self, timeout: float = SUBMIT_TIMEOUT_S) -> int:
         """Wait until all changes accepted before the call are applied; return their index.
 
@@ -298,10 +334,14 @@
 
     def _propose(self) -> None:
         while self._proposals:
-            command, waiter = self._proposals.popleft()
+            proposal = self._proposals.popleft()
+            waiter = proposal.waiter
             try:
-                index = self._core.propose(encode_command(command))
-            except NotLeaderError:
+                self.require_valid(proposal.validity)
+                index = self._core.propose(encode_command(proposal.command))
+            except (NotLeaderError, OrderExpiredError) as error:
+                waiter.error = error
+                waiter.event.set()
                 continue
             waiter.term = self._core.term
             self._waiting[index] = waiter
--- a/src/finchway/control/_server.py
+++ b/src/finchway/control/_server.py
@@ -9,10 +9,12 @@
 import logging
 from collections.abc import Awaitable, Callable
 
+import msgspec
 import trio
 
 from finchway._clock import WALL_CLOCK
 from finchway.control._feed import FeedServer
+from finchway.control._orders import ORDER_VALID_S, LeaderClock, require_current
 from finchway.control._replica import ReplicaRunner
 from finchway.control._replica_set import ReplicaSetPlanner, with_expected, without_name
 from finchway.exceptions import ConflictError, FinchwayError, NotLeaderError, UnavailableError
@@ -31,6 +33,7 @@
 from finchway.state import AnyCommand, AnyResult, ReportRequests
 from finchway.transport import (
     AnyBody,
+    CallOrigin,
     ChangeReplicas,
     Changes,
     Confirm,
@@ -49,6 +52,7 @@
     ReplicaStatus,
     Submit,
     Submitted,
+    Validity,
 )
 
 _LOG = logging.getLogger(__name__)
@@ -60,6 +64,7 @@
 CATCH_UP_TIMEOUT_S = 1.0
 PLAN_INTERVAL_S = 0.1
 FORWARD_TIMEOUT_S = 3.0
+LEADER_RETRY_S = 0.05
 FORMATION_TIMEOUT_S = 8.0
 PLATFORM_INTERVAL_S = 0.5
 
@@ -92,6 +97,7 @@
         self._replicas = ReplicaSetPlanner(auto_join_voters)
         self._feed = FeedServer(runner, link, upstream_heartbeat)
         self._seen_revision = -1
+        self._leader_clock = LeaderClock()
 
     @property
     def runner(self) -> ReplicaRunner:
@@ -133,7 +139,7 @@
                 return None
             case ReportedRequests(reports=reports):
                 now_ms = WALL_CLOCK.now_ms()
-                await self.submit(ReportRequests(now_ms=now_ms, reports=reports))
+                await self.at_leader(Submit(command=ReportRequests(now_ms=now_ms, reports=reports)))
                 return Ok()
             case Heartbeat():
                 return self._on_heartbeat(body)
@@ -143,9 +149,9 @@
                     for index, heartbeat in enumerate(heartbeats)
                 ]
                 return HeartbeatBatchReply(replies=replies)
-            case Submit(command=command):
+            case Submit(command=command, validity=validity):
                 self._require_formed()
-                return Submitted(result=await self._runner.submit(command))
+                return Submitted(result=await self._runner.submit(command, validity))
             case Confirm(within=within):
                 return await self._confirm_here(within)
             case FetchChanges(since=since):
@@ -166,9 +172,13 @@
 
     # Called by the API on any replica
 
-    async def submit(self, command: AnyCommand) -> AnyResult:
-        """Commit a command through the current leader."""
-        reply = await self.at_leader(Submit(command=command))
+    async def submit(self, command: AnyCommand, origin: CallOrigin) -> AnyResult:
+        """Commit a caller's order through the current leader.
+
+        Raises `OrderExpiredError` if it is too old, or if its caller has left; then it has no
+        effect. Raises `UnavailableError` if the outcome is unknown.
+        """
+        reply = await self._order(Submit(command=command), origin)
         return reply.result
 
     async def confirm(self, within: float = 0.0) -> int:
@@ -178,6 +188,7 @@
         """
         requested_at = trio.current_time()
         confirmed = await self.at_leader(Confirm(within=within))
+        self._leader_clock.record(confirmed, trio.current_time())
         with trio.move_on_after(FORWARD_TIMEOUT_S):
             await self._runner.wait_applied(confirmed.index)
             self._runner.advance_current_as_of(requested_at - confirmed.age)
@@ -191,29 +202,68 @@
         """
         deadline = trio.current_time() + FORWARD_TIMEOUT_S
         while True:
-            left = deadline - trio.current_time()
-            if left <= 0:
-                raise UnavailableError("no leader could be reached in time")
-            address = None
-            try:
-                if self._runner.is_leader:
-                    return await self.handle(body, "")
-                address = self._runner.leader_address()
-                if address is not None:
-                    return await self._link.request(address, body, timeout=left)
-            except NotLeaderError:
-                pass
-            await trio.sleep(0.05)
+            reply = await self._ask_leader(body, deadline)
+            if reply is not None:
+                return reply
+            await trio.sleep(LEADER_RETRY_S)
+
+    async def _order(self, body: Submit, origin: CallOrigin) -> AnyBody:
+        """Return the leader's reply to an order, asking while the caller waits for it."""
+        deadline = trio.current_time() + FORWARD_TIMEOUT_S
+        while True:
+            require_current(origin)
+            validity = await self._validity_of(origin)
+            order = msgspec.structs.replace(body, validity=validity)
+            reply = await self._ask_leader(order, deadline)
+            if reply is not None:
+                return reply
+            await trio.sleep(LEADER_RETRY_S)
+
+    async def _validity_of(self, origin: CallOrigin) -> Validity:
+        """Return until when an order is valid, asking a new leader for its clock first."""
+        if self._leader_clock.term != self._runner.core.term:
+            with trio.move_on_at(origin.arrived_after + ORDER_VALID_S):
+                confirmed = await self.at_leader(Confirm(within=CONFIRMATION_VALID_S))
+                self._leader_clock.record(confirmed, trio.current_time())
+            require_current(origin)
+        return self._leader_clock.validity_of(origin)
+
+    async def _ask_leader(self, body: AnyBody, deadline: float) -> AnyBody | None:
+        """Return the leader's reply to a message, or None if it has to be sent again.
+
+        Raises `UnavailableError` after the deadline.
+        """
+        left = deadline - trio.current_time()
+        if left <= 0:
+            raise UnavailableError("no leader could be reached in time")
+        try:
+            if self._runner.is_leader:
+                return await self.handle(body, "")
+            address = self._runner.leader_address()
+            if address is not None:
+                return await self._link.request(address, body, timeout=left)
+        except NotLeaderError:
+            pass
+        return None
 
     async def _confirm_here(self, within: float) -> Confirmed:
         """Reuse the leader's newest confirmation if it is recent enough, else get a new one."""
         runner = self._runner
         age = trio.current_time() - runner.confirmed_at
         if runner.is_leader and age <= within:
-            revision = runner.machine.revision
-            return Confirmed(revision=revision, index=runner.confirmed_index, age=age)
-        index = await runner.confirm()
-        return Confirmed(revision=runner.machine.revision, index=index)
+            return self._confirmed(runner.confirmed_index, age)
+        return self._confirmed(await runner.confirm(), 0.0)
+
+    def _confirmed(self, index: int, age: float) -> Confirmed:
+        if not self._runner.is_leader:
+            raise NotLeaderError(self._runner.leader_address())
+        return Confirmed(
+            revision=self._runner.machine.revision,
+            index=index,
+            age=age,
+            term=self._runner.core.term,
+            clock=trio.current_time(),
+        )
 
     def _on_heartbeat(self, heartbeat: Heartbeat, with_changes: bool = True) -> HeartbeatReply:
         coordinator = self._confirmed_coordinator()
--- a/src/finchway/control/_steering.py
+++ b/src/finchway/control/_steering.py
@@ -15,6 +15,7 @@
     FinchwayError,
     Finding,
     NotFoundError,
+    OrderExpiredError,
     ResourceError,
     UnavailableError,
 )
@@ -79,7 +80,9 @@
             f"{item.key} version {item.version}" for item in items[:MAX_LOGGED_ITEMS]
         )
         with self._log_command("change", subject, origin):
-            result = await self._submit(ChangeItems(now_ms=WALL_CLOCK.now_ms(), items=items))
+            result = await self._submit(
+                ChangeItems(now_ms=WALL_CLOCK.now_ms(), items=items), origin
+            )
             match result:
                 case Rejected(findings=findings):
                     found = [Finding(place, text) for place, text in findings]
@@ -117,7 +120,9 @@
     async def evacuate(self, zone: str, active: bool, origin: CallOrigin) -> None:
         """Begin or end the evacuation of a zone."""
         with self._log_command("evacuate" if active else "readmit", f"zone/{zone}", origin):
-            await self._submit(SetEvacuation(now_ms=WALL_CLOCK.now_ms(), zone=zone, active=active))
+            await self._submit(
+                SetEvacuation(now_ms=WALL_CLOCK.now_ms(), zone=zone, active=active), origin
+            )
 
     async def release(self, request: str, origin: CallOrigin) -> None:
         """Release a request that is suspected of crashing upstreams.
@@ -132,7 +137,7 @@
             )
         report = RequestReport(request, answered=True)
         with self._log_command("release", f"request/{request}", origin):
-            await self._submit(ReportRequests(now_ms=WALL_CLOCK.now_ms(), reports=[report]))
+            await self._submit(ReportRequests(now_ms=WALL_CLOCK.now_ms(), reports=[report]), origin)
 
     def gateways(self, host: str, region: str, zone: str) -> list[str]:
         """Return the gateways' addresses for a caller; raises `UnavailableError` without any."""
@@ -202,7 +207,7 @@
             return
         command = MarkUpstream(now_ms=WALL_CLOCK.now_ms(), instance=instance, kind=kind, born=born)
         with self._log_command(kind.value, f"upstream/{incarnation}", origin):
-            await self._submit(command)
+            await self._submit(command, origin)
 
     def render_metrics(self) -> bytes:
         """Return the replica's metrics in the Prometheus text format."""
@@ -241,6 +246,9 @@
         except ConflictError as error:
             outcome, detail = "conflict", error.message
             raise
+        except OrderExpiredError as error:
+            outcome, detail = "expired", error.message
+            raise
         except FinchwayError as error:
             detail = error.message
             raise
@@ -260,5 +268,7 @@
                 )
             )
 
-    async def _submit(self, command: AnyCommand) -> Steered | Rejected | VersionTaken:
-        return await self._control.submit(command)
+    async def _submit(
+        self, command: AnyCommand, origin: CallOrigin
+    ) -> Steered | Rejected | VersionTaken:
+        return await self._control.submit(command, origin)
--- a/src/finchway/exceptions.py
+++ b/src/finchway/exceptions.py
@@ -95,6 +95,10 @@
     exit_code = 8
 
 
+class OrderExpiredError(UnavailableError):
+    """An order came so late that its caller may have gone on elsewhere; it has no effect."""
+
+
 class NotLeaderError(UnavailableError):
     """This replica is not the leader; `leader` is the name of the leader, if known."""
 
--- a/src/finchway/observe/_decisions.py
+++ b/src/finchway/observe/_decisions.py
@@ -243,9 +243,10 @@
 class CommandEnded(Decision, frozen=True, kw_only=True, tag="order"):
     """The end of a command from an operator or an upstream at a replica.
 
-    `outcome` is committed, refused, conflict or open (no quorum confirmed it in time); `revision`
-    is the steering revision at this replica. The command was at most `age_ms` old when it was taken
-    up, and `left` tells whether its caller had closed the connection by then.
+    `outcome` is committed, refused, conflict, expired (dropped, since its caller no longer waited)
+    or open (no quorum confirmed it in time); `revision` is the steering revision at this replica.
+    The command was at most `age_ms` old when it was taken up, and `left` tells whether its caller
+    had closed the connection by then.
     """
 
     order: str
--- a/src/finchway/transport/_link.py
+++ b/src/finchway/transport/_link.py
@@ -22,6 +22,7 @@
     GoneError,
     NotFoundError,
     NotLeaderError,
+    OrderExpiredError,
     TransportError,
     UnavailableError,
 )
@@ -53,6 +54,7 @@
         DeniedError,
         NotFoundError,
         NotLeaderError,
+        OrderExpiredError,
         UnavailableError,
     )
 }
--- a/src/finchway/transport/_messages.py
+++ b/src/finchway/transport/_messages.py
@@ -40,6 +40,7 @@
     "ReplicaStatus",
     "Submit",
     "Submitted",
+    "Validity",
 ]
 
 
@@ -73,10 +74,18 @@
     snapshot: list[Change] | None = None
 
 
+class Validity(Struct, frozen=True):
+    """Until when an order may enter the log, on the clock of the leader of a term."""
+
+    term: int
+    until: float
+
+
 class Submit(Body):
-    """Request that a command be committed and applied."""
+    """Request that a command be committed and applied; without a validity, at any time."""
 
     command: AnyCommand
+    validity: Validity | None = None
 
 
 class Submitted(Body):
@@ -95,11 +104,16 @@
 
 
 class Confirmed(Body):
-    """A revision and log index covering all changes accepted `age` seconds before this reply."""
+    """A revision and log index covering all changes accepted `age` seconds before this reply.
+
+    `clock` is the leader's clock in this `term`.
+    """
 
     revision: int
     index: int
     age: float = 0.0
+    term: int = 0
+    clock: float = 0.0
 
 
 class Join(Body):
