Drop changes of the replica set that reach the leader too late

What callers saw: as with evacuations, over the resource API: an operator admits a replica, gets no answer from a frozen one, does it at another and takes it back there; the frozen one wakes, and the replica is admitted again.

A change of the replica set goes to the leader by a message of its own, not by submit, and is applied as it is handled.

Change: it goes the same way as other orders: its origin is looked at where it is read, its validity travels with it, and the leader checks it.

A caller that closes was heard here before (the server looks as data comes). The deregistered upstream held before as well: the replica knows the later life when it wakes, or the mark names the earlier one.

--- a/src/finchway/control/_api.py
+++ b/src/finchway/control/_api.py
@@ -50,7 +50,6 @@
 )
 from finchway.transport import (
     CallOrigin,
-    ChangeReplicas,
     EntryQuery,
     Events,
     FetchEvents,
@@ -326,7 +325,7 @@
         change = _decode(await request.read(MAX_BODY_BYTES), _ReplicaChange)
         if bool(change.add) == bool(change.remove):
             raise ResourceError([Finding("body", "give either add or remove")], "replica change")
-        await self._server.at_leader(ChangeReplicas(add=change.add, remove=change.remove))
+        await self._server.change_replicas(change.add, change.remove, request.origin)
         await self._replicas(respond)
 
     async def _events(self, request: Request, respond) -> None:
--- a/src/finchway/control/_server.py
+++ b/src/finchway/control/_server.py
@@ -162,7 +162,8 @@
                 if member.incarnation:
                     self._record_join(body)
                 return JoinReply(cluster=self._runner.cluster)
-            case ChangeReplicas(add=add, remove=remove):
+            case ChangeReplicas(add=add, remove=remove, validity=validity):
+                self._runner.require_valid(validity)
                 return self._change_replicas(add, remove)
             case ReplicaStatus():
                 return self._runner.status()
@@ -181,6 +182,10 @@
         reply = await self._order(Submit(command=command), origin)
         return reply.result
 
+    async def change_replicas(self, add: str, remove: str, origin: CallOrigin) -> None:
+        """Admit a further replica, or remove one, by name; raises as `submit` does."""
+        await self._order(ChangeReplicas(add=add, remove=remove), origin)
+
     async def confirm(self, within: float = 0.0) -> int:
         """Wait until this replica has applied every change accepted before the call.
 
@@ -207,7 +212,7 @@
                 return reply
             await trio.sleep(LEADER_RETRY_S)
 
-    async def _order(self, body: Submit, origin: CallOrigin) -> AnyBody:
+    async def _order(self, body: Submit | ChangeReplicas, origin: CallOrigin) -> AnyBody:
         """Return the leader's reply to an order, asking while the caller waits for it."""
         deadline = trio.current_time() + FORWARD_TIMEOUT_S
         while True:
--- a/src/finchway/transport/_messages.py
+++ b/src/finchway/transport/_messages.py
@@ -129,10 +129,11 @@
 
 
 class ChangeReplicas(Body):
-    """Admit a further replica, or remove one, by name."""
+    """Admit a further replica, or remove one, by name; without a validity, at any time."""
 
     add: str = ""
     remove: str = ""
+    validity: Validity | None = None
 
 
 class ReplicaStatus(Body):
