Count a heartbeat from when it can have arrived, not from when it is read

A replica that wakes takes each heartbeat that waited in its sockets for a sign of life of that moment, tells its peers so, and gateways go on choosing an upstream that ended meanwhile, for up to 2.5 heartbeats more.

A heartbeat was recorded at the time of reading.

Change: it is recorded at the time since which it can have arrived. One that waited for longer than an upstream may be silent does not make it live; one that is read at once counts as before.

--- a/src/finchway/control/_feed.py
+++ b/src/finchway/control/_feed.py
@@ -86,9 +86,9 @@
         """The number of upstreams that this replica considers silent."""
         return len(self._roster.silent)
 
-    def record_heartbeat(self, registration: Registration) -> bool:
+    def record_heartbeat(self, registration: Registration, received_at: float) -> bool:
         """Record an upstream's heartbeat; return False if it is out of date."""
-        is_new = self._registry.record(registration, trio.current_time())
+        is_new = self._registry.record(registration, received_at)
         if is_new:
             self._unshared.append(registration.instance)
         return is_new
--- a/src/finchway/control/_steering.py
+++ b/src/finchway/control/_steering.py
@@ -99,11 +99,12 @@
     async def record_heartbeat(self, registration: Registration, origin: CallOrigin) -> None:
         """Record an upstream's heartbeat; a draining state is committed before it returns.
 
+        It counts from when it can have arrived, since its sender may have ended before it is read.
         Raises `ResourceError` for an invalid heartbeat.
         """
         self._metrics.count_heartbeat()
         self._check_heartbeat(registration)
-        if not self._control.feed.record_heartbeat(registration):
+        if not self._control.feed.record_heartbeat(registration, origin.arrived_after):
             self._log_late_heartbeat(registration)
         if registration.state is UpstreamState.DRAINING:
             await self._commit_mark(
--- a/tests/unit/test_late_heartbeat.py
+++ b/tests/unit/test_late_heartbeat.py
@@ -10,8 +10,10 @@
 
 from finchway.control._feed import FeedServer
 from finchway.feed import GatewayHeartbeat, ShareHeartbeats, Subscribe, UpstreamHeartbeat
+from finchway.transport import CallOrigin
 from tests.unit.test_feed_server import IdleRunner
 from tests.unit.test_registry import registration
+from tests.unit.test_steering_log import LogRecorder, make_service
 
 HEARTBEAT_S = 1.5
 SILENT_AFTER_S = 2.5 * HEARTBEAT_S
@@ -27,7 +29,8 @@
 
     async def receive(self, instance, sequence=1, address="10.0.0.1:80") -> None:
         """Record a heartbeat and wait until the roster is updated."""
-        self.server.record_heartbeat(registration(instance, sequence, address=address))
+        now = trio.current_time()
+        self.server.record_heartbeat(registration(instance, sequence, address=address), now)
         await trio.sleep(0.2)
 
     async def live(self) -> set[str]:
@@ -105,3 +108,17 @@
         assert await replica.live() == {"a", "b"}
 
     play(script)
+
+
+# A replica that woke took a heartbeat that it read late for a sign of life.
+@pytest.mark.parametrize(("age_s", "silent"), [(0.0, 0), (SILENT_AFTER_S + 1.0, 1)])
+def test_a_heartbeat_that_is_read_late_is_as_old_as_it_may_be(age_s, silent):
+    async def run():
+        service = make_service(LogRecorder())
+        now = trio.current_time()
+        for instance, age, address in (("w", 0.0, "127.0.0.1:1"), ("e", age_s, "127.0.0.1:2")):
+            origin = CallOrigin(now - age, lambda: False)
+            await service.record_heartbeat(registration(instance, address=address), origin)
+        assert len(service.control.feed.registry.silent(now, SILENT_AFTER_S)) == silent
+
+    trio.run(run, clock=trio.testing.MockClock())
--- a/tests/unit/test_steering_log.py
+++ b/tests/unit/test_steering_log.py
@@ -29,12 +29,16 @@
         self.lines.append(line)
 
 
+def make_service(recorder: LogRecorder) -> SteeringService:
+    return SteeringService(Control(), recorder, ReplicaMetrics("c1"))
+
+
 def play(script):
     """Run a script against the steering service, on virtual time; return the logged lines."""
     recorder = LogRecorder()
 
     async def run():
-        await script(SteeringService(Control(), recorder, ReplicaMetrics("c1")))
+        await script(make_service(recorder))
 
     trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
     return [(line.subject, line.now) for line in recorder.lines]
