Answer 503 where the leader does not answer, in place of closing the connection

What callers saw: a call of the platform at a follower of a frozen leader ended after 3 s with a closed connection and no answer, and the replica logged an unexpected error.

Cause: the link's TransportError went through at_leader, which promises UnavailableError; the calls of the platform answer only that with 503. The resource API knew both.

--- a/src/finchway/control/_server.py
+++ b/src/finchway/control/_server.py
@@ -17,7 +17,13 @@
 from finchway.control._orders import ORDER_VALID_S, LeaderClock, require_current
 from finchway.control._replica import ReplicaRunner
 from finchway.control._replica_set import ReplicaSetPlanner, with_expected, without_name
-from finchway.exceptions import ConflictError, FinchwayError, NotLeaderError, UnavailableError
+from finchway.exceptions import (
+    ConflictError,
+    FinchwayError,
+    NotLeaderError,
+    TransportError,
+    UnavailableError,
+)
 from finchway.feed import ReportedRequests, ShareHeartbeats, Subscribe
 from finchway.membership import (
     Coordinator,
@@ -236,7 +242,7 @@
     async def _ask_leader(self, body: AnyBody, deadline: float) -> AnyBody | None:
         """Return the leader's reply to a message, or None if it has to be sent again.
 
-        Raises `UnavailableError` after the deadline.
+        Raises `UnavailableError` after the deadline, and if the leader does not answer.
         """
         left = deadline - trio.current_time()
         if left <= 0:
@@ -249,6 +255,8 @@
                 return await self._link.request(address, body, timeout=left)
         except NotLeaderError:
             pass
+        except TransportError as error:
+            raise UnavailableError(f"the leader did not answer: {error.message}") from error
         return None
 
     async def _confirm_here(self, within: float) -> Confirmed:
--- a/tests/adapter/test_frozen_replicas.py
+++ b/tests/adapter/test_frozen_replicas.py
@@ -152,3 +152,18 @@
                 await call.close()
 
     run(check, tmp_path)
+
+
+# A call at a follower of a frozen leader ended with a closed connection, without an answer.
+@pytest.mark.parametrize("path", [START, "/-/Config.Get"])
+def test_call_that_the_leader_does_not_answer_is_answered(tmp_path, path):
+    async def check(folder):
+        async with evacuated_deployment(folder) as subject:
+            leader, follower = await choose(subject, True), await choose(subject, False)
+            method = "GET" if path.endswith("Get") else "POST"
+            subject.running[leader].send_signal(signal.SIGSTOP)
+            answer = await subject.call(follower, "control", method, path)
+            assert answer is not None, "the connection ended without an answer"
+            assert answer[0] in (200, 503)
+
+    run(check, tmp_path)
