--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -16,7 +16,7 @@
     parser = argparse.ArgumentParser(prog="python -m bench.soak", description=__doc__)
     parser.add_argument("--seed", type=int, default=1, help="seed of the first run")
     parser.add_argument("--runs", type=int, default=1, help="how many runs, each with its own seed")
-    for field in ("replicas", "gateways", "upstreams", "callers", "faults", "cuts"):
+    for field in ("replicas", "gateways", "upstreams", "callers", "faults", "cuts", "freezes"):
         parser.add_argument(f"--{field}", type=int, default=getattr(Shape(), field))
     parser.add_argument("--seconds", type=float, default=Shape().seconds)
     chosen = vars(parser.parse_args())
--- a/bench/soak/_plan.py
+++ b/bench/soak/_plan.py
@@ -59,7 +59,8 @@
     """How large a run is.
 
     `moods` tells whether back ends ask for rest, name limits and say that they leave; `cuts` are
-    how often gateways are cut off from all back ends.
+    how often gateways are cut off from all back ends; `freezes` how often a minority of replicas
+    stands still while an operator takes its orders back at the others.
     """
 
     replicas: int = 3
@@ -70,6 +71,7 @@
     faults: int = 16
     moods: bool = True
     cuts: int = 0
+    freezes: int = 0
 
     @property
     def replica_names(self) -> list[str]:
@@ -114,7 +116,7 @@
             if _is_bearable(fault, plan):
                 plan.append(fault)
             at = min(last, at + rng.uniform(0.05, 1.5))
-    plan = plan[: shape.faults] + _cuts(seed, shape, last)
+    plan = plan[: shape.faults] + _cuts(seed, shape, last) + _freezes(seed, shape, last)
     return sorted(plan, key=lambda fault: (fault.at, fault.target))
 
 
@@ -133,6 +135,18 @@
     return cuts
 
 
+def _freezes(seed: int, shape: Shape, last: float) -> list[Fault]:
+    """Return the freezes of replicas, always the same minority of them."""
+    rng = random.Random(f"freezes of {seed}")
+    struck = rng.sample(shape.replica_names, (shape.replicas - 1) // 2)
+    freezes = []
+    for _ in range(shape.freezes):
+        at = rng.uniform(FIRST_AT_S, last)
+        for_s = round(rng.uniform(1.0, LONGEST_S), 2)
+        freezes += [Fault(at, FaultKind.PAUSE, name, for_s) for name in struck]
+    return freezes
+
+
 def _kind(rng: random.Random, target: str, shape: Shape) -> FaultKind:
     groups = [PROCESS_FAULTS, LINK_FAULTS, OTHER_FAULTS]
     if target in shape.replica_names:
--- a/bench/soak/_run.py
+++ b/bench/soak/_run.py
@@ -19,6 +19,7 @@
 from bench.soak._machines import Machines
 from bench.soak._plan import DISK_LOSSES, Fault, FaultKind, Shape, make_plan
 from bench.soak._proxy import BOTH, Direction, Mode
+from bench.soak._reversals import ReversingOperator
 from bench.soak._upstreams import Fleet
 
 START_WITHIN_S = 60.0
@@ -123,7 +124,13 @@
         control = self._control = ControlClient(list(machines.api.values()), self._rng)
         callers = Callers(self._shape.callers, machines.callers_see, self._ledger, self._seed + 2)
         fleet = Fleet(self._shape, machines.zones, self._ledger, control, self._seed + 3)
-        operator = Operator(control, self._ledger, machines.zones, random.Random(self._seed + 4))
+        zones = list(machines.zones)
+        operators = []
+        if self._shape.freezes:
+            zone, rng = zones.pop(), random.Random(self._seed + 5)
+            operators.append(ReversingOperator(control, machines.api, self._ledger, zone, rng))
+        operator = Operator(control, self._ledger, zones, random.Random(self._seed + 4))
+        operators.append(operator)
         with trio.fail_after(START_WITHIN_S):
             await self._until_voters(control)
             await control.insist("POST", "/v1/steering/items", first_items())
@@ -132,7 +139,8 @@
         nursery.start_soon(machines.keep_up)
         async with trio.open_nursery() as traffic:
             traffic.start_soon(callers.run)
-            traffic.start_soon(operator.run)
+            for each in operators:
+                traffic.start_soon(each.run)
             await self._strike_all()
             await self._recover(callers, control)
             traffic.cancel_scope.cancel()
--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -9,6 +9,7 @@
 
 SMALL = Shape(replicas=3, gateways=2, upstreams=4, callers=6, seconds=14.0, faults=8)
 WITH_CUTS = Shape(replicas=3, gateways=3, upstreams=5, callers=10, seconds=18.0, faults=6, cuts=4)
+WITH_FREEZES = Shape(gateways=2, upstreams=6, callers=6, seconds=30.0, faults=0, freezes=6)
 MEDIUM = Shape(
     replicas=3, gateways=3, upstreams=4, callers=10, seconds=20.0, faults=16, moods=False
 )
@@ -44,6 +45,12 @@
     play(seed, WITH_CUTS)
 
 
+# Orders that a frozen replica read late undid newer ones, at operators that leave without closing.
+@pytest.mark.parametrize("seed", [2])
+def test_a_short_soak_with_frozen_replicas_and_orders_taken_back_breaks_no_promise(seed):
+    play(seed, WITH_FREEZES)
+
+
 @pytest.mark.parametrize(("seed", "shape"), REGRESSIONS)
 def test_a_soak_that_once_broke_a_promise_breaks_none(seed, shape):
     play(seed, shape)
