Count how long an upstream stays cold from when its heartbeat is read

What callers would have seen: an upstream whose heartbeat was read late got its full share too early, by as much as the heartbeat had waited (FAILBACK).

Change: the time that it stays cold is extended by how long the heartbeat may have waited; it ends as before.

--- a/src/finchway/control/_feed.py
+++ b/src/finchway/control/_feed.py
@@ -4,8 +4,8 @@
 
 import uuid
 
-import msgspec
 import trio
+from msgspec.structs import replace
 
 from finchway.control._replica import ReplicaRunner
 from finchway.feed import (
@@ -87,7 +87,14 @@
         return len(self._roster.silent)
 
     def record_heartbeat(self, registration: Registration, received_at: float) -> bool:
-        """Record an upstream's heartbeat; return False if it is out of date."""
+        """Record an upstream's heartbeat; return False if it is out of date.
+
+        `received_at` is the earliest time at which it can have arrived. How long the upstream stays
+        cold counts from now, so that it ends at no time too early.
+        """
+        if registration.cold_for:
+            waited_s = trio.current_time() - received_at
+            registration = replace(registration, cold_for=registration.cold_for + waited_s)
         is_new = self._registry.record(registration, received_at)
         if is_new:
             self._unshared.append(registration.instance)
@@ -133,7 +140,7 @@
     ) -> Feed | PackedFeed:
         """Return an answer without the image of the steering state, which is only announced."""
         feed = self._build_feed(poll, known, arrived_at, SteeringImage())
-        feed = msgspec.structs.replace(feed, age=float("inf"), announced=revision)
+        feed = replace(feed, age=float("inf"), announced=revision)
         return pack(feed) if poll.packed else feed
 
     async def _wait_for_changes(self, revision: int, hold: float) -> None:
@@ -207,7 +214,7 @@
             ],
         )
         if roster != current:
-            self._roster = msgspec.structs.replace(roster, version=current.version + 1)
+            self._roster = replace(roster, version=current.version + 1)
 
     def _share_heartbeats(self, silent: list[ReceivedHeartbeat], now: float) -> None:
         """Send new heartbeats to peer replicas, and periodically those of silent upstreams.
--- a/tests/unit/test_late_heartbeat.py
+++ b/tests/unit/test_late_heartbeat.py
@@ -7,6 +7,7 @@
 import pytest
 import trio
 import trio.testing
+from msgspec.structs import replace
 
 from finchway.control._feed import FeedServer
 from finchway.feed import GatewayHeartbeat, ShareHeartbeats, Subscribe, UpstreamHeartbeat
@@ -122,3 +123,15 @@
         assert len(service.control.feed.registry.silent(now, SILENT_AFTER_S)) == silent
 
     trio.run(run, clock=trio.testing.MockClock())
+
+
+# An upstream whose heartbeat was read late got its full share too early (FAILBACK).
+def test_an_upstream_whose_heartbeat_is_read_late_is_cold_for_as_long_as_it_may_be():
+    async def run():
+        service = make_service(LogRecorder())
+        now = trio.current_time()
+        origin = CallOrigin(now - 1.0, lambda: False)
+        await service.record_heartbeat(replace(registration("cold"), cold_for=3.0), origin)
+        assert service.control.feed.registry.get("cold").cold_until == now + 3.0
+
+    trio.run(run, clock=trio.testing.MockClock())
