Keep the messages to the leader in a module of their own

Cause: the control role's server had grown by how an order finds the leader, what it knows of the leader's clock and when it gives up, beside the messages that it answers.

Change: control/_leader_calls.py has these; ControlServer hands over. Tests that orders and confirmations of this build and the one before are understood by each other. No change of behaviour.

--- a/src/finchway/control/_server.py
+++ b/src/finchway/control/_server.py
@@ -9,21 +9,14 @@
 import logging
 from collections.abc import Awaitable, Callable
 
-import msgspec
 import trio
 
 from finchway._clock import WALL_CLOCK
 from finchway.control._feed import FeedServer
-from finchway.control._orders import ORDER_VALID_S, LeaderClock, require_current
+from finchway.control._leader_calls import FORWARD_TIMEOUT_S, LeaderCalls
 from finchway.control._replica import ReplicaRunner
 from finchway.control._replica_set import ReplicaSetPlanner, with_expected, without_name
-from finchway.exceptions import (
-    ConflictError,
-    FinchwayError,
-    NotLeaderError,
-    TransportError,
-    UnavailableError,
-)
+from finchway.exceptions import ConflictError, FinchwayError, NotLeaderError, UnavailableError
 from finchway.feed import ReportedRequests, ShareHeartbeats, Subscribe
 from finchway.membership import (
     Coordinator,
@@ -58,7 +51,6 @@
     ReplicaStatus,
     Submit,
     Submitted,
-    Validity,
 )
 
 _LOG = logging.getLogger(__name__)
@@ -69,8 +61,6 @@
 CATCH_UP_INTERVAL_S = 0.2
 CATCH_UP_TIMEOUT_S = 1.0
 PLAN_INTERVAL_S = 0.1
-FORWARD_TIMEOUT_S = 3.0
-LEADER_RETRY_S = 0.05
 FORMATION_TIMEOUT_S = 8.0
 PLATFORM_INTERVAL_S = 0.5
 
@@ -103,7 +93,7 @@
         self._replicas = ReplicaSetPlanner(auto_join_voters)
         self._feed = FeedServer(runner, link, upstream_heartbeat)
         self._seen_revision = -1
-        self._leader_clock = LeaderClock()
+        self._leader = LeaderCalls(runner, link, self.handle)
 
     @property
     def runner(self) -> ReplicaRunner:
@@ -185,12 +175,12 @@
         Raises `OrderExpiredError` if it is too old, or if its caller has left; then it has no
         effect. Raises `UnavailableError` if the outcome is unknown.
         """
-        reply = await self._order(Submit(command=command), origin)
+        reply = await self._leader.order(Submit(command=command), origin)
         return reply.result
 
     async def change_replicas(self, add: str, remove: str, origin: CallOrigin) -> None:
         """Admit a further replica, or remove one, by name; raises as `submit` does."""
-        await self._order(ChangeReplicas(add=add, remove=remove), origin)
+        await self._leader.order(ChangeReplicas(add=add, remove=remove), origin)
 
     async def confirm(self, within: float = 0.0) -> int:
         """Wait until this replica has applied every change accepted before the call.
@@ -198,8 +188,7 @@
         With `within`, changes of the last `within` seconds before the call may be missing.
         """
         requested_at = trio.current_time()
-        confirmed = await self.at_leader(Confirm(within=within))
-        self._leader_clock.record(confirmed, trio.current_time())
+        confirmed = await self._leader.confirm(within)
         with trio.move_on_after(FORWARD_TIMEOUT_S):
             await self._runner.wait_applied(confirmed.index)
             self._runner.advance_current_as_of(requested_at - confirmed.age)
@@ -211,53 +200,7 @@
 
         Raises `UnavailableError` if no leader answers within a few seconds.
         """
-        deadline = trio.current_time() + FORWARD_TIMEOUT_S
-        while True:
-            reply = await self._ask_leader(body, deadline)
-            if reply is not None:
-                return reply
-            await trio.sleep(LEADER_RETRY_S)
-
-    async def _order(self, body: Submit | ChangeReplicas, origin: CallOrigin) -> AnyBody:
-        """Return the leader's reply to an order, asking while the caller waits for it."""
-        deadline = trio.current_time() + FORWARD_TIMEOUT_S
-        while True:
-            require_current(origin)
-            validity = await self._validity_of(origin)
-            order = msgspec.structs.replace(body, validity=validity)
-            reply = await self._ask_leader(order, deadline)
-            if reply is not None:
-                return reply
-            await trio.sleep(LEADER_RETRY_S)
-
-    async def _validity_of(self, origin: CallOrigin) -> Validity:
-        """Return until when an order is valid, asking a new leader for its clock first."""
-        if self._leader_clock.term != self._runner.core.term:
-            with trio.move_on_at(origin.arrived_after + ORDER_VALID_S):
-                confirmed = await self.at_leader(Confirm(within=CONFIRMATION_VALID_S))
-                self._leader_clock.record(confirmed, trio.current_time())
-            require_current(origin)
-        return self._leader_clock.validity_of(origin)
-
-    async def _ask_leader(self, body: AnyBody, deadline: float) -> AnyBody | None:
-        """Return the leader's reply to a message, or None if it has to be sent again.
-
-        Raises `UnavailableError` after the deadline, and if the leader does not answer.
-        """
-        left = deadline - trio.current_time()
-        if left <= 0:
-            raise UnavailableError("no leader could be reached in time")
-        try:
-            if self._runner.is_leader:
-                return await self.handle(body, "")
-            address = self._runner.leader_address()
-            if address is not None:
-                return await self._link.request(address, body, timeout=left)
-        except NotLeaderError:
-            pass
-        except TransportError as error:
-            raise UnavailableError(f"the leader did not answer: {error.message}") from error
-        return None
+        return await self._leader.request(body)
 
     async def _confirm_here(self, within: float) -> Confirmed:
         """Reuse the leader's newest confirmation if it is recent enough, else get a new one."""
--- a/tests/unit/test_rolling_upgrade.py
+++ b/tests/unit/test_rolling_upgrade.py
@@ -9,6 +9,7 @@
 import pytest
 from msgspec import Struct
 
+from finchway.control._orders import LeaderClock
 from finchway.feed import (
     Feed,
     GatewayHeartbeat,
@@ -19,7 +20,8 @@
     pack,
 )
 from finchway.membership import Heartbeat
-from finchway.state import SteeringImage
+from finchway.state import AnyCommand, SetEvacuation, SteeringImage
+from finchway.transport import CallOrigin, Confirmed, Submit, Validity
 from tests.unit.test_packing import feed_with_routes
 
 
@@ -142,3 +144,26 @@
     """So it is sent only to who asks for it; a peer of the build before cannot pass it on."""
     with pytest.raises(msgspec.ValidationError):
         recode(pack(feed_with_routes(100)), FeedBefore)
+
+
+class SubmitBefore(Struct, frozen=True, kw_only=True, tag="Submit"):
+    command: AnyCommand
+
+
+class ConfirmedBefore(Struct, frozen=True, kw_only=True, tag="Confirmed"):
+    revision: int
+    index: int
+    age: float = 0.0
+
+
+def test_orders_pass_between_builds():
+    command = SetEvacuation(now_ms=0, zone="z", active=True)
+    order = Submit(command=command, validity=Validity(3, 10.0))
+    assert recode(order, SubmitBefore).command == command
+    assert recode(SubmitBefore(command=command), Submit).validity is None
+
+
+def test_validity_that_a_leader_of_the_build_before_is_asked_for_is_of_no_term():
+    clock = LeaderClock()
+    clock.record(recode(ConfirmedBefore(revision=1, index=2), Confirmed), 5.0)
+    assert clock.validity_of(CallOrigin(5.0, lambda: False)).term == 0
