Take the time before the look at a socket, not after it

What callers would have seen: an order that arrived in the moment between a look at its socket and the reading of the clock, at a process that then stood still, passed for a new one. Found in reading the diff; the window is some microseconds, and the same at the start of a listener.

Cause: the time at which a socket was seen empty was read after the look.

Change: it is read before. The queue of new connections counts as empty from before the address listens.

--- a/src/finchway/transport/_arrivals.py
+++ b/src/finchway/transport/_arrivals.py
@@ -95,8 +95,9 @@
 
     def before_wait(self, descriptor: int) -> int:
         """Look whether the socket is readable already; return the argument of `after_wait`."""
+        looked_at = trio.current_time()
         if not has_event(descriptor, select.POLLIN):
-            self._empty_at = trio.current_time()
+            self._empty_at = looked_at
         return self._polls.count
 
     def after_wait(self, polls_before: int) -> None:
--- a/src/finchway/transport/_listener.py
+++ b/src/finchway/transport/_listener.py
@@ -81,13 +81,13 @@
         except OSError as error:
             listener.close()
             raise TransportError(f"cannot bind {self._address}: {error}") from error
+        if self._times_arrivals:
+            self._arrivals = ArrivalClock(trio.current_time())
         listener.listen(BACKLOG)
         self._socket = listener
 
     async def run(self) -> None:
         """Accept until `stop` is called, or until cancelled."""
-        if self._times_arrivals:
-            self._arrivals = ArrivalClock(trio.current_time())
         with self._socket:
             with self._accept_scope:
                 await self._accept()
--- a/tests/transport/test_arrivals.py
+++ b/tests/transport/test_arrivals.py
@@ -7,7 +7,7 @@
 import trio
 
 from finchway._clock import BootClock
-from finchway.transport import Listener, origin_of
+from finchway.transport import Listener, _arrivals, has_event, origin_of
 from tests.adapter.test_processes import free_ports
 
 STILL_S = 0.5
@@ -110,3 +110,26 @@
             await trio.sleep(0.1)
 
     play(script)
+
+
+# A process that stood still right after its look at the socket took what came meanwhile for new.
+def test_data_that_comes_right_after_the_look_at_the_socket_is_as_old_as_the_look(monkeypatch):
+    def look_and_stand_still(descriptor, event):
+        seen = has_event(descriptor, event)
+        if watched:
+            watched.pop().sendall(b"order")
+            stand_still()
+        return seen
+
+    async def script(port, connections):
+        client = socket.create_connection(("127.0.0.1", port))
+        stream = await connections.receive()
+        looked_at = trio.current_time()
+        watched.append(client)
+        await stream.receive_some()
+        assert origin_of(stream).arrived_after <= looked_at + CLOSE_S / 2
+        client.close()
+
+    watched = []
+    monkeypatch.setattr(_arrivals, "has_event", look_and_stand_still)
+    play(script)
