--- a/tests/process/test_deadly_requests.py
+++ b/tests/process/test_deadly_requests.py
@@ -20,6 +20,8 @@
 pytestmark = pytest.mark.xdist_group("gateway")
 
 UPSTREAMS = 9
+# Time within which gateways hear of upstreams that a replica knows.
+HEARD_WITHIN_S = 1.0
 # Time after the third crash that counts within which all gateways must have the quarantine.
 KNOWN_WITHIN_S = 3.0
 CLOCK_JUMP_S = 3_600.0
@@ -58,6 +60,15 @@
     play(check, tmp_path, UPSTREAMS)
 
 
+async def until_all_are_known(scene):
+    """Wait until gateways know all upstreams; with all known ones down, they answer 503 as well."""
+    known = 0
+    while known < UPSTREAMS:
+        _, body = await scene.control.insist("GET", "/v1/steering")
+        known = len(json.loads(body)["upstreams"])
+    await trio.sleep(HEARD_WITHIN_S)
+
+
 def test_an_operator_sees_what_is_quarantined_and_releases_it(tmp_path, capsys):
     def call(scene, *arguments):
         api = ",".join(scene.machines.api.values())
@@ -66,6 +77,7 @@
         return code, captured.out, captured.err
 
     async def check(scene):
+        await until_all_are_known(scene)
         while await scene.ask("g1") != 503:
             await trio.sleep(0.3)
         _, out, _ = await trio.to_thread.run_sync(call, scene, "steering", "-o", "json")
