Log the orders of the resource API, dropped ones too

What an operator saw at night: a change, a delete or a change of the replica set over the resource API that came too late got 503 and left no line, while the same order by the steering calls did.

Cause: the log of orders was part of SteeringService.

Change: it is a class of its own, OrderLog, which the resource API uses too: put, delete, admit and remove have an order line with age_ms, left, the outcome and a count like the others.

Result: tests/process/test_frozen_replicas.py wants the line 'expired' of the five orders that are left open and expire: three had none before (put, delete, admit), all have it now.

--- a/src/finchway/control/_api.py
+++ b/src/finchway/control/_api.py
@@ -97,6 +97,7 @@
     ) -> None:
         self._server = server
         self._steering = SteeringApi(steering)
+        self._orders = steering.orders
         self._link = link
         self._timeline = timeline
         self._metrics = metrics
@@ -248,8 +249,10 @@
     async def _change(
         self, command: PutResource | DeleteResource, origin: CallOrigin, respond
     ) -> None:
-        result = await self._server.submit(command, origin)
-        accepted = _require_accepted(result, f"{command.kind}/{command.name}")
+        subject = f"{command.kind}/{command.name}"
+        order = "put" if isinstance(command, PutResource) else "delete"
+        with self._orders.record(order, subject, origin):
+            accepted = _require_accepted(await self._server.submit(command, origin), subject)
         answer = {
             "revision": accepted.revision,
             "generation": accepted.generation,
@@ -325,7 +328,9 @@
         change = _decode(await request.read(MAX_BODY_BYTES), _ReplicaChange)
         if bool(change.add) == bool(change.remove):
             raise ResourceError([Finding("body", "give either add or remove")], "replica change")
-        await self._server.change_replicas(change.add, change.remove, request.origin)
+        order, name = ("admit", change.add) if change.add else ("remove", change.remove)
+        with self._orders.record(order, f"replica/{name}", request.origin):
+            await self._server.change_replicas(change.add, change.remove, request.origin)
         await self._replicas(respond)
 
     async def _events(self, request: Request, respond) -> None:
--- a/src/finchway/control/_steering.py
+++ b/src/finchway/control/_steering.py
@@ -2,25 +2,22 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
-from contextlib import contextmanager
-
 import trio
 
 from finchway._clock import WALL_CLOCK
 from finchway.catalog import Item
+from finchway.control._order_log import OrderLog
 from finchway.control._server import ControlServer
 from finchway.exceptions import (
     ConflictError,
     FinchwayError,
     Finding,
     NotFoundError,
-    OrderExpiredError,
     ResourceError,
     UnavailableError,
 )
 from finchway.feed import choose_gateways
-from finchway.observe import CommandEnded, DecisionLog, ReplicaMetrics, ReplicaState, StateChanged
+from finchway.observe import DecisionLog, ReplicaMetrics, ReplicaState, StateChanged
 from finchway.registry import (
     MarkKind,
     Registration,
@@ -62,6 +59,7 @@
         self._control = control
         self._decisions = decisions
         self._metrics = metrics
+        self._orders = OrderLog(decisions, metrics, self._steering_revision)
         self._congested_zones: set[str] = set()
         self._refusal_logged_at = float("-inf")
 
@@ -70,6 +68,11 @@
         """The control role that handles the calls."""
         return self._control
 
+    @property
+    def orders(self) -> OrderLog:
+        """The log of orders at this replica."""
+        return self._orders
+
     async def change_items(self, items: list[Item], origin: CallOrigin) -> int:
         """Set and delete items atomically; return the steering revision of the change.
 
@@ -79,7 +82,7 @@
         subject = ", ".join(
             f"{item.key} version {item.version}" for item in items[:MAX_LOGGED_ITEMS]
         )
-        with self._log_command("change", subject, origin):
+        with self._orders.record("change", subject, origin):
             result = await self._submit(
                 ChangeItems(now_ms=WALL_CLOCK.now_ms(), items=items), origin
             )
@@ -120,7 +123,7 @@
 
     async def evacuate(self, zone: str, active: bool, origin: CallOrigin) -> None:
         """Begin or end the evacuation of a zone."""
-        with self._log_command("evacuate" if active else "readmit", f"zone/{zone}", origin):
+        with self._orders.record("evacuate" if active else "readmit", f"zone/{zone}", origin):
             await self._submit(
                 SetEvacuation(now_ms=WALL_CLOCK.now_ms(), zone=zone, active=active), origin
             )
@@ -137,7 +140,7 @@
                 "the list of suspects in `finchway steering` has the digests",
             )
         report = RequestReport(request, answered=True)
-        with self._log_command("release", f"request/{request}", origin):
+        with self._orders.record("release", f"request/{request}", origin):
             await self._submit(ReportRequests(now_ms=WALL_CLOCK.now_ms(), reports=[report]), origin)
 
     def gateways(self, host: str, region: str, zone: str) -> list[str]:
@@ -207,7 +210,7 @@
         if current is not None and (current.kind is kind or current.kind is MarkKind.GONE):
             return
         command = MarkUpstream(now_ms=WALL_CLOCK.now_ms(), instance=instance, kind=kind, born=born)
-        with self._log_command(kind.value, f"upstream/{incarnation}", origin):
+        with self._orders.record(kind.value, f"upstream/{incarnation}", origin):
             await self._submit(command, origin)
 
     def render_metrics(self) -> bytes:
@@ -232,42 +235,8 @@
             )
         )
 
-    @contextmanager
-    def _log_command(self, command: str, subject: str, origin: CallOrigin) -> Iterator[None]:
-        """Log and count a command with its outcome."""
-        started = trio.current_time()
-        has_left = origin.has_left()
-        outcome, detail = "open", "cut short"
-        try:
-            yield
-            outcome, detail = "committed", ""
-        except ResourceError as error:
-            outcome, detail = "refused", str(error)
-            raise
-        except ConflictError as error:
-            outcome, detail = "conflict", error.message
-            raise
-        except OrderExpiredError as error:
-            outcome, detail = "expired", error.message
-            raise
-        except FinchwayError as error:
-            detail = error.message
-            raise
-        finally:
-            seconds = trio.current_time() - started
-            self._metrics.count_command(command, outcome, seconds)
-            self._decisions.write(
-                CommandEnded(
-                    order=command,
-                    subject=subject,
-                    outcome=outcome,
-                    detail=detail,
-                    revision=self._control.runner.machine.steering.revision,
-                    age_ms=round((started - origin.arrived_after) * 1000, 1),
-                    left=has_left,
-                    ms=round(seconds * 1000, 1),
-                )
-            )
+    def _steering_revision(self) -> int:
+        return self._control.runner.machine.steering.revision
 
     async def _submit(
         self, command: AnyCommand, origin: CallOrigin
--- a/src/finchway/gateway/_http.py
+++ b/src/finchway/gateway/_http.py
@@ -323,7 +323,8 @@
     """Listens on an address and passes each request to `serve`.
 
     `on_left` is called for each connection that its caller has closed before it was accepted. With
-    `times_arrivals`, `CallerConnection.origin` bounds the age of a request.
+    `times_arrivals`, `CallerConnection.origin` bounds the age of a request, as servers that take
+    orders need it: one that may have any age is not carried out.
     """
 
     def __init__(
--- a/tests/process/test_frozen_replicas.py
+++ b/tests/process/test_frozen_replicas.py
@@ -17,6 +17,7 @@
 pytestmark = pytest.mark.xdist_group("control")
 CALLER_WAITS_S = 1.0
 SETTLED_S = 1.0
+EXPIRED = '"outcome":"expired"'
 ZONE = "/v1/steering/evacuations/north-a"
 ITEMS = "/v1/steering/items"
 UPSTREAMS = "/v1/steering/upstreams"
@@ -44,7 +45,7 @@
 class Order(Struct):
     """An order, what is done elsewhere after it got no answer, and what must hold then.
 
-    `before` is done ahead of the freeze.
+    `before` is done ahead of the freeze. Where it is found to be done already, it doesn't expire.
     """
 
     method: str
@@ -53,6 +54,7 @@
     before: list[tuple]
     elsewhere: list[tuple]
     holds: Callable
+    expires: bool = True
 
 
 def is_latency(name: str, milliseconds: float) -> Callable:
@@ -116,6 +118,7 @@
         [("POST", ITEMS, [SERVICE]), ("PUT", f"{UPSTREAMS}/i-1", heartbeat())],
         [("DELETE", f"{UPSTREAMS}/i-1", {}), ("PUT", f"{UPSTREAMS}/i-1", heartbeat())],
         lambda client: client.read("/v1/steering")["upstreams"][0]["state"] == "ready",
+        expires=False,
     ),
 }
 
@@ -172,6 +175,7 @@
     host, _, port = deployment.api[frozen].partition(":")
     connection = socket.create_connection((host, int(port)))
     time.sleep(0.2)
+    logged = len((deployment.folder / f"{frozen}.log").read_text())
     deployment.processes[frozen].send_signal(signal.SIGSTOP)
     try:
         connection.sendall(encode(order.method, order.path, order.body))
@@ -186,3 +190,5 @@
     deployment.wait(lambda: is_settled(deployment), "all replicas")
     connection.close()
     assert order.holds(deployment.client)
+    if leaves_open and order.expires:
+        assert EXPIRED in (deployment.folder / f"{frozen}.log").read_text()[logged:]
