--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,9 +1,7 @@
-"""One core loses its disk after some hundred large changes of the configuration."""
+"""A route with a target latency of 0 ms is added beside another route of its service."""
 
 import asyncio
-import json
 import sys
-import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
@@ -13,81 +11,58 @@
     LIMITS,
     TROUBLE,
     Unusable,
-    call,
-    memory_of,
+    Worker,
     patch,
     route,
     run_case,
+    send,
     service,
 )
 
-MEMORY_MB = 296
-ROUTES = 1556
-CHANGES = 150
-CHANGES_FOR_S = 70.0
-DOWN_S = 0.5
-RECOVERY_S = 15.0
-ENDS_ALLOWED = 2
-READ_BACK_FOR_S = 6.0
+TARGET_LATENCY = "0ms" if TROUBLE else "300ms"
+CONFIG_APPLY_S = 2.0
+REQUESTS = 40
 
 
-async def read_back(deployment) -> int:
-    """Read the configuration at any node for some time; return the version found, or 0."""
-    end = time.monotonic() + READ_BACK_FOR_S
-    tries = 0
-    while time.monotonic() < end:
-        ip = deployment.cores[tries % len(deployment.cores)]
-        tries += 1
-        address = deployment.address(ip, "control")
-        answer = await call(address, "GET", "/-/Config.Get", {"Host": ip}, b"", 3.0)
-        if answer.status == 200:
-            items = json.loads(answer.body)["resources"]
-            versions = [i["metadata"]["version"] for i in items if i["resource_type"] == "routes"]
-            deployment.record(f"operator: reads back version {min(versions)} at {ip}")
-            return min(versions)
-        deployment.record(f"operator: cannot read the configuration back at {ip}: {answer}")
-        await asyncio.sleep(0.3)
-    return 0
+async def served(deployment, prefix: str) -> float:
+    """Send requests to both gateways in turn; return which part of them is served."""
+    count = 0
+    for number in range(REQUESTS):
+        ip = deployment.edges[number % len(deployment.edges)]
+        count += (await send(deployment, f"{prefix}{number}", ip=ip)).status == 200
+        await asyncio.sleep(0.02)
+    deployment.record(f"{prefix}: {count} of {REQUESTS} requests served")
+    return count / REQUESTS
 
 
 async def case(deployment) -> int:
-    """Return whether processes end three times, or what was acknowledged can't be read back."""
+    """Return whether later routes are served under a quarter as often as the first one."""
     record = deployment.record
-    first = patch(service("huvo11a"), route("r-0000", "/a0/", "huvo11a"), LIMITS)
+    first = patch(service("huvo11a"), service("wuno96b"), route("r-a", "/a/", "huvo11a"), LIMITS)
     if (await deployment.order("first configuration", "/-/Config.Patch", first)).status != 200:
         raise Unusable("the first configuration was not taken")
+    workers = [Worker(deployment, f"i-{n}", "huvo11a") for n in (1, 2)]
+    workers += [Worker(deployment, f"i-{n}", "wuno96b") for n in (3, 4)]
+    for worker in workers:
+        await worker.start()
+    beats = [asyncio.create_task(worker.beat()) for worker in workers]
     await deployment.ready()
-    watch = asyncio.create_task(deployment.watch_memory(MEMORY_MB))
-    acknowledged = 1
-    end = time.monotonic() + CHANGES_FOR_S
-    for version in range(2, CHANGES + 2):
-        items = [
-            route(f"r-{n:04d}", f"/a{n}/", "huvo11a", version, timeout=f"{2000 + version}ms")
-            for n in range(ROUTES)
-        ]
-        answer = await deployment.order(
-            f"version {version}", "/-/Config.Patch", patch(*items), 10.0, 1.0 + 0.003 * ROUTES
-        )
-        if answer.status == 200:
-            acknowledged = version
-        if version % 20 == 0:
-            used = [round(memory_of(p.pid)) for p in deployment.running.values()]
-            record(f"platform: memory in MB {used}")
-        if time.monotonic() > end:
-            raise Unusable("the changes take too long on this machine")
-    if deployment.over:
-        raise Unusable("over memory before the disruption")
-    record(f"acknowledged up to version {acknowledged}")
-    if TROUBLE:
-        await deployment.wipe(deployment.cores[4], DOWN_S)
-    await asyncio.sleep(RECOVERY_S)
-    found = await read_back(deployment)
-    watch.cancel()
-    record(
-        f"acknowledged {acknowledged}, read back {found or 'nothing'}; processes that went "
-        f"over {MEMORY_MB} MB: {len(deployment.over)}"
+    await asyncio.sleep(2)
+    added = patch(
+        route("r-b", "/b/", "wuno96b", 2, target_latency=TARGET_LATENCY),
+        route("r-c", "/c/", "wuno96b", 2),
     )
-    return BROKEN if len(deployment.over) > ENDS_ALLOWED or found < acknowledged else HELD
+    answer = await deployment.order("two more routes", "/-/Config.Patch", added)
+    if 400 <= answer.status < 500:
+        record("the change was refused as invalid; nothing of it has to be served")
+        return HELD
+    await asyncio.sleep(CONFIG_APPLY_S + 1)
+    on_first = await served(deployment, "/a/")
+    on_later = [await served(deployment, "/b/"), await served(deployment, "/c/")]
+    record(f"served on the first route {on_first:.2f}, on the two later ones {on_later}")
+    for beat in beats:
+        beat.cancel()
+    return BROKEN if sum(on_later) / 2 < on_first / 4 else HELD
 
 
-run_case(Path(__file__).resolve().parent, case, cores=5)
+run_case(Path(__file__).resolve().parent, case, cores=3, edges=2)
