--- a/review/standins2.py
+++ b/review/standins2.py
@@ -45,10 +45,10 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that are free on all loopback addresses."""
+    """Return free ports, which all loopback addresses of a deployment use alike."""
     sockets = [socket.socket() for _ in range(count)]
     for opened in sockets:
-        opened.bind(("0.0.0.0", 0))
+        opened.bind(("127.0.0.1", 0))
     ports = [opened.getsockname()[1] for opened in sockets]
     for opened in sockets:
         opened.close()
