--- a/review/6/case.py
+++ b/review/6/case.py
@@ -21,8 +21,9 @@
 
 # The time of the change to the microsecond, as 20 digits; without the disruption, to the second.
 VERSION = 20261207033300123456 if TROUBLE else 20261207033300
-OPERATOR_TRIES_S = 20.0
-ENDS_ALLOWED = 2
+OPERATOR_TRIES_S = 60.0
+# Three ends on each of two machines: the strictest reading of the rule.
+ENDS, MACHINES = 3, 2
 
 
 async def case(deployment) -> int:
@@ -46,7 +47,9 @@
     await send(deployment, "/a/2")
     record(f"processes that ended by themselves: {len(deployment.ended)}: {deployment.ended}")
     beats.cancel()
-    return BROKEN if len(deployment.ended) > ENDS_ALLOWED else HELD
+    often = [ip for ip in set(deployment.ended) if deployment.ended.count(ip) >= ENDS]
+    record(f"machines on which processes ended {ENDS} times or more: {len(often)}")
+    return BROKEN if len(often) >= MACHINES else HELD
 
 
 run_case(Path(__file__).resolve().parent, case, cores=5)
