Take no answer for whole whose connection ended under a failed write

Callers got the first bytes of an answer without a length as a complete 200, when the upstream sent them and reset the connection while the upload was still being sent (MIXED).

Cause: a socket reports a reset once. The write that failed took it and was only noted as a reason not to use the connection again; the reads that followed gave what had arrived and then an end in order, which is how an answer without a length ends.

Evidence: a raw upstream that answers at once and closes with the upload unread, bodies of 900 KB and 4 MB, pauses of 0, 50 and 300 ms: 200 with the first bytes in 4 of 6 cases on.

Change: the end of a connection ends an answer only if the request had been sent completely and without a failed write. Otherwise the attempt is broken: 502, or a reset for an answer whose first part was passed on already. It also holds for an upstream that ended in order while the upload was still under way, since the two can't be told apart then. Answers with a length or in chunks tell their end themselves and are read as before.

--- a/src/finchway/gateway/_connection.py
+++ b/src/finchway/gateway/_connection.py
@@ -97,6 +97,8 @@
         self._idle_timeout = DEFAULT_IDLE_S
         self._is_reusable = True
         self._request_sent = False
+        self._has_failed_write = False
+        self._has_ended = False
         self._unsent = b""
         self._is_reused = False
         self._on_head = _ignore_head
@@ -239,7 +241,7 @@
             await self._stream.send_all(self._unsent)
             self._request_sent = True
         except (trio.BrokenResourceError, trio.ClosedResourceError):
-            self._is_reusable = False
+            self._record_failed_write()
 
     async def _receive(self, id_header: bytes, request_id: str) -> Answer:
         while self._stray_answers <= _MAX_STRAYS_PER_REQUEST * self._requests:
@@ -275,17 +277,17 @@
         self._http.send(h11.Request(method="GET", target="/", headers=[("Host", "stray")]))
         self._http.send(h11.EndOfMessage())
         if rest:
-            self._http.receive_data(rest)
+            self._feed(rest)
         if closed:
             self._http.receive_data(b"")
 
     async def _read_answer(self, id_header: bytes, request_id: str) -> Answer:
         while True:
             event = await self._next_event()
+            if not isinstance(event, h11.Response | h11.InformationalResponse):
+                raise AttemptError(Failure.BROKEN, "closed without an answer")
             if isinstance(event, h11.Response):
                 break
-            if not isinstance(event, h11.InformationalResponse):
-                raise AttemptError(Failure.BROKEN, "closed without an answer")
         answer = Answer(event.status_code, bytes(event.reason), list(event.headers))
         answer.is_stray = not self._is_awaited(answer.header(id_header), request_id)
         self._record_keep_alive(answer)
@@ -315,20 +317,42 @@
         try:
             while True:
                 event = self._http.next_event()
+                if isinstance(event, h11.EndOfMessage):
+                    self._check_end()
                 if event is not h11.NEED_DATA:
                     return event
-                self._http.receive_data(await self._stream.receive_some(READ_BYTES))
+                self._feed(await self._stream.receive_some(READ_BYTES))
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise AttemptError(_failure_of(error), f"read: {error!r}") from error
         except h11.RemoteProtocolError as error:
             raise AttemptError(Failure.BROKEN, f"not an answer: {error}") from error
 
+    def _feed(self, data: bytes) -> None:
+        """Pass received bytes on to the parser; none mean that the connection has ended."""
+        self._has_ended = self._has_ended or not data
+        self._http.receive_data(data)
+
+    def _check_end(self) -> None:
+        """Raise `AttemptError` if an answer that ends with its connection may not be whole.
+
+        A reset is reported once, to a write as well as to a read. After a failed write, or while
+        the request is still being sent, the end of the connection does not tell how it ended.
+        """
+        if self._has_ended and (self._has_failed_write or not self._request_sent):
+            raise AttemptError(
+                Failure.BROKEN, "the connection ended before the request was sent completely"
+            )
+
     async def _write(self, data: bytes) -> None:
         try:
             await self._stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             # The answer may have arrived already; the next read shows it or fails.
-            self._is_reusable = False
+            self._record_failed_write()
+
+    def _record_failed_write(self) -> None:
+        self._has_failed_write = True
+        self._is_reusable = False
 
 
 def read_count(text: str) -> int | None:
