Refuse heads that no answer may have, at gateways and entries

Callers got answers of upstreams in trouble as answers: with a status above 599, a version other than 1.0 and 1.1, control bytes in the reason or a value, a length beside chunks, and with a line that begins with a blank or a tab. The last one is joined to the line before it, so that a Content-Length or Transfer-Encoding turns into a part of another header and the caller gets a body that isn't the upstream's (MIXED).

Cause: h11 reads heads leniently, and nothing checked what it returned; folded lines can't be told any more once it has. The users' named cases status 000, and a blank or a control byte within a name, were refused by h11 already: 502 before and after.

Change: find_fault looks at the parsed head (also of 1xx heads), FoldedLineDetector at the bytes of heads before they are parsed. Gateways check both where they read answers, entries by way of the stream that httpcore reads from. An odd head is a broken attempt: 502, or a repeat if that is safe.

The command line's client and the platform's list read JSON documents, which show themselves when they are cut short, and were left as they are.

--- a/src/finchway/entry/_upstream.py
+++ b/src/finchway/entry/_upstream.py
@@ -22,6 +22,7 @@
 from finchway.entry._call import Headers, ResponseMetadata, UpstreamError
 from finchway.policy import Outcome
 from finchway.pushback import read_pushback
+from finchway.transport import FoldedLineDetector, find_fault
 
 _CONNECT_TIMEOUT_S = 1.0
 _KEEPALIVE_S = 30.0
@@ -57,6 +58,37 @@
     """The request may no longer be sent although the connection was established."""
 
 
+class _CheckedStream(httpcore.AsyncNetworkStream):
+    """A connection's stream that refuses heads with a line that begins with a blank.
+
+    Each write belongs to a new request, since an answer is read only once its request is sent.
+    """
+
+    def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
+        self._stream = stream
+        self._folded_lines = FoldedLineDetector()
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        """Receive data; raises `httpcore.RemoteProtocolError` if it is no answer."""
+        data = await self._stream.read(max_bytes, timeout)
+        if self._folded_lines.feed(data):
+            raise httpcore.RemoteProtocolError("a line of the head begins with a blank")
+        return data
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        """Send data, as in `httpcore.AsyncNetworkStream`."""
+        self._folded_lines = FoldedLineDetector()
+        await self._stream.write(buffer, timeout)
+
+    async def aclose(self) -> None:
+        """Close the connection, as in `httpcore.AsyncNetworkStream`."""
+        await self._stream.aclose()
+
+    def get_extra_info(self, info: str):
+        """Return information on the connection, as in `httpcore.AsyncNetworkStream`."""
+        return self._stream.get_extra_info(info)
+
+
 class _CheckingBackend(httpcore.AsyncNetworkBackend):
     """Network backend that closes a new connection if `may_send` returns false."""
 
@@ -68,7 +100,7 @@
         """Connect to an upstream; raise an error if the request may no longer be sent."""
         stream = await self._backend.connect_tcp(host, port, **options)
         if self._may_send():
-            return stream
+            return _CheckedStream(stream)
         await stream.aclose()
         raise _SendNotAllowedError("asked for backoff or named a limit while connecting")
 
@@ -125,6 +157,7 @@
             detail = f"{address} failed before responding: {error}"
             raise UpstreamError(Outcome.UNKNOWN, detail) from error
         try:
+            _check_head(address, response)
             _check_attempt_id(address, attempt_id, response)
             _check_length(address, method, response)
             yield Reply(response)
@@ -197,6 +230,15 @@
     return [*kept, (_ATTEMPT_ID_HEADER, attempt_id)]
 
 
+def _check_head(address: str, response: httpcore.Response) -> None:
+    """Raise `UpstreamError` if the head is none that an answer may have."""
+    version = response.extensions["http_version"].removeprefix(b"HTTP/")
+    reason = response.extensions.get("reason_phrase", b"")
+    fault = find_fault(version, response.status, reason, response.headers)
+    if fault:
+        raise UpstreamError(Outcome.UNKNOWN, f"{address} sent no answer: {fault}")
+
+
 def _check_attempt_id(address: str, attempt_id: bytes, response: httpcore.Response) -> None:
     """Raise `UpstreamError` for the answer to another request; an id need not be repeated."""
     for name, value in response.headers:
--- a/src/finchway/gateway/_connection.py
+++ b/src/finchway/gateway/_connection.py
@@ -14,6 +14,7 @@
 from msgspec import Struct
 
 from finchway.gateway._http import READ_BYTES, Headers
+from finchway.transport import FoldedLineDetector, find_fault
 
 CONNECT_TIMEOUT_S = 0.4
 USER_TIMEOUT_MS = 3_000
@@ -99,6 +100,7 @@
         self._request_sent = False
         self._has_failed_write = False
         self._has_ended = False
+        self._folded_lines = FoldedLineDetector()
         self._unsent = b""
         self._is_reused = False
         self._on_head = _ignore_head
@@ -227,6 +229,7 @@
         if not (whole and self._is_reusable and self._request_sent) or self._http.trailing_data[0]:
             return False
         self._http.start_next_cycle()
+        self._folded_lines = FoldedLineDetector()
         self._request_sent = False
         self._is_reused = True
         self._idle_until = now + self._idle_timeout * IDLE_FRACTION
@@ -276,6 +279,7 @@
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES)
         self._http.send(h11.Request(method="GET", target="/", headers=[("Host", "stray")]))
         self._http.send(h11.EndOfMessage())
+        self._folded_lines = FoldedLineDetector()
         if rest:
             self._feed(rest)
         if closed:
@@ -286,6 +290,7 @@
             event = await self._next_event()
             if not isinstance(event, h11.Response | h11.InformationalResponse):
                 raise AttemptError(Failure.BROKEN, "closed without an answer")
+            _check_head(event)
             if isinstance(event, h11.Response):
                 break
         answer = Answer(event.status_code, bytes(event.reason), list(event.headers))
@@ -329,6 +334,8 @@
 
     def _feed(self, data: bytes) -> None:
         """Pass received bytes on to the parser; none mean that the connection has ended."""
+        if self._folded_lines.feed(data):
+            raise AttemptError(Failure.BROKEN, "not an answer: a line begins with a blank")
         self._has_ended = self._has_ended or not data
         self._http.receive_data(data)
 
@@ -355,6 +362,13 @@
         self._is_reusable = False
 
 
+def _check_head(head: h11.Response | h11.InformationalResponse) -> None:
+    """Raise `AttemptError` if a head is none that an answer may have."""
+    fault = find_fault(head.http_version, head.status_code, head.reason, list(head.headers))
+    if fault:
+        raise AttemptError(Failure.BROKEN, f"not an answer: {fault}")
+
+
 def read_count(text: str) -> int | None:
     """Return the whole number in a header's text; None if it is not one, or too long.
 
--- a/src/finchway/transport/__init__.py
+++ b/src/finchway/transport/__init__.py
@@ -5,6 +5,7 @@
 
 from typing import Any
 
+from finchway.transport._answer_heads import FoldedLineDetector, find_fault
 from finchway.transport._arrivals import AcceptedStream, CallOrigin, origin_of
 from finchway.transport._keys import Keys, load_keys, make_keys
 from finchway.transport._link import Handler, Link
@@ -18,10 +19,12 @@
     "AcceptedStream",
     "AppServer",  # noqa: F405
     "CallOrigin",
+    "FoldedLineDetector",
     "Handler",
     "Keys",
     "Link",
     "Listener",
+    "find_fault",
     "has_event",
     "load_keys",
     "make_keys",
