Bound what all clients of a process hold together

Clients outside the limits ended a process: it ran out of memory. What they sent were many bodies that stop just short of their end, in chunks or with a length, legal or too long, at once.

Cause: each connection may hold what a single request may (1 MiB of a body, 256 KiB of an answer, pipelined data, up to 32 MB in the kernel's buffer), and nothing counted the sum. The same holds at each listener: readiness, directory and metrics took bodies of 64 MB that they don't need. Connections were bounded for each listener alone, above the descriptors of a machine.

Change: one budget of connections and bytes for a process (transport/_client_budget.py), taken from the memory and descriptors that its settings name, drawn on by all its HTTP listeners and given back on every way out. Drawn is what is held: the buffer, the parser's and the kernel's part beside it, an answer until its caller has taken it. When it is used up, clients that have stalled midway for a second are ended (their request gets 503), for connections then the longest idle; else the newcomer is refused, 503 with Retry-After for a body, before any of it is passed on. Short bodies and answers need nothing of the bytes, so that bodies can't take the room of ordinary requests. Kernel buffers are bounded; parts are kept in one buffer, and a body that is sent to an upstream is not copied. Listeners that need no body take 1 KB, control 1 MB (413 beyond it; before, control answered 400 there).

Why it works: every place where a client can make the process hold more than 88 KB draws first, and 88 KB times the connections, plus the bytes, is three fifths of the memory.

--- a/Makefile
+++ b/Makefile
@@ -18,8 +18,10 @@
 demo: $(STAMP)
 	$(BIN)/python -m bench.demo
 
+# Crowds of clients run one at a time, apart from the other tests.
 test: $(STAMP)
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest --ignore=tests/crowds
+	$(BIN)/python -m pytest -n 0 tests/crowds
 
 lint: $(STAMP)
 	$(BIN)/black --check --quiet src tests bench platform
--- a/src/finchway/_settings.py
+++ b/src/finchway/_settings.py
@@ -16,6 +16,7 @@
 
 from finchway.exceptions import Finding, SettingsError
 from finchway.gateway import Bounds
+from finchway.transport import DEFAULT_DESCRIPTORS, DEFAULT_MEMORY_MB
 
 ENTRY = "entry"
 CONTROL = "control"
@@ -23,6 +24,9 @@
 _ROLES = (ENTRY, CONTROL, GATEWAY)
 _LOG_LEVELS = ("debug", "info", "warning", "error")
 _ENV_PREFIX = "FINCHWAY_"
+# A process without clients holds about half of this memory.
+MIN_MEMORY_MB = 100
+MIN_DESCRIPTORS = 256
 # Variables of the `finchway` command, which may be set in the same shell.
 CLI_VARIABLES = frozenset(
     {"FINCHWAY_API", "FINCHWAY_CREDENTIAL", "FINCHWAY_CA_FILE", "FINCHWAY_OUTPUT"}
@@ -62,6 +66,8 @@
     open_joining: bool = False
     bounds: Bounds = Bounds()
     peer_listen: str = ""
+    memory_mb: int = DEFAULT_MEMORY_MB
+    max_descriptors: int = DEFAULT_DESCRIPTORS
 
     @property
     def peer_bind(self) -> str:
@@ -101,6 +107,16 @@
     _Flag("clock_margin_s", "0.5", "Margin in seconds for clocks that run at different speeds."),
     _Flag("election_s", "1", "Shortest election time of the replicated log in seconds."),
     _Flag("relay_above", "32", "Live entries above which heartbeats go through relays."),
+    _Flag(
+        "memory_mb",
+        str(DEFAULT_MEMORY_MB),
+        "Memory of the process in MB, of which clients together may hold three fifths.",
+    ),
+    _Flag(
+        "max_descriptors",
+        str(DEFAULT_DESCRIPTORS),
+        "File descriptors of the process, of which clients may use three quarters but for 200.",
+    ),
     _Flag("drain_limit_s", "120", "Longest planned stop in seconds, whatever is in flight."),
 )
 
@@ -174,6 +190,8 @@
             region=self._name("region", required=gateway),
             gateway_address=self._address("gateway_address", required=gateway),
             zones=self._zones(),
+            memory_mb=self._integer("memory_mb", MIN_MEMORY_MB),
+            max_descriptors=self._integer("max_descriptors", MIN_DESCRIPTORS),
         )
         self._check_combinations(settings)
         if self._findings:
@@ -273,11 +291,13 @@
             self._add_finding(name, f"{value!r} is not known", f"one of {', '.join(choices)}")
         return value
 
-    def _integer(self, name: str) -> int:
+    def _integer(self, name: str, minimum: int = 0) -> int:
         value = self._raw[name]
-        if not value.isdigit():
+        if not (value.isascii() and value.isdigit()):
             self._add_finding(name, f"{value!r} is not a whole number")
-            return 0
+            return minimum
+        if int(value) < minimum:
+            self._add_finding(name, f"{value} is too small", f"at least {minimum}")
         return int(value)
 
     def _seconds(self, name: str, minimum: float) -> float:
--- a/src/finchway/control/_steering.py
+++ b/src/finchway/control/_steering.py
@@ -36,7 +36,7 @@
     Steered,
     VersionTaken,
 )
-from finchway.transport import CallOrigin
+from finchway.transport import CallOrigin, ClientBudget
 
 MAX_LOGGED_ITEMS = 5
 # Time without messages from the leader after which the metrics report the contact as lost: fifteen
@@ -54,11 +54,16 @@
     """
 
     def __init__(
-        self, control: ControlServer, decisions: DecisionLog, metrics: ReplicaMetrics
+        self,
+        control: ControlServer,
+        decisions: DecisionLog,
+        metrics: ReplicaMetrics,
+        budget: ClientBudget | None = None,
     ) -> None:
         self._control = control
         self._decisions = decisions
         self._metrics = metrics
+        self._budget = budget or ClientBudget()
         self._orders = OrderLog(decisions, metrics, self._steering_revision)
         self._congested_zones: set[str] = set()
         self._refusal_logged_at = float("-inf")
@@ -232,6 +237,7 @@
                 log_lines_dropped=self._decisions.writer.dropped,
                 suspects=len(runner.machine.steering.suspects),
                 suspects_dropped=runner.machine.steering.suspects.evicted,
+                clients=self._budget.state.gauges,
             )
         )
 
--- a/src/finchway/daemon.py
+++ b/src/finchway/daemon.py
@@ -48,6 +48,8 @@
 from finchway.surface import Surface
 from finchway.transport import (
     AnyBody,
+    ClientBudget,
+    ClientLimitLog,
     Events,
     FetchChanges,
     FetchEvents,
@@ -85,7 +87,9 @@
         self._gateway: GatewayRole | None = None
         self._clock = LogicalClock()
         self._timeline = Timeline(settings.instance, self._clock, lambda: int(time.time() * 1000))
+        self._budget = ClientBudget(settings.memory_mb, settings.max_descriptors)
         self._metrics = Metrics(settings.instance)
+        self._budget.on_limited(ClientLimitLog(self._budget, self._decisions).record)
         keys = load_keys(settings.keys_file) if settings.keys_file else None
         self._link = Link(settings.instance, settings.peer_bind, self._handle, self._clock, keys)
         self._rng = random.Random()
@@ -189,8 +193,8 @@
             settings.bounds.heartbeat,
         )
         metrics = ReplicaMetrics(settings.instance)
-        steering = SteeringService(self._control, self._decisions, metrics)
-        await self._start_surface(self._surface.control_servers(steering), nursery)
+        steering = SteeringService(self._control, self._decisions, metrics, self._budget)
+        await self._start_surface(self._surface.control_servers(steering, self._budget), nursery)
         if not settings.api_address:
             nursery.start_soon(self._control.run)
             return
@@ -297,8 +301,11 @@
             settings.bounds,
             self._surface.header_names,
             self._decisions,
+            self._budget,
+        )
+        await self._start_surface(
+            self._surface.gateway_servers(self._gateway, self._budget), nursery
         )
-        await self._start_surface(self._surface.gateway_servers(self._gateway), nursery)
         await nursery.start(self._gateway.run)
 
     def _make_server(
--- a/src/finchway/gateway/__init__.py
+++ b/src/finchway/gateway/__init__.py
@@ -4,7 +4,15 @@
 from finchway.gateway._feed_log import FeedLog
 from finchway.gateway._forward import Forwarder
 from finchway.gateway._header_names import HeaderNames
-from finchway.gateway._http import CallerConnection, CallerRequest, HttpServer, Reply
+from finchway.gateway._http import (
+    NO_BODY_LIMITS,
+    WHOLE_BODY_LIMITS,
+    CallerConnection,
+    CallerRequest,
+    HttpServer,
+    Reply,
+    Serve,
+)
 from finchway.gateway._reports import ReportSender
 from finchway.gateway._request_context import Choice, ChoiceReason, RequestContext
 from finchway.gateway._request_log import RequestLog
@@ -15,6 +23,8 @@
 from finchway.gateway._table import UpstreamTable
 
 __all__ = [
+    "NO_BODY_LIMITS",
+    "WHOLE_BODY_LIMITS",
     "Bounds",
     "CallerConnection",
     "CallerRequest",
@@ -32,6 +42,7 @@
     "ReportSender",
     "RequestLog",
     "Router",
+    "Serve",
     "SuspectTracker",
     "RequestContext",
     "UpstreamTable",
--- a/src/finchway/gateway/_connection.py
+++ b/src/finchway/gateway/_connection.py
@@ -13,7 +13,8 @@
 import trio
 from msgspec import Struct
 
-from finchway.gateway._http import READ_BYTES, Headers
+from finchway.gateway._body_buffer import READ_BYTES
+from finchway.gateway._http import Headers
 from finchway.transport import FoldedLineDetector, find_fault
 
 CONNECT_TIMEOUT_S = 0.4
@@ -27,6 +28,8 @@
 IDLE_FRACTION = 0.75
 BUFFERED_ANSWER_BYTES = 256 * 1024
 _MAX_HEAD_BYTES = 64 * 1024
+# The kernel's buffers of a connection, which fill if the upstream or the caller is slow to read.
+_SOCKET_BUFFER_BYTES = 128 * 1024
 _MAX_INLINE_SEND_BYTES = 16 * 1024
 # Stray answers that are skipped for each request that a connection has carried.
 _MAX_STRAYS_PER_REQUEST = 2
@@ -101,7 +104,7 @@
         self._has_failed_write = False
         self._has_ended = False
         self._folded_lines = FoldedLineDetector()
-        self._unsent = b""
+        self._unsent: list[bytes] = []
         self._is_reused = False
         self._on_head = _ignore_head
 
@@ -112,6 +115,8 @@
         sock = trio.socket.socket()
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _SOCKET_BUFFER_BYTES)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _SOCKET_BUFFER_BYTES)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
@@ -163,17 +168,20 @@
 
         Large requests are sent while `receive` already waits for the answer.
         """
-        data = self._http.send(h11.Request(method=method, target=target, headers=headers))
+        events = [h11.Request(method=method, target=target, headers=headers)]
         if body:
-            data += self._http.send(h11.Data(data=body)) or b""
-        data += self._http.send(h11.EndOfMessage()) or b""
-        self._unsent = data
+            events.append(h11.Data(data=body))
+        events.append(h11.EndOfMessage())
+        # A body with a length is passed through, not copied.
+        self._unsent = [
+            part for event in events for part in self._http.send_with_data_passthrough(event)
+        ]
 
     async def send_start(self, method: str, target: str, headers: Headers, body: bytes) -> None:
         """Send the head and the first part of a streamed body; `send_part` sends the rest."""
         data = self._http.send(h11.Request(method=method, target=target, headers=headers))
         data += self._http.send(h11.Data(data=body)) or b""
-        self._unsent = b""
+        self._unsent = []
         await self._write(data)
 
     async def send_part(self, data: bytes) -> None:
@@ -196,8 +204,8 @@
         """
         self._on_head = on_head
         self._requests += 1
-        if len(self._unsent) <= _MAX_INLINE_SEND_BYTES:
-            await self._write(self._unsent)
+        if sum(map(len, self._unsent)) <= _MAX_INLINE_SEND_BYTES:
+            await self._write(b"".join(self._unsent))
             self._request_sent = True
             return await self._receive(id_header, request_id)
         answer = None
@@ -241,7 +249,8 @@
 
     async def _send_unsent(self) -> None:
         try:
-            await self._stream.send_all(self._unsent)
+            for part in self._unsent:
+                await self._stream.send_all(part)
             self._request_sent = True
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             self._record_failed_write()
--- a/src/finchway/gateway/_forward.py
+++ b/src/finchway/gateway/_forward.py
@@ -396,6 +396,8 @@
             await upstream.send(request.method, request.target, headers, request.body)
             return await upstream.receive(self._names.request_id, context.request_id, on_head)
         await upstream.send_start(request.method, request.target, headers, request.body)
+        context.drop_body()
+        connection.release_body()
         while (part := await connection.read_more()) is not None:
             await upstream.send_part(part)
         context.is_read.set()
@@ -526,6 +528,7 @@
         try:
             await connection.send_head(answer.status, answer.reason, headers)
             await connection.send_part(answer.body)
+            answer.body = b""
             while (part := await upstream.read_part()) is not None:
                 await connection.send_part(part)
             await connection.send_end()
--- a/src/finchway/gateway/_request_context.py
+++ b/src/finchway/gateway/_request_context.py
@@ -77,6 +77,11 @@
             self.digest = fingerprint(self.request)
         return self.digest
 
+    def drop_body(self) -> None:
+        """Give up the first part of a streamed body, which was passed on, but for its digest."""
+        self.digest = self.fingerprint
+        self.request.body = b""
+
 
 class ChoiceReason(Enum):
     """Why an upstream gets a request.
--- a/src/finchway/gateway/_request_log.py
+++ b/src/finchway/gateway/_request_log.py
@@ -71,6 +71,12 @@
             )
         )
 
+    def record_refused_unread(
+        self, id_header: bytes, request: CallerRequest, status: int, reason: str
+    ) -> None:
+        """Log a request that was refused before its body was read."""
+        self.record_refused(request, request.header(id_header) or "", status, reason)
+
     def record_ended(self, context: RequestContext, status: int, reason: str) -> None:
         """Log and count the end of a request; the status is 0 if no answer was sent."""
         now = trio.current_time()
--- a/src/finchway/gateway/_role.py
+++ b/src/finchway/gateway/_role.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import uuid
 from collections.abc import Callable
 
@@ -30,7 +31,7 @@
     RetryTotals,
 )
 from finchway.policy import PlannedStop
-from finchway.transport import Link
+from finchway.transport import ClientBudget, Link
 
 DIRECTORY_TTLS_SERVED = 3.0
 # Time before the process is killed at which a stop ends the requests that are left, and the time in
@@ -61,8 +62,10 @@
         bounds: Bounds,
         names: HeaderNames,
         decisions: DecisionLog,
+        budget: ClientBudget | None = None,
     ) -> None:
         self._bounds = bounds
+        self._budget = budget or ClientBudget()
         self._metrics = GatewayMetrics(settings.name)
         self._decisions = decisions
         self._lag = LoopLag()
@@ -116,6 +119,8 @@
             self._forwarder.serve,
             lambda: self._view.steering.catalog.limits,
             on_left=self._metrics.count_left,
+            budget=self._budget,
+            on_refused=functools.partial(log.record_refused_unread, names.request_id),
         )
 
     @property
@@ -149,6 +154,7 @@
             reports_dropped=self._reports.dropped,
             upstreams_resting=len(self._table.backoffs.backed_off(now)),
             limits=self._table.limits.totals(self._table.records, now),
+            clients=self._budget.state.gauges,
             retries={
                 service: RetryTotals(budget.granted, round(budget.left, 2))
                 for service, budget in self._router.budget_states(now).items()
--- a/src/finchway/observe/__init__.py
+++ b/src/finchway/observe/__init__.py
@@ -3,6 +3,7 @@
 from finchway.observe._decisions import (
     AnyDecision,
     AttemptEnded,
+    ClientsLimited,
     CommandEnded,
     DecisionLog,
     PlanChanged,
@@ -27,6 +28,7 @@
 __all__ = [
     "AnyDecision",
     "AttemptEnded",
+    "ClientsLimited",
     "StateChanged",
     "DecisionLog",
     "Event",
--- a/src/finchway/observe/_decisions.py
+++ b/src/finchway/observe/_decisions.py
@@ -240,6 +240,23 @@
     detail: str = ""
 
 
+class ClientsLimited(Decision, frozen=True, kw_only=True, tag="clients-limited"):
+    """Clients were refused or ended, since all of them together held too much.
+
+    `connections` and `held_bytes` are what they hold, beside the most that they may. Since the
+    start of the process, `ended` connections were closed to make room, `refused_connections` were
+    not accepted, and `refused_requests` were answered with 503 or cut off.
+    """
+
+    connections: int
+    max_connections: int
+    held_bytes: int
+    max_bytes: int
+    ended: int
+    refused_connections: int
+    refused_requests: int
+
+
 class CommandEnded(Decision, frozen=True, kw_only=True, tag="order"):
     """The end of a command from an operator or an upstream at a replica.
 
@@ -269,6 +286,7 @@
     | StateChanged
     | PlanChanged
     | ProcessChanged
+    | ClientsLimited
     | CommandEnded
 )
 
--- a/src/finchway/observe/_gateway_metrics.py
+++ b/src/finchway/observe/_gateway_metrics.py
@@ -48,6 +48,7 @@
     upstreams_resting: int = 0
     limits: dict[str, LimitTotals] = {}
     retries: dict[str, RetryTotals] = {}
+    clients: dict[str, int] = {}
 
 
 class GatewayMetrics:
@@ -199,7 +200,7 @@
             "reports_dropped": state.reports_dropped,
             "upstreams_resting": state.upstreams_resting,
         }
-        for name, value in gauges.items():
+        for name, value in (gauges | state.clients).items():
             self._state.set({"name": name}, value)
         for name, count in state.upstreams.items():
             self._upstreams.set({"state": name}, count)
--- a/src/finchway/observe/_replica_metrics.py
+++ b/src/finchway/observe/_replica_metrics.py
@@ -26,6 +26,7 @@
     log_lines_dropped: int
     suspects: int = 0
     suspects_dropped: int = 0
+    clients: dict[str, int] = {}
 
 
 class ReplicaMetrics:
@@ -81,7 +82,7 @@
             "suspect_requests": state.suspects,
             "suspect_requests_dropped": state.suspects_dropped,
         }
-        for name, value in gauges.items():
+        for name, value in (gauges | state.clients).items():
             self._state.set({"name": name}, value)
         content, _ = render(self._registry, ["text/plain"])
         return content
--- a/src/finchway/surface.py
+++ b/src/finchway/surface.py
@@ -10,6 +10,7 @@
 
 from finchway.control import SteeringService
 from finchway.gateway import CallerConnection, CallerRequest, GatewayRole, HeaderNames, HttpServer
+from finchway.transport import ClientBudget
 
 Seeds = Callable[[], list[str]]
 
@@ -30,12 +31,12 @@
     def reload(self) -> None:
         """Reload settings that can change at run time."""
 
-    def control_servers(self, service: SteeringService) -> list[HttpServer]:
-        """Return additional HTTP servers for a control process."""
+    def control_servers(self, service: SteeringService, budget: ClientBudget) -> list[HttpServer]:
+        """Return additional HTTP servers for a control process, which draw on its budget."""
         return []
 
-    def gateway_servers(self, role: GatewayRole) -> list[HttpServer]:
-        """Return additional HTTP servers for a gateway."""
+    def gateway_servers(self, role: GatewayRole, budget: ClientBudget) -> list[HttpServer]:
+        """Return additional HTTP servers for a gateway, which draw on its budget."""
         return []
 
 
--- a/src/finchway/transport/__init__.py
+++ b/src/finchway/transport/__init__.py
@@ -7,20 +7,47 @@
 
 from finchway.transport._answer_heads import FoldedLineDetector, find_fault
 from finchway.transport._arrivals import AcceptedStream, CallOrigin, origin_of
+from finchway.transport._client_budget import (
+    DEFAULT_DESCRIPTORS,
+    DEFAULT_MEMORY_MB,
+    SMALL_BODY_BYTES,
+    STALLED_AFTER_S,
+    Account,
+    BudgetState,
+    ClientBudget,
+    Holding,
+)
+from finchway.transport._client_limit_log import ClientLimitLog
 from finchway.transport._keys import Keys, load_keys, make_keys
 from finchway.transport._link import Handler, Link
-from finchway.transport._listener import NEXT_REQUEST_GRACE_S, Listener
+from finchway.transport._listener import (
+    NEXT_REQUEST_GRACE_S,
+    RECEIVE_BUFFER_BYTES,
+    SEND_BUFFER_BYTES,
+    Listener,
+)
 from finchway.transport._messages import *  # noqa: F403
 from finchway.transport._messages import __all__ as _messages
 from finchway.transport._sockets import has_event, peer_has_closed
 
 __all__ = [
+    "DEFAULT_DESCRIPTORS",
+    "DEFAULT_MEMORY_MB",
     "NEXT_REQUEST_GRACE_S",
+    "RECEIVE_BUFFER_BYTES",
+    "SEND_BUFFER_BYTES",
+    "SMALL_BODY_BYTES",
+    "STALLED_AFTER_S",
     "AcceptedStream",
+    "Account",
     "AppServer",  # noqa: F405
+    "BudgetState",
     "CallOrigin",
+    "ClientBudget",
+    "ClientLimitLog",
     "FoldedLineDetector",
     "Handler",
+    "Holding",
     "Keys",
     "Link",
     "Listener",
--- a/src/finchway/transport/_listener.py
+++ b/src/finchway/transport/_listener.py
@@ -28,6 +28,10 @@
 # Grace period after a connection is opened or a response sent on it, within which the client's next
 # request may still be on its way.
 NEXT_REQUEST_GRACE_S = 0.5
+# The kernel's buffers of a connection, which fill if one side does not read. They allow some
+# megabytes a second at the round-trip times to clients.
+RECEIVE_BUFFER_BYTES = 64 * 1024
+SEND_BUFFER_BYTES = 32 * 1024
 _ACCEPT_RETRY_S = 0.05
 # Connections accepted before other tasks get their turn.
 _ACCEPT_BATCH = 16
@@ -76,6 +80,9 @@
         listener = socket.socket(family)
         listener.setblocking(False)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Inherited by the connections that are accepted.
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         try:
             listener.bind((host.strip("[]"), int(port)))
         except OSError as error:
--- a/tests/adapter/test_documents.py
+++ b/tests/adapter/test_documents.py
@@ -59,6 +59,19 @@
     assert load_document(tmp_path, document).product_settings().founders == ()
 
 
+@pytest.mark.parametrize(
+    ("limits", "expected"),
+    [
+        ({"memory_mb": 200, "max_fds": 4100}, (200, 4100)),
+        ({"memory_mb": 200.5, "max_fds": 0}, (200, 4096)),
+        ({}, (300, 4096)),
+    ],
+)
+def test_the_machine_limits_what_clients_may_hold(tmp_path, limits, expected):
+    settings = load_document(tmp_path, documents.settings(limits=limits)).product_settings()
+    assert (settings.memory_mb, settings.max_descriptors) == expected
+
+
 def test_all_settings_errors_are_reported_with_their_place(tmp_path):
     document = documents.settings()
     document["network"]["listen"]["front"] = "nowhere"
--- a/tests/unit/test_settings.py
+++ b/tests/unit/test_settings.py
@@ -98,3 +98,14 @@
         read([], {**VALID_ENVIRONMENT, name: value})
     except SettingsError as error:
         assert all(f.place and f.problem for f in error.findings)
+
+
+def test_memory_and_descriptors_have_defaults_and_smallest_values():
+    settings = read([], VALID_ENVIRONMENT)
+    assert (settings.memory_mb, settings.max_descriptors) == (300, 4096)
+    settings = read(["--memory_mb=200", "--max_descriptors=1024"], VALID_ENVIRONMENT)
+    assert (settings.memory_mb, settings.max_descriptors) == (200, 1024)
+    with pytest.raises(SettingsError) as raised:
+        read(["--memory_mb=99", "--max_descriptors=many"], VALID_ENVIRONMENT)
+    assert "--memory_mb: 99 is too small" in str(raised.value)
+    assert "--max_descriptors: 'many' is not a whole number" in str(raised.value)
