Let others run between the chunks of bodies in very many of them

Ordinary callers got no answer while a crowd sent bodies in chunks of one or two bytes, and the process told no replica that it lives.

Cause: a chunk costs the parser some microseconds whatever its size, and the reader did not hand back the event loop while data was buffered: 64 KB of chunks of one byte are 10,000 events in a row, and each connection of a crowd did as many in every turn of the loop.

Evidence: on 60 clients with 400 KB in chunks of 2 bytes or 100 KB in chunks of 1: the ordinary request is not answered within 30 s at the front; at readiness, directory, control and metrics alike. Counted in one process, without clocks: 20 clients with 10,000 chunks of one byte each.

Change: a request may handle 16 events without waiting (its head and a body in usual parts). Beyond that, connections take turns in order, one in each turn of the loop. So a turn has at most 16 events of each connection that has just begun, and 16 of one other. Such a body is legal, and alone it is served in calm (100 KB in chunks of 2 bytes), so there is no least size of a chunk.

--- a/src/finchway/gateway/_http.py
+++ b/src/finchway/gateway/_http.py
@@ -26,6 +26,7 @@
 )
 from finchway.policy import return_after
 from finchway.transport import (
+    EVENTS_PER_TURN,
     NEXT_REQUEST_GRACE_S,
     SEND_BUFFER_BYTES,
     SMALL_BODY_BYTES,
@@ -35,6 +36,7 @@
     CallOrigin,
     ClientBudget,
     Listener,
+    Turns,
     has_event,
     origin_of,
     peer_has_closed,
@@ -121,6 +123,7 @@
         stream: AcceptedStream,
         limits: Callable[[], Limits],
         account: Account,
+        turns: Turns,
         on_refused: Refused,
     ) -> None:
         self._stream = stream
@@ -128,12 +131,14 @@
         self._limits = limits
         self._account = account
         self._holding = account.holding()
+        self._turns = turns
         self._on_refused = on_refused
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=max(limits().header_bytes, 1024)
         )
         self._scope = trio.CancelScope()
         self._body_scope: trio.CancelScope | None = None
+        self._events = 0
         self._closing = False
         self._close_announced = False
         self._head_sent = False
@@ -195,6 +200,7 @@
         """
         limits = self._limits()
         head = None
+        self._events = 0
         self._account.wait_for_request()
         with trio.move_on_after(limits.idle_timeout):
             if not self._http.trailing_data[0] and not await self._receive():
@@ -402,6 +408,7 @@
         while True:
             event = self._http.next_event()
             if event is not h11.NEED_DATA:
+                await self._count_event()
                 return event
             data = None
             with trio.move_on_after(timeout):
@@ -411,6 +418,12 @@
             if not data:
                 raise CallerLeftError
 
+    async def _count_event(self) -> None:
+        """Let others run between the events of a request that has very many."""
+        self._events += 1
+        if self._events % EVENTS_PER_TURN == 0:
+            await self._turns.wait()
+
     async def _receive(self) -> bytes | bytearray:
         # What is read of a body for which nothing is drawn must fit into its connection's share.
         size = READ_BYTES if self._holding.size else _SHORT_READ_BYTES
@@ -521,7 +534,9 @@
         if account is None:
             stream.socket.close()
             return
-        connection = CallerConnection(stream, self._limits, account, self._on_refused)
+        connection = CallerConnection(
+            stream, self._limits, account, self._budget.turns, self._on_refused
+        )
         account.on_end(connection.end_early)
         if self._leaving:
             connection.close_after_answer()
--- a/src/finchway/transport/__init__.py
+++ b/src/finchway/transport/__init__.py
@@ -29,10 +29,12 @@
 from finchway.transport._messages import *  # noqa: F403
 from finchway.transport._messages import __all__ as _messages
 from finchway.transport._sockets import has_event, peer_has_closed
+from finchway.transport._turns import EVENTS_PER_TURN, Turns
 
 __all__ = [
     "DEFAULT_DESCRIPTORS",
     "DEFAULT_MEMORY_MB",
+    "EVENTS_PER_TURN",
     "NEXT_REQUEST_GRACE_S",
     "RECEIVE_BUFFER_BYTES",
     "SEND_BUFFER_BYTES",
@@ -51,6 +53,7 @@
     "Keys",
     "Link",
     "Listener",
+    "Turns",
     "find_fault",
     "has_event",
     "load_keys",
--- a/src/finchway/transport/_client_budget.py
+++ b/src/finchway/transport/_client_budget.py
@@ -24,6 +24,7 @@
 from msgspec import Struct
 
 from finchway.transport._listener import RECEIVE_BUFFER_BYTES
+from finchway.transport._turns import Turns
 
 # What a connection with a request holds apart from a long body or answer: a head, a task and their
 # objects, and what has arrived in the kernel and is not read yet.
@@ -96,6 +97,12 @@
         self._refused_connections = 0
         self._refused_requests = 0
         self._on_limited: Callable[[], None] = lambda: None
+        self._turns = Turns()
+
+    @property
+    def turns(self) -> Turns:
+        """The turns at the event loop of connections with very many events."""
+        return self._turns
 
     @property
     def state(self) -> BudgetState:
--- a/tests/crowds/test_platform_listeners.py
+++ b/tests/crowds/test_platform_listeners.py
@@ -27,6 +27,8 @@
 }
 FRONT_CROWDS = [
     (Shape.LARGE_CHUNKS, 120),
+    (Shape.TINY_CHUNKS, 60),
+    (Shape.ONE_BYTE_CHUNKS, 60),
     (Shape.BUT_A_BYTE, 120),
     (Shape.WHOLE, 120),
     (Shape.PIECES, 120),
@@ -39,6 +41,7 @@
 ]
 OTHER_CROWDS = [
     (Shape.LARGE_CHUNKS, 120),
+    (Shape.TINY_CHUNKS, 60),
     (Shape.BUT_A_BYTE, 120),
     (Shape.WHOLE, 120),
     (Shape.JUST_SENT, 80),
@@ -104,7 +107,7 @@
     check(tmp_path, listener, Shape.SILENT, FEW_DESCRIPTORS + 100, FEW_DESCRIPTORS)
 
 
-@pytest.mark.parametrize("shape", [Shape.LARGE_CHUNKS, Shape.BUT_A_BYTE])
+@pytest.mark.parametrize("shape", [Shape.LARGE_CHUNKS, Shape.BUT_A_BYTE, Shape.ONE_BYTE_CHUNKS])
 def test_an_ordinary_upload_is_served_after_a_crowd(tmp_path, shape):
     """It may be told to come back, as its client would; it is repeated until it is served."""
 
--- a/tests/gateway/test_crowded_server.py
+++ b/tests/gateway/test_crowded_server.py
@@ -2,6 +2,7 @@
 
 from contextlib import asynccontextmanager
 
+import h11
 import pytest
 import trio
 
@@ -13,6 +14,8 @@
 
 # A budget of 33 MB for bodies.
 MEMORY_MB = 165
+EVENTS_IN_A_TURN = 16
+BUSY_CLIENTS = 20
 
 
 class Server:
@@ -168,3 +171,45 @@
             assert await stream.receive_some(4096) == b""
 
     trio.run(run)
+
+
+class MostEvents(trio.abc.Instrument):
+    """Counts the parser's events between two polls of the event loop."""
+
+    def __init__(self) -> None:
+        self.most = 0
+        self.events = 0
+        self.turns = 0
+
+    def before_io_wait(self, timeout) -> None:
+        self.most = max(self.most, self.events)
+        self.events = 0
+        self.turns += 1
+
+
+def test_bodies_in_very_small_chunks_leave_turns_to_others(monkeypatch):
+    """Only one of the busy connections goes on in a turn beyond its first events."""
+    counter = MostEvents()
+    next_event = h11.Connection.next_event
+
+    def count(connection):
+        event = next_event(connection)
+        counter.events += event is not h11.NEED_DATA
+        return event
+
+    monkeypatch.setattr(h11.Connection, "next_event", count)
+
+    async def run():
+        async with server() as subject:
+            data = head_of(b"Transfer-Encoding: chunked") + b"1\r\nx\r\n" * 10_000 + b"0\r\n\r\n"
+            streams = [
+                await trio.open_tcp_stream("127.0.0.1", subject.port) for _ in range(BUSY_CLIENTS)
+            ]
+            async with trio.open_nursery() as nursery:
+                for stream in streams:
+                    nursery.start_soon(send_all, stream, data)
+            for stream in streams:
+                assert (await stream.receive_some(4096)).endswith(b"10000")
+
+    trio.run(run, instruments=[counter])
+    assert counter.most <= (BUSY_CLIENTS + 1) * EVENTS_IN_A_TURN
