Bound what clients hold at entries and the resource API

Cause: the app server had no bound on connections; a call of the resource API may hold 4 MiB and an entry's 64 KB in a list of parts, besides ten parts of 64 KB that wait in hypercorn's queue, for each connection and without a sum.

Change: AppServer draws on the process's budget. A request's body is collected in one buffer, and what may wait unread beside it is drawn as soon as it does not come whole: 503 `busy`, not-run, if there is no room. A connection whose client is midway in a body and has stalled is ended for others, and so are idle ones for new connections. Parts are of 16 KB, so that the queue holds a quarter. The kernel's buffers towards upstreams are bounded as at gateways. Figures of the budget are in finchway_state.

Ruled out: a shorter queue of hypercorn (2 parts): an answer to a request whose body isn't read then waits for the queue (test_invalid_requests_are_refused_as_not_run hung).

--- a/src/finchway/control/_api.py
+++ b/src/finchway/control/_api.py
@@ -30,6 +30,7 @@
     Finding,
     GoneError,
     InputError,
+    NoRoomError,
     NotFoundError,
     OrderExpiredError,
     ResourceError,
@@ -49,6 +50,7 @@
     Reused,
 )
 from finchway.transport import (
+    STALLED_AFTER_S,
     CallOrigin,
     EntryQuery,
     Events,
@@ -421,6 +423,15 @@
                 outcome="not-run",
                 retry_after_s=1.0,
             )
+        case NoRoomError():
+            return Problem(
+                "busy",
+                "too much is being sent",
+                503,
+                error.message,
+                outcome="not-run",
+                retry_after_s=STALLED_AFTER_S,
+            )
         case UnavailableError() | TransportError():
             return Problem(
                 "unavailable",
--- a/src/finchway/daemon.py
+++ b/src/finchway/daemon.py
@@ -88,7 +88,7 @@
         self._clock = LogicalClock()
         self._timeline = Timeline(settings.instance, self._clock, lambda: int(time.time() * 1000))
         self._budget = ClientBudget(settings.memory_mb, settings.max_descriptors)
-        self._metrics = Metrics(settings.instance)
+        self._metrics = Metrics(settings.instance, lambda: self._budget.state.gauges)
         self._budget.on_limited(ClientLimitLog(self._budget, self._decisions).record)
         keys = load_keys(settings.keys_file) if settings.keys_file else None
         self._link = Link(settings.instance, settings.peer_bind, self._handle, self._clock, keys)
@@ -329,6 +329,7 @@
             address,
             app,
             config,
+            self._budget,
             self._metrics.count_connection_failure,
             self._metrics.count_left,
             times_arrivals,
--- a/src/finchway/entry/_app.py
+++ b/src/finchway/entry/_app.py
@@ -17,10 +17,13 @@
 from finchway.entry._call import Answer, Call, CallError, UpstreamError
 from finchway.entry._dispatch import MAX_BUFFERED_BYTES, Dispatcher
 from finchway.entry._view import EntryView
+from finchway.exceptions import NoRoomError
 from finchway.observe import Metrics
 from finchway.policy import Caller, Outcome, PlannedStop, client_block
+from finchway.transport import STALLED_AFTER_S, Holding
 from finchway.transport._http import (
     PROMETHEUS_TEXT,
+    BodyCollector,
     BodyTooLargeError,
     Problem,
     Request,
@@ -70,10 +73,11 @@
 class CallerBody:
     """A request body that is buffered up to a bound and streamed beyond it."""
 
-    __slots__ = ("_held", "_limit", "_has_more", "_receive", "_size", "_is_streamed")
+    __slots__ = ("_held", "_holding", "_limit", "_has_more", "_receive", "_size", "_is_streamed")
 
-    def __init__(self, receive, limit: int) -> None:
+    def __init__(self, receive, limit: int, holding: Holding | None = None) -> None:
         self._receive = receive
+        self._holding = holding
         self._limit = limit
         self._held = b""
         self._size = 0
@@ -91,11 +95,12 @@
         return self._held
 
     async def fill(self) -> None:
-        """Buffer the body up to the bound."""
-        chunks = []
+        """Buffer the body up to the bound; raises `NoRoomError` if there is no room for it."""
+        collected = BodyCollector(self._holding)
         while self._has_more and self._size <= MAX_BUFFERED_BYTES:
-            chunks.append(await self._next())
-        self._held = b"".join(chunks)
+            part = await self._next()
+            collected.append(part, self._has_more)
+        self._held = collected.take()
 
     async def stream(self) -> AsyncIterator[bytes]:
         """Yield the buffered part, then the remainder as it arrives."""
@@ -229,7 +234,8 @@
         try:
             call = self._make_call(request, service, started)
             priority = call.priority
-            await self._read_and_dispatch(call, receive, response)
+            body = await self._read_body(request, call, receive)
+            await self._dispatch_body(call, body, response)
             outcome = "ran"
         except CallError as error:
             outcome = error.outcome.value
@@ -291,11 +297,17 @@
         digest = hashlib.sha256(request.bearer.encode()).hexdigest()
         return self._view.organisation_of(digest)
 
-    async def _read_and_dispatch(self, call: Call, receive, response: _CallerResponse) -> None:
+    async def _read_body(self, request: Request, call: Call, receive) -> CallerBody:
+        """Buffer the body of a call, or the first part of a long one."""
         spec = self._view.service(call.service)
-        body = CallerBody(receive, spec.max_request_bytes)
+        body = CallerBody(receive, spec.max_request_bytes, request.holding)
         with trio.move_on_at(call.deadline) as scope:
-            await body.fill()
+            try:
+                await body.fill()
+            except NoRoomError as error:
+                raise CallError(
+                    "busy", 503, Outcome.NOT_RUN, error.message, STALLED_AFTER_S
+                ) from error
         if scope.cancelled_caught:
             raise CallError(
                 "deadline",
@@ -303,10 +315,13 @@
                 Outcome.NOT_RUN,
                 "the request body did not arrive before the deadline",
             )
+        return body
+
+    async def _dispatch_body(self, call: Call, body: CallerBody, response: _CallerResponse) -> None:
         if self._stop is not None:
             self._fit_into_stop(self._stop, call, body)
         response.dispatched = True
-        if spec.once_only:
+        if call.key:
             # Completed even if the caller disconnects, so that the outcome of its key is known.
             await self._dispatch(call, body, response)
             return
--- a/src/finchway/entry/_upstream.py
+++ b/src/finchway/entry/_upstream.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import itertools
+import socket
 import uuid
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
@@ -27,6 +28,12 @@
 _CONNECT_TIMEOUT_S = 1.0
 _KEEPALIVE_S = 30.0
 _MAX_IDLE_CONNECTIONS = 16
+# The kernel's buffers of a connection, which fill if the upstream or the caller is slow to read.
+_SOCKET_BUFFER_BYTES = 128 * 1024
+_SOCKET_OPTIONS = [
+    (socket.SOL_SOCKET, socket.SO_RCVBUF, _SOCKET_BUFFER_BYTES),
+    (socket.SOL_SOCKET, socket.SO_SNDBUF, _SOCKET_BUFFER_BYTES),
+]
 _LEAVING_HEADER = b"finchway-leaving"
 _LIMIT_HEADER = b"finchway-limit"
 _ATTEMPT_ID_HEADER = b"finchway-attempt-id"
@@ -189,7 +196,10 @@
                 return connection, origin
             await connection.aclose()
         connection = httpcore.AsyncHTTPConnection(
-            origin, keepalive_expiry=_KEEPALIVE_S, network_backend=_CheckingBackend(may_send)
+            origin,
+            keepalive_expiry=_KEEPALIVE_S,
+            network_backend=_CheckingBackend(may_send),
+            socket_options=_SOCKET_OPTIONS,
         )
         return connection, origin
 
--- a/src/finchway/exceptions.py
+++ b/src/finchway/exceptions.py
@@ -99,6 +99,13 @@
     """An order came so late that its caller may have gone on elsewhere; it has no effect."""
 
 
+class NoRoomError(UnavailableError):
+    """Other clients leave no room for the body of a request, which has not run."""
+
+    def __init__(self) -> None:
+        super().__init__("other clients leave no room for the request's body")
+
+
 class NotLeaderError(UnavailableError):
     """This replica is not the leader; `leader` is the name of the leader, if known."""
 
--- a/src/finchway/observe/_metrics.py
+++ b/src/finchway/observe/_metrics.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Mapping
+
 from aioprometheus import Counter, Gauge, Registry
 from aioprometheus.renderer import render
 from hdrh.histogram import HdrHistogram
@@ -13,9 +15,13 @@
 
 
 class Metrics:
-    """Counters, gauges and latency histograms of a process."""
+    """Counters, gauges and latency histograms of a process.
+
+    `more_state` returns gauges by name, which are read when the metrics are rendered.
+    """
 
-    def __init__(self, instance: str) -> None:
+    def __init__(self, instance: str, more_state: Callable[[], Mapping[str, float]] = dict) -> None:
+        self._more_state = more_state
         labels = {"instance": instance}
         registry = self._registry = Registry()
         self._requests = Counter("finchway_requests_total", "Requests by outcome", labels, registry)
@@ -80,6 +86,8 @@
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
+        for name, value in self._more_state().items():
+            self.set_state(name, value)
         for (service, priority), histogram in self._latency.items():
             for quantile in _QUANTILES:
                 labels = {
--- a/src/finchway/transport/_app_server.py
+++ b/src/finchway/transport/_app_server.py
@@ -20,7 +20,8 @@
 from hypercorn.typing import ConnectionState
 
 from finchway.transport._arrivals import AcceptedStream, origin_of
-from finchway.transport._http import ORIGIN
+from finchway.transport._client_budget import Account, ClientBudget
+from finchway.transport._http import ACCOUNT, HOLDING, ORIGIN, RECEIVE_BYTES
 from finchway.transport._listener import NEXT_REQUEST_GRACE_S, Listener
 from finchway.transport._sockets import peer_has_closed
 
@@ -28,7 +29,6 @@
 # Limit for sending one part of a response, which cancellation of its request does not interrupt.
 _SEND_TIMEOUT_S = 5.0
 _STOP_POLL_INTERVAL_S = 0.02
-_RECEIVE_BYTES = 64 * 1024
 _CONNECTION_CLOSE = (b"connection", b"close")
 
 
@@ -39,15 +39,17 @@
     exhaust the process's file descriptors. It also serves what a client sent before it closed, and
     under load the process would spend its time on requests whose clients have left.
 
-    Each request's scope has its `CallOrigin` in the state.
+    Each request's scope has its `CallOrigin` in the state, and the connection's `Account`.
     """
 
     async def _read_data(self) -> None:
+        account: Account = self.state[ACCOUNT]
         try:
-            while data := await self.stream.receive_some(_RECEIVE_BYTES):
+            while data := await self.stream.receive_some(RECEIVE_BYTES):
                 if self._client_has_left():
                     break
                 self.state[ORIGIN] = origin_of(self._socket_stream)
+                account.record_progress(len(data))
                 await self.protocol.handle(RawData(bytes(data)))
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             _LOG.debug("a client reset its connection")
@@ -67,9 +69,10 @@
 class AppServer:
     """Listens on one address and serves its requests with an ASGI application.
 
-    `on_failure` is called once for each connection that is closed by an error, `on_left` for each
-    that its client has closed before it was accepted. With `times_arrivals`, the `CallOrigin` of a
-    request bounds its age.
+    What its clients hold is drawn from `budget`, which all servers of a process share. `on_failure`
+    is called once for each connection that is closed by an error, `on_left` for each that its
+    client has closed before it was accepted. With `times_arrivals`, the `CallOrigin` of a request
+    bounds its age.
     """
 
     def __init__(
@@ -77,12 +80,14 @@
         address: str,
         app: Any,
         config: Config,
+        budget: ClientBudget,
         on_failure: Callable[[], None],
         on_left: Callable[[], None] = lambda: None,
         times_arrivals: bool = False,
     ) -> None:
         self._app = app
         self._config = config
+        self._budget = budget
         self._on_failure = on_failure
         self._tls: ssl.SSLContext | None = None
         self._asgi = ASGIWrapper(self._serve)
@@ -124,25 +129,32 @@
             await trio.sleep(_STOP_POLL_INTERVAL_S)
 
     def _start_connection(self, stream: AcceptedStream) -> None:
+        account = self._budget.open()
+        if account is None:
+            stream.socket.close()
+            return
         self._connections += 1
-        self._nursery.start_soon(self._handle, stream)
+        self._nursery.start_soon(self._handle, stream, account)
 
-    async def _handle(self, stream: AcceptedStream) -> None:
+    async def _handle(self, stream: AcceptedStream, account: Account) -> None:
         """Serve one connection; its errors are logged and affect no other connection."""
         try:
-            await _Connection(
-                self._asgi,
-                self._config,
-                self._context,
-                ConnectionState({}),
-                self._with_tls(stream),
-            )
+            with trio.CancelScope() as scope:
+                account.on_end(scope.cancel)
+                await _Connection(
+                    self._asgi,
+                    self._config,
+                    self._context,
+                    ConnectionState({ACCOUNT: account}),
+                    self._with_tls(stream),
+                )
         except* Exception as group:
             self._on_failure()
             causes = "; ".join(sorted({repr(error) for error in _flatten(group)}))
             _LOG.warning("connection closed by an error: %s", causes)
         finally:
             await trio.aclose_forcefully(stream)
+            account.close()
             self._connections -= 1
 
     def _with_tls(self, stream: AcceptedStream) -> AcceptedStream | trio.SSLStream:
@@ -151,7 +163,20 @@
         return trio.SSLStream(stream, self._tls, server_side=True, https_compatible=True)
 
     async def _serve(self, scope: dict[str, Any], receive, send) -> None:
-        """Serve a request, shielding the sending of each part of the response from cancellation.
+        """Serve a request, and give back what it has drawn from the budget."""
+        account: Account = scope["state"][ACCOUNT]
+        holding = account.holding()
+        account.serve()
+        try:
+            await self._run_app(
+                {**scope, HOLDING: holding}, _BodyReceiver(account, receive).receive, send
+            )
+        finally:
+            holding.release()
+            account.wait_for_request()
+
+    async def _run_app(self, scope: dict[str, Any], receive, send) -> None:
+        """Run the application, shielding the sending of each part of the response.
 
         A deadline or a disconnected client can cancel the application at any time. Between two
         parts that truncates the response. Within one, hypercorn could miss that it has sent the
@@ -179,6 +204,27 @@
         return event | {"headers": [*event["headers"], _CONNECTION_CLOSE]}
 
 
+class _BodyReceiver:
+    """Receives a request's body, and notes that its connection waits for the client meanwhile."""
+
+    def __init__(self, account: Account, receive) -> None:
+        self._account = account
+        self._receive = receive
+        self._is_whole = False
+
+    async def receive(self) -> dict[str, Any]:
+        """Return the next part of the body, or the disconnection that follows it."""
+        if self._is_whole:
+            return await self._receive()
+        self._account.wait_for_more()
+        try:
+            event = await self._receive()
+        finally:
+            self._account.serve()
+        self._is_whole = not event.get("more_body", False)
+        return event
+
+
 def _flatten(group: BaseExceptionGroup) -> list[BaseException]:
     errors: list[BaseException] = []
     for error in group.exceptions:
--- a/src/finchway/transport/_http.py
+++ b/src/finchway/transport/_http.py
@@ -10,14 +10,27 @@
 import trio
 from msgspec import Struct
 
+from finchway.exceptions import NoRoomError
 from finchway.transport._arrivals import UNKNOWN_ORIGIN, CallOrigin
+from finchway.transport._client_budget import SMALL_BODY_BYTES, Holding
+from finchway.transport._listener import RECEIVE_BUFFER_BYTES
 
 JSON = b"application/json"
 PROBLEM = b"application/problem+json"
 PROMETHEUS_TEXT = b"text/plain; version=0.0.4"
 READ_TIMEOUT_S = 30.0
-# The key of a request's `CallOrigin` in the state of its scope.
+# Keys in the state of a request's scope: of its `CallOrigin`, and of its connection's `Account`.
 ORIGIN = "origin"
+ACCOUNT = "account"
+# The key of a request's `Holding` in its scope.
+HOLDING = "finchway.holding"
+# Bytes that are read at once; they become one part of a body.
+RECEIVE_BYTES = 16 * 1024
+# Parts that a connection can hold besides what the application has read: ten wait for it in
+# hypercorn's queue, one waits to be queued, and one is being parsed.
+_UNREAD_PARTS = 12
+# What a connection can hold of a body besides what the application has read.
+UNREAD_BODY_BYTES = _UNREAD_PARTS * RECEIVE_BYTES + RECEIVE_BUFFER_BYTES
 
 
 class Problem(Struct, frozen=True, omit_defaults=True):
@@ -38,10 +51,44 @@
     """The request body exceeds the allowed size."""
 
 
+class BodyCollector:
+    """A body that is collected from the parts in which it arrives.
+
+    It draws on the clients' budget before it grows; without a holding, it draws on none.
+    """
+
+    __slots__ = ("_data", "_holding")
+
+    def __init__(self, holding: Holding | None) -> None:
+        self._holding = holding
+        self._data = bytearray()
+
+    @property
+    def size(self) -> int:
+        """The bytes collected so far."""
+        return len(self._data)
+
+    def append(self, part: bytes, has_more: bool) -> None:
+        """Add a part; raises `NoRoomError` if there is no room for what follows it."""
+        self._data += part
+        needed = self.size + (UNREAD_BODY_BYTES if has_more else 0)
+        is_small = not has_more and self.size <= SMALL_BODY_BYTES
+        if self._holding is None or is_small:
+            return
+        if not self._holding.resize(needed):
+            raise NoRoomError
+
+    def take(self) -> bytes:
+        """Return the body and give up the buffer."""
+        body = bytes(self._data)
+        self._data = bytearray()
+        return body
+
+
 class Request:
     """An ASGI request with decoded headers and query."""
 
-    __slots__ = ("_receive", "headers", "method", "origin", "path", "query", "scope")
+    __slots__ = ("_receive", "headers", "holding", "method", "origin", "path", "query", "scope")
 
     def __init__(self, scope: dict[str, Any], receive) -> None:
         self.scope = scope
@@ -53,6 +100,7 @@
         query = parse_qs(scope["query_string"].decode("latin-1"))
         self.query = {key: values[-1] for key, values in query.items()}
         self.origin: CallOrigin = scope.get("state", {}).get(ORIGIN, UNKNOWN_ORIGIN)
+        self.holding: Holding | None = scope.get(HOLDING)
         self._receive = receive
 
     @property
@@ -62,20 +110,22 @@
         return token.strip() if scheme.lower() == "bearer" else ""
 
     async def read(self, limit: int) -> bytes:
-        """Return the whole body; raises `BodyTooLargeError` beyond `limit` bytes."""
-        chunks: list[bytes] = []
-        size = 0
+        """Return the whole body; raises `BodyTooLargeError` beyond `limit` bytes.
+
+        Raises `NoRoomError` if other clients leave no room for it.
+        """
+        body = BodyCollector(self.holding)
         with trio.fail_after(READ_TIMEOUT_S):
             while True:
                 event = await self._receive()
                 if event["type"] == "http.disconnect":
                     raise ConnectionError("client disconnected before the end of the request body")
-                size += len(event.get("body", b""))
-                if size > limit:
+                has_more = event.get("more_body", False)
+                body.append(event.get("body", b""), has_more)
+                if body.size > limit:
                     raise BodyTooLargeError
-                chunks.append(event.get("body", b""))
-                if not event.get("more_body"):
-                    return b"".join(chunks)
+                if not has_more:
+                    return body.take()
 
 
 async def send(respond, status: int, body: bytes, content_type: bytes = JSON, headers=()) -> None:
--- a/tests/transport/test_app_server.py
+++ b/tests/transport/test_app_server.py
@@ -13,7 +13,7 @@
 from hypercorn.config import Config
 
 from bench.deploy import free_ports
-from finchway.transport import AppServer
+from finchway.transport import AppServer, ClientBudget
 
 REQUEST = b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n"
 STOP_DELAYS = 12
@@ -32,7 +32,9 @@
         config = Config()
         config.include_server_header = False
         config.errorlog = None
-        self.http = AppServer(self.address, app, config, self._count_failure, self._count_left)
+        self.http = AppServer(
+            self.address, app, config, ClientBudget(), self._count_failure, self._count_left
+        )
 
     def _count_failure(self) -> None:
         self.failures += 1
