Give back what a refused request has drawn at once

Cause: a request that is refused midway kept what was drawn for it while its connection is closed, for up to half a second if its client goes on sending, so that others were refused meanwhile. Change: its share is given back before the refusal is sent; its buffer is gone by then.

--- a/src/finchway/gateway/_http.py
+++ b/src/finchway/gateway/_http.py
@@ -232,6 +232,7 @@
         refusal = await self._read_body(request, limits)
         self._account.serve()
         if refusal is not None:
+            self._holding.release()
             self._on_refused(request, refusal.status, _REFUSAL_REASONS[refusal.status])
             await self.reply(refusal, close=True)
             return None
--- a/tests/gateway/test_crowded_server.py
+++ b/tests/gateway/test_crowded_server.py
@@ -86,6 +86,18 @@
     trio.run(run)
 
 
+def test_a_refused_request_holds_nothing_while_its_connection_is_closed():
+    async def run():
+        async with server(body_bytes=500_000) as subject:
+            chunks = b"186a0\r\n" + b"x" * 100_000 + b"\r\n"
+            stream = await subject.connect(head_of(b"Transfer-Encoding: chunked") + chunks * 6)
+            assert (await stream.receive_some(4096)).startswith(b"HTTP/1.1 413 ")
+            assert subject.budget.state.connections == 1
+            assert subject.budget.state.held_bytes == 0
+
+    trio.run(run)
+
+
 def test_the_refusal_arrives_while_the_client_is_still_sending():
     async def run():
         async with server() as subject:
