Bound answers that clients of the app server do not take

Cause: an entry's or the resource API's answer was held for up to 5 s for a client that does not read, of any size, and counted by nobody; and on a connection of HTTP/2 one stalled body made it count as waiting for its client while other requests were under way, so that those could be ended with it.

Change: a part of an answer that doesn't fit into the kernel's buffer draws on the budget until it is taken, and its connection waits for its client meanwhile; without room the answer is cut off, visibly. A connection waits for its client only if none but the waiting request is under way. One that is ended while it sends is shut down, since sending is shielded.

--- a/src/finchway/transport/_app_server.py
+++ b/src/finchway/transport/_app_server.py
@@ -6,7 +6,10 @@
 
 from __future__ import annotations
 
+import contextlib
+import functools
 import logging
+import socket
 import ssl
 from collections.abc import Callable
 from typing import Any
@@ -20,9 +23,10 @@
 from hypercorn.typing import ConnectionState
 
 from finchway.transport._arrivals import AcceptedStream, origin_of
-from finchway.transport._client_budget import Account, ClientBudget
-from finchway.transport._http import ACCOUNT, HOLDING, ORIGIN, RECEIVE_BYTES
-from finchway.transport._listener import NEXT_REQUEST_GRACE_S, Listener
+from finchway.transport._client_budget import Account, ClientBudget, Holding
+from finchway.transport._connection_requests import ConnectionRequests
+from finchway.transport._http import HOLDING, ORIGIN, RECEIVE_BYTES, REQUESTS
+from finchway.transport._listener import NEXT_REQUEST_GRACE_S, SEND_BUFFER_BYTES, Listener
 from finchway.transport._sockets import peer_has_closed
 
 _LOG = logging.getLogger(__name__)
@@ -39,17 +43,18 @@
     exhaust the process's file descriptors. It also serves what a client sent before it closed, and
     under load the process would spend its time on requests whose clients have left.
 
-    Each request's scope has its `CallOrigin` in the state, and the connection's `Account`.
+    Each request's scope has its `CallOrigin` in the state, and its connection's
+    `ConnectionRequests`.
     """
 
     async def _read_data(self) -> None:
-        account: Account = self.state[ACCOUNT]
+        requests: ConnectionRequests = self.state[REQUESTS]
         try:
             while data := await self.stream.receive_some(RECEIVE_BYTES):
                 if self._client_has_left():
                     break
                 self.state[ORIGIN] = origin_of(self._socket_stream)
-                account.record_progress(len(data))
+                requests.record_progress(len(data))
                 await self.protocol.handle(RawData(bytes(data)))
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             _LOG.debug("a client reset its connection")
@@ -140,12 +145,12 @@
         """Serve one connection; its errors are logged and affect no other connection."""
         try:
             with trio.CancelScope() as scope:
-                account.on_end(scope.cancel)
+                account.on_end(functools.partial(_end_early, stream, scope))
                 await _Connection(
                     self._asgi,
                     self._config,
                     self._context,
-                    ConnectionState({ACCOUNT: account}),
+                    ConnectionState({REQUESTS: ConnectionRequests(account)}),
                     self._with_tls(stream),
                 )
         except* Exception as group:
@@ -164,16 +169,11 @@
 
     async def _serve(self, scope: dict[str, Any], receive, send) -> None:
         """Serve a request, and give back what it has drawn from the budget."""
-        account: Account = scope["state"][ACCOUNT]
-        holding = account.holding()
-        account.serve()
-        try:
-            await self._run_app(
-                {**scope, HOLDING: holding}, _BodyReceiver(account, receive).receive, send
-            )
-        finally:
-            holding.release()
-            account.wait_for_request()
+        requests: ConnectionRequests = scope["state"][REQUESTS]
+        with requests.request() as holding:
+            receiver = _BodyReceiver(requests, receive)
+            sender = _AnswerSender(requests, holding, send)
+            await self._run_app({**scope, HOLDING: holding}, receiver.receive, sender.send)
 
     async def _run_app(self, scope: dict[str, Any], receive, send) -> None:
         """Run the application, shielding the sending of each part of the response.
@@ -207,8 +207,8 @@
 class _BodyReceiver:
     """Receives a request's body, and notes that its connection waits for the client meanwhile."""
 
-    def __init__(self, account: Account, receive) -> None:
-        self._account = account
+    def __init__(self, requests: ConnectionRequests, receive) -> None:
+        self._requests = requests
         self._receive = receive
         self._is_whole = False
 
@@ -216,15 +216,42 @@
         """Return the next part of the body, or the disconnection that follows it."""
         if self._is_whole:
             return await self._receive()
-        self._account.wait_for_more()
-        try:
+        with self._requests.waiting_for_client():
             event = await self._receive()
-        finally:
-            self._account.serve()
         self._is_whole = not event.get("more_body", False)
         return event
 
 
+class _AnswerSender:
+    """Sends a response, each part of which draws on the budget until the client has taken it."""
+
+    def __init__(self, requests: ConnectionRequests, holding: Holding, send) -> None:
+        self._requests = requests
+        self._holding = holding
+        self._send = send
+
+    async def send(self, event: dict[str, Any]) -> None:
+        """Send a part; raises `ConnectionAbortedError` if there is no room to hold it.
+
+        A part that fits into the kernel's buffer needs nothing.
+        """
+        size = len(event.get("body", b""))
+        held = self._holding.size
+        needed = held + size if size > SEND_BUFFER_BYTES else held
+        if not self._holding.resize(needed):
+            raise ConnectionAbortedError("other clients leave no room for the answer")
+        with self._requests.waiting_for_client():
+            await self._send(event)
+        self._holding.resize(held)
+
+
+def _end_early(stream: AcceptedStream, scope: trio.CancelScope) -> None:
+    """End a connection, also one that is shielded while it sends a part of an answer."""
+    scope.cancel()
+    with contextlib.suppress(OSError):
+        stream.socket.shutdown(socket.SHUT_RDWR)
+
+
 def _flatten(group: BaseExceptionGroup) -> list[BaseException]:
     errors: list[BaseException] = []
     for error in group.exceptions:
--- a/src/finchway/transport/_http.py
+++ b/src/finchway/transport/_http.py
@@ -19,9 +19,9 @@
 PROBLEM = b"application/problem+json"
 PROMETHEUS_TEXT = b"text/plain; version=0.0.4"
 READ_TIMEOUT_S = 30.0
-# Keys in the state of a request's scope: of its `CallOrigin`, and of its connection's `Account`.
+# Keys in the state of a request's scope: of its `CallOrigin`, and of the `ConnectionRequests`.
 ORIGIN = "origin"
-ACCOUNT = "account"
+REQUESTS = "requests"
 # The key of a request's `Holding` in its scope.
 HOLDING = "finchway.holding"
 # Bytes that are read at once; they become one part of a body.
--- a/tests/transport/test_app_server.py
+++ b/tests/transport/test_app_server.py
@@ -10,10 +10,12 @@
 
 import pytest
 import trio
+import trio.testing
 from hypercorn.config import Config
 
 from bench.deploy import free_ports
 from finchway.transport import AppServer, ClientBudget
+from finchway.transport._connection_requests import ConnectionRequests
 
 REQUEST = b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n"
 STOP_DELAYS = 12
@@ -25,7 +27,8 @@
 class Server:
     """An app server in this process, which counts failed connections."""
 
-    def __init__(self, app) -> None:
+    def __init__(self, app, memory_mb: int = 300) -> None:
+        self.budget = ClientBudget(memory_mb)
         self.address = f"127.0.0.1:{free_ports(1)[0]}"
         self.failures = 0
         self.left = 0
@@ -33,7 +36,7 @@
         config.include_server_header = False
         config.errorlog = None
         self.http = AppServer(
-            self.address, app, config, ClientBudget(), self._count_failure, self._count_left
+            self.address, app, config, self.budget, self._count_failure, self._count_left
         )
 
     def _count_failure(self) -> None:
@@ -50,9 +53,9 @@
         return client
 
 
-def run_with_server(app, action) -> None:
+def run_with_server(app, action, **settings) -> None:
     async def run() -> None:
-        server = Server(app)
+        server = Server(app, **settings)
         async with trio.open_nursery() as nursery:
             await nursery.start(server.http.run)
             await action(server)
@@ -302,3 +305,64 @@
 
     run_with_server(respond_ok, action)
     assert max(increases) <= MOST_ACCEPTED_AT_ONCE
+
+
+async def respond_long(scope, receive, send) -> None:
+    """Answer with a megabyte, but shortly to requests for `/short`."""
+    body = b"ok" if scope["path"] == "/short" else b"x" * 1_000_000
+    headers = [(b"content-length", b"%d" % len(body))]
+    await send({"type": "http.response.start", "status": 200, "headers": headers})
+    await send({"type": "http.response.body", "body": body, "more_body": False})
+
+
+def test_answers_that_clients_do_not_take_are_bounded_together():
+    """Those that have stalled make room for others, and short answers need none."""
+
+    async def action(server: Server) -> None:
+        # A fifth of 100 MB is 20 answers.
+        clients = [server.connect() for _ in range(30)]
+        for client in clients:
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            client.send(REQUEST)
+        while server.budget.state.refused_requests < 10:
+            await trio.sleep(0.01)
+        assert server.budget.state.held_bytes <= 20_000_000
+        client = server.connect()
+        client.send(b"GET /short HTTP/1.1\r\nHost: a\r\n\r\n")
+        assert is_complete(await read_response(client, b"ok"))
+        await trio.sleep(1.1)
+        client.send(REQUEST)
+        assert (await read_response(client, b"x" * 1_000_000)).startswith(b"HTTP/1.1 200")
+        assert server.budget.state.ended
+        for client in clients:
+            client.close()
+        while server.budget.state.connections > 1:
+            await trio.sleep(0.01)
+        assert server.budget.state.held_bytes == 0
+
+    run_with_server(respond_long, action, memory_mb=100)
+
+
+def test_a_connection_with_other_requests_under_way_is_not_ended():
+    """On one of HTTP/2, a request whose body has stalled does not end those beside it."""
+    budget = ClientBudget(100)
+    ended = []
+
+    async def run() -> None:
+        account = budget.open()
+        account.on_end(lambda: ended.append(account))
+        requests = ConnectionRequests(account)
+        asking = budget.open()
+        asking.serve()
+        with requests.request() as holding:
+            assert holding.resize(20_000_000)
+            with requests.request(), requests.waiting_for_client():
+                await trio.sleep(1.1)
+                assert not asking.holding().resize(1)
+            assert ended == []
+            with requests.waiting_for_client():
+                await trio.sleep(1.1)
+                assert asking.holding().resize(1)
+        assert ended == [account]
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
