Keep streamed bodies to the limit, and callers that leave out of the error log

A body in chunks of any length was passed on: a client that sends without an end held its upstream's slot until the deadline, and one over max_body_bytes got the upstream's answer. Cause: the limit was looked at while the body is buffered, not once it is passed on as it arrives. And a caller that left midway in such a body was logged as an unexpected error with its traceback, since the exception left the nursery in a group: a crowd of them fills the log.

Change: read_more counts, and raises beyond the limit; the attempt ends, its connection is closed before the body's end, and the caller gets 413 and a close (413 promises nothing, and the upstream never had a whole request). Both exceptions are caught inside the nursery.

--- a/src/finchway/gateway/_forward.py
+++ b/src/finchway/gateway/_forward.py
@@ -20,6 +20,7 @@
 )
 from finchway.gateway._header_names import HOP_HEADERS, HeaderNames
 from finchway.gateway._http import (
+    BodyTooLongError,
     CallerConnection,
     CallerLeftError,
     CallerRequest,
@@ -199,9 +200,17 @@
                 self._waiting.add(context)
                 try:
                     outcome = await self._run_attempts(connection, context)
+                except CallerLeftError:
+                    left.set()
+                except BodyTooLongError:
+                    context.is_too_long = True
                 finally:
                     self._waiting.discard(context)
             nursery.cancel_scope.cancel()
+        if context.is_too_long:
+            self._log.record_ended(context, 413, "the body is too long")
+            await connection.reply(Reply(413), close=True)
+            return
         ended_by = self._ended_early_by(context)
         if ended_by and outcome.answer is None:
             verdict = Verdict.UNKNOWN if context.attempts else Verdict.NOT_RUN
--- a/src/finchway/gateway/_http.py
+++ b/src/finchway/gateway/_http.py
@@ -70,6 +70,10 @@
     """The caller closed its connection."""
 
 
+class BodyTooLongError(Exception):
+    """More of a streamed body has arrived than the limits allow."""
+
+
 class Reply(Struct, frozen=True):
     """A complete answer."""
 
@@ -138,6 +142,7 @@
         )
         self._scope = trio.CancelScope()
         self._body_scope: trio.CancelScope | None = None
+        self._streamed_bytes = 0
         self._events = 0
         self._closing = False
         self._close_announced = False
@@ -272,14 +277,22 @@
                 return Reply(413)
             if body.size > BUFFERED_BODY_BYTES:
                 request.is_streamed = True
+                self._streamed_bytes = body.size
                 return None
             if not body.reserve():
                 return _no_room()
 
     async def read_more(self) -> bytes | None:
-        """Return the next part of a streamed body, or None at its end."""
-        event = await self._next_event(self._limits().idle_timeout)
+        """Return the next part of a streamed body, or None at its end.
+
+        Raises `CallerLeftError` if it breaks off or stalls, `BodyTooLongError` beyond the limit.
+        """
+        limits = self._limits()
+        event = await self._next_event(limits.idle_timeout)
         if isinstance(event, h11.Data):
+            self._streamed_bytes += len(event.data)
+            if self._streamed_bytes > limits.body_bytes:
+                raise BodyTooLongError
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
             return None
--- a/src/finchway/gateway/_request_context.py
+++ b/src/finchway/gateway/_request_context.py
@@ -42,9 +42,9 @@
     `is_read` is set once the request has been read completely. With `at_most_once`, it is not
     retried if it may have run. Cancelling `scope` ends the attempts; `is_quarantined` marks a
     cancellation because of the quarantine, and `is_given_up` one because the gateway reaches no
-    upstream any more. `pushback` is that in the answer of the last attempt.
-    `available_in_s` are the seconds until an upstream is available, if none is; `carried_by` has
-    the connections that the request was sent on.
+    upstream any more. `is_too_long` is set if its streamed body exceeds the limit. `pushback` is
+    that in the answer of the last attempt. `available_in_s` are the seconds until an upstream is
+    available, if none is; `carried_by` has the connections that the request was sent on.
     """
 
     request: CallerRequest
@@ -65,6 +65,7 @@
     at_most_once: bool = False
     is_quarantined: bool = False
     is_given_up: bool = False
+    is_too_long: bool = False
     evidence: CrashEvidence = field(default_factory=CrashEvidence)
     digest: str = ""
     pushback: Pushback = NO_PUSHBACK
