Do not wait at a server's end for clients that have stalled midway in a body

A gateway that stops beside a crowd of stalled uploads ended 6.5 s after SIGTERM (grace is 6 s, and it ends requests at 5.85 s). Cause: a connection in the middle of a body is closed slowly, so that a refusal arrives although its client is still sending; clients that had got no answer were given the half second as well. Change: only those that have one.

--- a/src/finchway/gateway/_http.py
+++ b/src/finchway/gateway/_http.py
@@ -394,7 +394,7 @@
 
     async def close(self) -> None:
         """Close gracefully, so that the answer arrives even if the caller is still sending."""
-        unread = self._http.their_state is h11.SEND_BODY
+        unread = self._head_sent and self._http.their_state is h11.SEND_BODY
         with trio.move_on_after(_CLOSE_TIMEOUT_S if unread else 0.05):
             try:
                 await self._stream.send_eof()
--- a/tests/gateway/test_crowded_server.py
+++ b/tests/gateway/test_crowded_server.py
@@ -5,6 +5,7 @@
 import h11
 import pytest
 import trio
+import trio.testing
 
 from bench.deploy import free_ports
 from bench.raw import header_of
@@ -185,6 +186,21 @@
     trio.run(run)
 
 
+def test_the_end_of_a_server_does_not_wait_for_bodies_that_have_stalled():
+    """Only a client that has an answer to read is given time to stop sending."""
+    elapsed = []
+
+    async def run():
+        async with server() as subject:
+            await subject.connect(upload(500_000, 100_000))
+            await subject.wait_until(lambda: subject.budget.state.held_bytes)
+            ended_at = trio.current_time()
+        elapsed.append(trio.current_time() - ended_at)
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0.1))
+    assert elapsed[0] < 0.4
+
+
 class MostEvents(trio.abc.Instrument):
     """Counts the parser's events between two polls of the event loop."""
 
