Let short bodies at entries need no room, and hold none

Cause: hypercorn reports the end of each body apart from its last part, so that every request with a body drew 256 KB for parts that may still come, kept it until it was answered, and was refused while there was no room: 234 requests with a body at a time on a machine of 300 MB. Change: a body with a length draws no more than that, one up to 8 KB nothing, and what was drawn for further parts is given back at the end of the body.

--- a/src/finchway/entry/_app.py
+++ b/src/finchway/entry/_app.py
@@ -20,7 +20,7 @@
 from finchway.exceptions import NoRoomError
 from finchway.observe import Metrics
 from finchway.policy import Caller, Outcome, PlannedStop, client_block
-from finchway.transport import STALLED_AFTER_S, Holding
+from finchway.transport import STALLED_AFTER_S
 from finchway.transport._http import (
     PROMETHEUS_TEXT,
     BodyCollector,
@@ -73,11 +73,11 @@
 class CallerBody:
     """A request body that is buffered up to a bound and streamed beyond it."""
 
-    __slots__ = ("_held", "_holding", "_limit", "_has_more", "_receive", "_size", "_is_streamed")
+    __slots__ = ("_collected", "_held", "_limit", "_has_more", "_receive", "_size", "_is_streamed")
 
-    def __init__(self, receive, limit: int, holding: Holding | None = None) -> None:
+    def __init__(self, receive, limit: int, collected: BodyCollector) -> None:
         self._receive = receive
-        self._holding = holding
+        self._collected = collected
         self._limit = limit
         self._held = b""
         self._size = 0
@@ -96,11 +96,10 @@
 
     async def fill(self) -> None:
         """Buffer the body up to the bound; raises `NoRoomError` if there is no room for it."""
-        collected = BodyCollector(self._holding)
         while self._has_more and self._size <= MAX_BUFFERED_BYTES:
             part = await self._next()
-            collected.append(part, self._has_more)
-        self._held = collected.take()
+            self._collected.append(part, self._has_more)
+        self._held = self._collected.take()
 
     async def stream(self) -> AsyncIterator[bytes]:
         """Yield the buffered part, then the remainder as it arrives."""
@@ -300,7 +299,8 @@
     async def _read_body(self, request: Request, call: Call, receive) -> CallerBody:
         """Buffer the body of a call, or the first part of a long one."""
         spec = self._view.service(call.service)
-        body = CallerBody(receive, spec.max_request_bytes, request.holding)
+        collected = BodyCollector(request.holding, request.declared_length)
+        body = CallerBody(receive, spec.max_request_bytes, collected)
         with trio.move_on_at(call.deadline) as scope:
             try:
                 await body.fill()
--- a/src/finchway/transport/_http.py
+++ b/src/finchway/transport/_http.py
@@ -54,13 +54,15 @@
 class BodyCollector:
     """A body that is collected from the parts in which it arrives.
 
-    It draws on the clients' budget before it grows; without a holding, it draws on none.
+    It draws on the clients' budget before it grows, unless it is short; without a holding, it draws
+    on none. `declared` is its length, if its request says one.
     """
 
-    __slots__ = ("_data", "_holding")
+    __slots__ = ("_data", "_declared", "_holding")
 
-    def __init__(self, holding: Holding | None) -> None:
+    def __init__(self, holding: Holding | None, declared: int | None) -> None:
         self._holding = holding
+        self._declared = declared
         self._data = bytearray()
 
     @property
@@ -71,13 +73,19 @@
     def append(self, part: bytes, has_more: bool) -> None:
         """Add a part; raises `NoRoomError` if there is no room for what follows it."""
         self._data += part
-        needed = self.size + (UNREAD_BODY_BYTES if has_more else 0)
-        is_small = not has_more and self.size <= SMALL_BODY_BYTES
-        if self._holding is None or is_small:
+        needed = self._needed_bytes(has_more)
+        if self._holding is None:
             return
-        if not self._holding.resize(needed):
+        if not self._holding.resize(needed if needed > SMALL_BODY_BYTES else 0):
             raise NoRoomError
 
+    def _needed_bytes(self, has_more: bool) -> int:
+        if not has_more:
+            return self.size
+        if self._declared is None:
+            return self.size + UNREAD_BODY_BYTES
+        return min(self._declared, self.size + UNREAD_BODY_BYTES)
+
     def take(self) -> bytes:
         """Return the body and give up the buffer."""
         body = bytes(self._data)
@@ -103,6 +111,12 @@
         self.holding: Holding | None = scope.get(HOLDING)
         self._receive = receive
 
+    @property
+    def declared_length(self) -> int | None:
+        """The length of the body by the `Content-Length` header, or None."""
+        length = self.headers.get("content-length", "")
+        return int(length) if length.isascii() and length.isdigit() else None
+
     @property
     def bearer(self) -> str:
         """The bearer token of the `Authorization` header, or an empty string."""
@@ -114,7 +128,7 @@
 
         Raises `NoRoomError` if other clients leave no room for it.
         """
-        body = BodyCollector(self.holding)
+        body = BodyCollector(self.holding, self.declared_length)
         with trio.fail_after(READ_TIMEOUT_S):
             while True:
                 event = await self._receive()
--- a/tests/transport/test_app_server.py
+++ b/tests/transport/test_app_server.py
@@ -16,6 +16,7 @@
 from bench.deploy import free_ports
 from finchway.transport import AppServer, ClientBudget
 from finchway.transport._connection_requests import ConnectionRequests
+from finchway.transport._http import Request
 
 REQUEST = b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n"
 STOP_DELAYS = 12
@@ -366,3 +367,44 @@
         assert ended == [account]
 
     trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+SHORT_BODIES = {
+    "with a length": b"Content-Length: 300\r\n\r\n" + b"x" * 300,
+    "in chunks": b"Transfer-Encoding: chunked\r\n\r\n12c\r\n" + b"x" * 300 + b"\r\n0\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("name", list(SHORT_BODIES))
+def test_a_request_with_a_short_body_holds_nothing_once_it_is_read(name):
+    held = []
+
+    async def action(server: Server) -> None:
+        client = server.connect()
+        client.send(b"POST /x HTTP/1.1\r\nHost: a\r\n" + SHORT_BODIES[name])
+        assert is_complete(await read_response(client, b"ok"))
+
+    async def app(scope, receive, send) -> None:
+        request = Request(scope, receive)
+        assert await request.read(1000) == b"x" * 300
+        held.append(request.holding.size)
+        await respond_ok(scope, receive, send)
+
+    run_with_server(app, action)
+    assert held == [0]
+
+
+def test_a_short_body_with_a_length_is_taken_while_there_is_no_room():
+    async def action(server: Server) -> None:
+        other = server.budget.open()
+        other.serve()
+        assert other.holding().resize(server.budget.state.max_bytes)
+        client = server.connect()
+        client.send(b"POST /x HTTP/1.1\r\nHost: a\r\n" + SHORT_BODIES["with a length"])
+        assert is_complete(await read_response(client, b"ok"))
+
+    async def app(scope, receive, send) -> None:
+        assert len(await Request(scope, receive).read(1000)) == 300
+        await respond_ok(scope, receive, send)
+
+    run_with_server(app, action)
