Serve short bodies in chunks while there is no room for others

Cause: a body without a length drew 192 KB at its start, so that an ordinary request of a few bytes in chunks got 503 beside a crowd. Change: a body draws once more than 8 KB of it have arrived; until then its connection's share covers what is read of it. Result: test_short_bodies_are_served_while_there_is_no_room_for_others, failed before for chunks.

--- a/src/finchway/gateway/_body_buffer.py
+++ b/src/finchway/gateway/_body_buffer.py
@@ -30,9 +30,10 @@
         """Draw what the body needs before more of it is read; return whether there is room.
 
         For a body with a length, everything is drawn at its start, so that one which has been begun
-        isn't given up later.
+        isn't given up later. A short one needs nothing.
         """
-        if self._declared is not None and self._declared <= SMALL_BODY_BYTES:
+        known = self.size if self._declared is None else self._declared
+        if known <= SMALL_BODY_BYTES:
             return True
         return self._holding.resize(max(self._holding.size, self._needed_bytes()))
 
--- a/tests/gateway/test_crowded_server.py
+++ b/tests/gateway/test_crowded_server.py
@@ -143,6 +143,26 @@
     trio.run(run)
 
 
+SHORT_BODIES = {
+    "with a length": upload(5000, 5000),
+    "in chunks": head_of(b"Transfer-Encoding: chunked")
+    + b"3e8\r\n"
+    + b"x" * 1000
+    + b"\r\n0\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("name", list(SHORT_BODIES))
+def test_short_bodies_are_served_while_there_is_no_room_for_others(name):
+    async def run():
+        async with server() as subject:
+            await fill(subject)
+            stream = await subject.connect(SHORT_BODIES[name])
+            assert (await stream.receive_some(4096)).startswith(b"HTTP/1.1 200 ")
+
+    trio.run(run)
+
+
 WAYS_OUT = {
     "served": upload(500_000, 500_000),
     "served, in chunks": head_of(b"Transfer-Encoding: chunked")
