Refuse numbers that no log can hold where they are read

Cause: the values of a change were checked only as the committed command was applied; a number beyond 64 bits never got there, since the replica's own task encoded each proposal and ended with the OverflowError. At followers the link raised the same in the call. A reply that has no encoding ended the process that wrote it.

Change: check_values looks at the values of a change before it is submitted; a command is encoded in its submitter's task, which gets EncodingError, an invalid input; links raise the same for requests, drop what is posted, and answer "outcome unknown" for a reply that cannot be encoded. The state machine's own check is unchanged, so replicas of the build before agree.

--- a/src/finchway/catalog/__init__.py
+++ b/src/finchway/catalog/__init__.py
@@ -5,7 +5,7 @@
 """
 
 from finchway.catalog._catalog import Catalog, CatalogEntry
-from finchway.catalog._check import check_items
+from finchway.catalog._check import check_items, check_values
 from finchway.catalog._items import (
     Backend,
     Item,
@@ -29,4 +29,5 @@
     "ServiceSpec",
     "Spec",
     "check_items",
+    "check_values",
 ]
--- a/src/finchway/catalog/_check.py
+++ b/src/finchway/catalog/_check.py
@@ -16,13 +16,22 @@
 
 def check_items(items: list[Item], services: set[str]) -> list[Finding]:
     """Return all problems of items, given the names of the services that would then exist."""
+    findings = check_values(items)
+    for position, item in enumerate(items):
+        if isinstance(item.spec, Route):
+            findings += _check_services(_place(position, item), item.spec, services)
+    return findings
+
+
+def check_values(items: list[Item]) -> list[Finding]:
+    """Return the problems that items have whatever else the catalog holds."""
     findings = []
     for position, item in enumerate(items):
-        place = f"items[{position}] {item.key[:MAX_NAME_LENGTH]}"
+        place = _place(position, item)
         findings += _check_item(place, item)
         match item.spec:
             case Route():
-                findings += _check_route(place, item.spec, services)
+                findings += _check_route(place, item.spec)
             case ServiceSpec():
                 findings += _check_service(place, item.spec)
             case Limits():
@@ -30,6 +39,10 @@
     return findings
 
 
+def _place(position: int, item: Item) -> str:
+    return f"items[{position}] {item.key[:MAX_NAME_LENGTH]}"
+
+
 def _check_item(place: str, item: Item) -> list[Finding]:
     """Check the fields that all kinds have in common."""
     findings = []
@@ -40,7 +53,7 @@
     return findings
 
 
-def _check_route(place: str, route: Route, services: set[str]) -> list[Finding]:
+def _check_route(place: str, route: Route) -> list[Finding]:
     findings = []
     if not route.path_prefix.startswith("/") or not route.path_prefix.endswith("/"):
         findings.append(Finding(f"{place}.path_prefix", "must begin and end with a slash"))
@@ -56,12 +69,17 @@
         findings.append(Finding(f"{place}.backends", "weights must be 0 to 2**53 - 1"))
     if sum(backend.weight for backend in route.backends) <= 0:
         findings.append(Finding(f"{place}.backends", "the sum of the weights must be above 0"))
-    for backend in route.backends:
-        if backend.service not in services:
-            findings.append(Finding(f"{place}.backends", f"no service {backend.service!r}"))
     return findings
 
 
+def _check_services(place: str, route: Route, services: set[str]) -> list[Finding]:
+    return [
+        Finding(f"{place}.backends", f"no service {backend.service!r}")
+        for backend in route.backends
+        if backend.service not in services
+    ]
+
+
 def _check_service(place: str, service: ServiceSpec) -> list[Finding]:
     findings = []
     if not service.health_path.startswith("/"):
--- a/src/finchway/control/_replica.py
+++ b/src/finchway/control/_replica.py
@@ -59,9 +59,9 @@
 
 
 class _Proposal(Struct, eq=False):
-    """A command that has yet to enter the log."""
+    """An encoded command that has yet to enter the log."""
 
-    command: AnyCommand
+    data: bytes
     validity: Validity | None
     waiter: _Waiter
 
@@ -177,14 +177,15 @@
     ) -> AnyResult:
         """Commit a command and return the result of applying it.
 
-        Raises `NotLeaderError` with the leader's address, `OrderExpiredError` if the command did
-        not enter the log while it was valid, or `UnavailableError` on a timeout, after which the
-        command may still be applied.
+        Raises `NotLeaderError` with the leader's address, `EncodingError` if the log cannot hold
+        the command, `OrderExpiredError` if it did not enter the log while it was valid, or
+        `UnavailableError` on a timeout, after which the command may still be applied.
         """
         if not self.is_leader:
             raise NotLeaderError(self.leader_address())
+        data = encode_command(command)
         waiter = _Waiter(self._core.term, trio.Event())
-        self._proposals.append(_Proposal(command, validity, waiter))
+        self._proposals.append(_Proposal(data, validity, waiter))
         self._wake.set()
         with trio.move_on_after(timeout):
             await waiter.event.wait()
@@ -338,8 +339,8 @@
             waiter = proposal.waiter
             try:
                 self.require_valid(proposal.validity)
-                index = self._core.propose(encode_command(proposal.command))
-            except (NotLeaderError, OrderExpiredError) as error:
+                index = self._core.propose(proposal.data)
+            except FinchwayError as error:
                 waiter.error = error
                 waiter.event.set()
                 continue
--- a/src/finchway/control/_steering.py
+++ b/src/finchway/control/_steering.py
@@ -5,7 +5,7 @@
 import trio
 
 from finchway._clock import WALL_CLOCK
-from finchway.catalog import Item
+from finchway.catalog import Item, check_values
 from finchway.control._order_log import OrderLog
 from finchway.control._server import ControlServer
 from finchway.exceptions import (
@@ -88,6 +88,9 @@
             f"{item.key} version {item.version}" for item in items[:MAX_LOGGED_ITEMS]
         )
         with self._orders.record("change", subject, origin):
+            findings = check_values(items)
+            if findings:
+                raise ResourceError(findings, "change")
             result = await self._submit(
                 ChangeItems(now_ms=WALL_CLOCK.now_ms(), items=items), origin
             )
--- a/src/finchway/exceptions.py
+++ b/src/finchway/exceptions.py
@@ -54,6 +54,14 @@
     """A resource is malformed or refers to something that does not exist."""
 
 
+class EncodingError(InputError):
+    """A message or command holds a value that no encoding can carry; it has no effect."""
+
+    def __init__(self, subject: str, problem: Exception) -> None:
+        finding = Finding(subject, f"cannot be encoded: {problem}")
+        super().__init__([finding], subject)
+
+
 class ConflictError(FinchwayError):
     """Another change was accepted first; `winner` is the encoded current resource."""
 
--- a/src/finchway/state/_commands.py
+++ b/src/finchway/state/_commands.py
@@ -12,6 +12,7 @@
 from msgspec import Struct
 
 from finchway.catalog import Item
+from finchway.exceptions import EncodingError
 from finchway.registry import MarkKind
 from finchway.resources import Status
 from finchway.state._suspects import RequestReport
@@ -207,8 +208,11 @@
 
 
 def encode_command(command: AnyCommand) -> bytes:
-    """Encode a command as msgpack for the log."""
-    return _ENCODER.encode(command)
+    """Encode a command as msgpack for the log; raises `EncodingError` if that is impossible."""
+    try:
+        return _ENCODER.encode(command)
+    except (OverflowError, ValueError) as error:
+        raise EncodingError(type(command).__name__, error) from error
 
 
 def decode_command(data: bytes) -> AnyCommand:
--- a/src/finchway/transport/_link.py
+++ b/src/finchway/transport/_link.py
@@ -18,6 +18,7 @@
 from finchway.exceptions import (
     ConflictError,
     DeniedError,
+    EncodingError,
     FinchwayError,
     GoneError,
     NotFoundError,
@@ -138,7 +139,8 @@
 
         Raises the error that the peer replied with, or `TransportError` if there is no reply
         within `timeout` seconds, in which case the peer may have acted on the request. Raises
-        `TransportError` early if no connection accepts the request within `send_timeout` seconds.
+        `TransportError` early if no connection accepts the request within `send_timeout` seconds,
+        and `EncodingError` if no message can carry it.
         """
         correlation = next(self._correlations)
         reply = self._pending[correlation] = _PendingReply()
@@ -159,7 +161,11 @@
 
     def post(self, address: str, body: AnyBody) -> bool:
         """Send a message without waiting for a reply; return False if it was dropped."""
-        return self._send(address, 0, body)
+        try:
+            return self._send(address, 0, body)
+        except EncodingError as error:
+            _LOG.error("dropped a message: %s", error)
+            return False
 
     def _open(self, kind: int) -> zmq.Socket:
         socket = self._context.socket(kind)
@@ -205,8 +211,16 @@
     def _send(self, address: str, correlation: int, body: AnyBody) -> bool:
         if self._nursery is None:
             return False
-        envelope = Envelope(self._name, correlation, False, self._clock.tick(), body)
-        return self._send_frames(self._peer(address), [_ENCODER.encode(envelope)])
+        data = self._encode(correlation, False, body)
+        return self._send_frames(self._peer(address), [data])
+
+    def _encode(self, correlation: int, is_reply: bool, body: AnyBody) -> bytes:
+        """Encode a message; raises `EncodingError` if that is impossible."""
+        envelope = Envelope(self._name, correlation, is_reply, self._clock.tick(), body)
+        try:
+            return _ENCODER.encode(envelope)
+        except (OverflowError, ValueError) as error:
+            raise EncodingError(type(body).__name__, error) from error
 
     def _send_frames(self, socket: zmq.Socket, frames: list[bytes]) -> bool:
         try:
@@ -261,8 +275,13 @@
                 body = Failure(code="FinchwayError", message=f"internal error: {error}")
         if envelope.correlation == 0 or body is None or socket.closed:
             return
-        reply = Envelope(self._name, envelope.correlation, True, self._clock.tick(), body)
-        self._send_frames(socket, [*route, _ENCODER.encode(reply)])
+        try:
+            data = self._encode(envelope.correlation, True, body)
+        except EncodingError as error:
+            _LOG.error("cannot reply to %s: %s", type(envelope.body).__name__, error)
+            failure = Failure(code=UnavailableError.__name__, message="the reply has no encoding")
+            data = self._encode(envelope.correlation, True, failure)
+        self._send_frames(socket, [*route, data])
 
     def _close(self) -> None:
         for socket in [*self._peers.values(), self._server]:
--- a/tests/unit/test_link.py
+++ b/tests/unit/test_link.py
@@ -36,7 +36,7 @@
     return Ok()
 
 
-def run_pair(check, unused_s: float = 120.0) -> None:
+def run_pair(check, unused_s: float = 120.0, answer=handler) -> None:
     """Run a check with two links; the second one replies."""
 
     async def main() -> None:
@@ -45,7 +45,7 @@
         with trio.fail_after(20):
             async with trio.open_nursery() as nursery:
                 link = Link("one", one, handler, clocks[0], idle_timeout_s=unused_s)
-                other = Link("two", two, handler, clocks[1])
+                other = Link("two", two, answer, clocks[1])
                 await nursery.start(link.run)
                 await nursery.start(other.run)
                 await check(link, two, clocks)
