Refuse resources and queries whose numbers no process can compute with

Callers saw: `deadline_ms: 2**64` in a service was accepted (200); each leader then ended as it planned, also after a restart, so that control was gone for good. `slots: 2**53 - 1` kept the leader from handing back the processor. `expected`, `since` and `after` of thousands of digits, or "²", got a closed connection or 500; so did such a finchway-timeout-ms at entries.

Counts of specs had no upper bound, and a leader divides and encodes them later; slots were lent one by one; texts of digits were converted without a bound. A message of a peer nested 100,000 deep ended the process that read it, and a peer's clock of 2**64 - 1 left it nothing to count with.

Change: check_sizes looks at specs where they are read (API and tool), not as commands are applied, so that a log of the build before is read as it was. Slots are lent in rounds taken at once, with the same result (property test). Queries and timeouts are bounded; such clocks and messages are ignored.

--- a/src/finchway/catalog/_check.py
+++ b/src/finchway/catalog/_check.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
+from finchway._counts import MAX_COUNT
 from finchway.catalog._items import Item, Limits, Route, ServiceSpec
 from finchway.exceptions import Finding
 
 MAX_TIMEOUT_S = 600.0
 MAX_NAME_LENGTH = 256
-# The largest integer that every JSON parser represents exactly.
-MAX_COUNT = 2**53 - 1
 # Upstreams for one request; a retry has ceased to help long before.
 MAX_ATTEMPTS = 100
 MAX_TARGET_OVER_TIMEOUT_S = 60.0
--- a/src/finchway/control/_api.py
+++ b/src/finchway/control/_api.py
@@ -20,6 +20,7 @@
 from msgspec import Struct
 
 from finchway._clock import WALL_CLOCK
+from finchway._counts import MAX_COUNT, Count
 from finchway.control._server import ControlServer
 from finchway.control._steering import SteeringService
 from finchway.control._steering_api import SteeringApi
@@ -38,7 +39,14 @@
     UnavailableError,
 )
 from finchway.observe import Metrics, Timeline, merge
-from finchway.resources import OPERATOR_KINDS, SPECS, Role, check_name, parse_spec
+from finchway.resources import (
+    OPERATOR_KINDS,
+    SPECS,
+    Role,
+    check_name,
+    check_sizes,
+    parse_spec,
+)
 from finchway.state import (
     Accepted,
     AnyResult,
@@ -76,7 +84,7 @@
 
 class _Put(Struct, forbid_unknown_fields=True):
     spec: Any
-    expected: int | None = None
+    expected: Count | None = None
     change_id: str = ""
 
 
@@ -219,7 +227,7 @@
         _check_kind(kind, OPERATOR_KINDS)
         body = _decode(await request.read(MAX_BODY_BYTES), _Put)
         spec = parse_spec(kind, body.spec)
-        findings = check_name(name, "name")
+        findings = check_name(name, "name") + check_sizes(spec, "spec")
         if findings:
             raise ResourceError(findings, kind)
         command = PutResource(
@@ -236,13 +244,11 @@
     async def _delete(self, request: Request, kind: str, name: str, operator: str, respond) -> None:
         _check_kind(kind, (*OPERATOR_KINDS, "instance"))
         expected = request.query.get("expected")
-        if expected is not None and not expected.isdigit():
-            raise ResourceError([Finding("expected", f"not a number: {expected!r}")], "query")
         command = DeleteResource(
             now_ms=WALL_CLOCK.now_ms(),
             kind=kind,
             name=name,
-            expected=None if expected is None else int(expected),
+            expected=None if expected is None else _parse_count(expected, "expected"),
             change_id=request.query.get("change_id", ""),
             operator=operator,
         )
@@ -263,14 +269,11 @@
         await send_json(respond, answer)
 
     async def _watch(self, request: Request, respond) -> None:
-        since = request.query.get("since", "0")
-        if not since.isdigit():
-            raise ResourceError([Finding("since", f"not a revision: {since!r}")], "query")
+        revision = _parse_count(request.query.get("since", "0"), "since")
         kind = request.query.get("kind", "")
         if kind:
             _check_kind(kind, SPECS)
         machine = self._server.runner.machine
-        revision = int(since)
         machine.history.since(revision)
         await send_start(respond, 200, [(b"content-type", b"application/x-ndjson")])
         try:
@@ -371,16 +374,25 @@
 def _decode(data: bytes, kind: type) -> Any:
     try:
         return msgspec.json.decode(data, type=kind)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise ResourceError([Finding("body", str(error))], "request") from error
 
 
+def _parse_count(text: str, place: str) -> int:
+    """Return the whole number in a query; raises `ResourceError` if it is none, or too large."""
+    digits = text.isascii() and text.isdigit() and len(text) <= len(str(MAX_COUNT))
+    if not digits or int(text) > MAX_COUNT:
+        problem = f"must be a whole number of at most {MAX_COUNT}, not {text[:40]!r}"
+        raise ResourceError([Finding(place, problem)], "query")
+    return int(text)
+
+
 def _decode_cursor(text: str) -> dict[str, int]:
     if not text:
         return {}
     try:
-        return msgspec.json.decode(text, type=dict[str, int])
-    except msgspec.MsgspecError as error:
+        return msgspec.json.decode(text, type=dict[str, Count])
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise ResourceError([Finding("after", str(error))], "query") from error
 
 
--- a/src/finchway/control/_steering_api.py
+++ b/src/finchway/control/_steering_api.py
@@ -9,6 +9,7 @@
 from msgspec import Struct
 
 from finchway._clock import WALL_CLOCK
+from finchway._counts import Count
 from finchway.catalog import Item, ItemKind, Limits, Route, ServiceSpec
 from finchway.control._steering import SteeringService
 from finchway.exceptions import Finding, InputError, NotFoundError, ResourceError
@@ -31,7 +32,7 @@
 
 
 class _Leaving(Struct, forbid_unknown_fields=True):
-    born: int = 0
+    born: Count = 0
 
 
 class UpstreamRow(Struct, frozen=True):
--- a/src/finchway/entry/_app.py
+++ b/src/finchway/entry/_app.py
@@ -35,6 +35,8 @@
 
 MAX_STEER_ENTRIES = 4
 MAX_KEY_LENGTH = 200
+# Digits of a caller's timeout in milliseconds; a longer one is beyond every service's deadline.
+MAX_TIMEOUT_DIGITS = 15
 MAX_CONCURRENT_REQUESTS = 4_000
 # Multiple of a service's mean time that a slow request may need.
 SLOW_FACTOR = 2.0
@@ -443,5 +445,7 @@
 
 def _timeout_s(request: Request, max_ms: int) -> float:
     requested = request.headers.get("finchway-timeout-ms", "")
-    timeout_ms = int(requested) if requested.isdigit() and int(requested) > 0 else max_ms
-    return min(timeout_ms, max_ms) / 1000
+    is_number = requested.isascii() and requested.isdigit()
+    if not is_number or len(requested) > MAX_TIMEOUT_DIGITS or int(requested) == 0:
+        return max_ms / 1000
+    return min(int(requested), max_ms) / 1000
--- a/src/finchway/observe/_events.py
+++ b/src/finchway/observe/_events.py
@@ -14,6 +14,8 @@
 
 from msgspec import Struct
 
+from finchway._counts import MAX_COUNT
+
 _LOG = logging.getLogger("finchway.events")
 MAX_EVENTS = 5_000
 
@@ -77,8 +79,12 @@
         return self._value
 
     def witness(self, other: int) -> None:
-        """Advance to the clock of a received message if that is ahead."""
-        self._value = max(self._value, other)
+        """Advance to the clock of a received message if that is ahead.
+
+        A value that no process can have counted up to is ignored: it would leave no room to count.
+        """
+        if other <= MAX_COUNT:
+            self._value = max(self._value, other)
 
 
 class Timeline:
--- a/src/finchway/policy/_lender.py
+++ b/src/finchway/policy/_lender.py
@@ -245,14 +245,17 @@
 
 
 def _take_evenly(entry: str, free: Slots, target: int) -> Slots:
+    """Choose `target` slots in rounds of one slot of each upstream that has some left.
+
+    Rounds in which no upstream runs out are taken at once.
+    """
     order = rank(entry, [address for address, count in free.items() if count > 0])
     taken: Slots = {}
     while target > 0 and order:
-        for address in list(order):
-            if target == 0:
-                break
-            taken[address] = taken.get(address, 0) + 1
-            target -= 1
-            if taken[address] >= free[address]:
-                order.remove(address)
+        fewest_left = min(free[address] - taken.get(address, 0) for address in order)
+        rounds = min(target // len(order), fewest_left)
+        for address in order if rounds else order[:target]:
+            taken[address] = taken.get(address, 0) + max(rounds, 1)
+        target -= rounds * len(order) if rounds else target
+        order = [address for address in order if taken.get(address, 0) < free[address]]
     return taken
--- a/src/finchway/registry/__init__.py
+++ b/src/finchway/registry/__init__.py
@@ -1,7 +1,8 @@
 """Upstreams registered by heartbeat, and the marks of those that are draining or gone."""
 
+from finchway._counts import Count
 from finchway.registry._addresses import AddressOwners
-from finchway.registry._check import MAX_COUNT, check_registration
+from finchway.registry._check import check_registration
 from finchway.registry._registry import ReceivedHeartbeat, Registry
 from finchway.registry._upstream import (
     Mark,
@@ -12,8 +13,8 @@
 )
 
 __all__ = [
-    "MAX_COUNT",
     "AddressOwners",
+    "Count",
     "ReceivedHeartbeat",
     "Mark",
     "MarkKind",
--- a/src/finchway/registry/_check.py
+++ b/src/finchway/registry/_check.py
@@ -5,14 +5,13 @@
 import math
 import re
 
+from finchway._counts import MAX_COUNT
 from finchway.exceptions import Finding
 from finchway.registry._upstream import Registration
 
 MAX_NAME_CHARS = 256
 # A thousand times what the largest known upstreams process at once.
 MAX_SLOTS = 10_000
-# The largest integer that every JSON parser represents exactly.
-MAX_COUNT = 2**53 - 1
 MAX_COLD_S = 3_600.0
 _ADDRESS = re.compile(r"(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3}):(\d{1,5})", re.ASCII)
 
--- a/src/finchway/resources/_check.py
+++ b/src/finchway/resources/_check.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import ipaddress
 from typing import Any
 
 import msgspec
 
+from finchway._counts import MAX_COUNT
 from finchway.exceptions import Finding, ResourceError
 from finchway.resources import _specs as s
 from finchway.resources._specs import OPERATOR_KINDS, SPECS, Name, Spec
@@ -70,6 +72,41 @@
     return []
 
 
+def check_sizes(spec: Spec, place: str) -> list[Finding]:
+    """Return a finding for each value of a spec that processes could not compute with.
+
+    Call it where a spec is read. It is no part of `parse_spec`, which also reads specs that have
+    been accepted.
+    """
+    findings = _check_numbers(msgspec.to_builtins(spec), place)
+    if isinstance(spec, s.ClientBlocks):
+        findings += [
+            Finding(f"{place}.blocks[{index}]", f"{block!r} is no IPv4 block")
+            for index, block in enumerate(spec.blocks)
+            if not _is_block(block)
+        ]
+    return findings
+
+
+def _check_numbers(value: Any, place: str) -> list[Finding]:
+    if isinstance(value, int) and abs(value) > MAX_COUNT:
+        return [Finding(place, f"must be at most {MAX_COUNT}")]
+    children: list[tuple[str, Any]] = []
+    if isinstance(value, dict):
+        children = [(f"{place}.{key}", child) for key, child in value.items()]
+    elif isinstance(value, list | tuple):
+        children = [(f"{place}[{index}]", child) for index, child in enumerate(value)]
+    return [finding for name, child in children for finding in _check_numbers(child, name)]
+
+
+def _is_block(text: str) -> bool:
+    try:
+        ipaddress.IPv4Network(text, strict=False)
+    except ValueError:
+        return False
+    return True
+
+
 class Draft(msgspec.Struct, frozen=True):
     """A resource from an operator whose spec is valid but which is not accepted yet."""
 
@@ -96,9 +133,12 @@
             continue
         findings += check_name(name, f"{place}.name")
         try:
-            drafts.append(Draft(kind, name, parse_spec(kind, raw.get("spec", {}), f"{place}.spec")))
+            spec = parse_spec(kind, raw.get("spec", {}), f"{place}.spec")
         except ResourceError as error:
             findings += error.findings
+            continue
+        findings += check_sizes(spec, f"{place}.spec")
+        drafts.append(Draft(kind, name, spec))
     if findings:
         raise ResourceError(findings, source)
     return drafts
--- a/src/finchway/transport/_link.py
+++ b/src/finchway/transport/_link.py
@@ -252,7 +252,7 @@
         self._received_bytes += len(frames[-1])
         try:
             envelope = _DECODER.decode(frames[-1])
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             _LOG.warning("dropped malformed message: %s", error)
             return
         self._clock.witness(envelope.clock)
