Serve routes whose target latency is 0

Cause: until answers arrive, the estimate of the service time is the target latency of the first route asked, and rates are divided by it. The error comes before the first request is sent, so there never were answers.

Change: a target below 1 ms says nothing of what an upstream takes; 0.1 s is assumed until there are answers, and no estimate is below 0.1 ms. Where no answer can be on time, lateness is no sign of load, and an upstream of last resort need not be on time; nothing is refused for being late.

--- a/src/finchway/gateway/_estimates.py
+++ b/src/finchway/gateway/_estimates.py
@@ -12,6 +12,13 @@
 # Weight of the answers above the estimate against those below it. The small weight makes it a low
 # expectile of the response times, since longer ones include queueing or were for cold keys.
 WEIGHT_ABOVE = 0.1
+# Service time that is assumed without answers, where the target latency tells nothing of it.
+DEFAULT_SERVICE_TIME_S = 0.1
+# A shorter target latency asks for answers as fast as possible: all are late, and none is refused
+# for that.
+MIN_TARGET_LATENCY_S = 0.001
+# No estimate is shorter, since rates are divided by it.
+MIN_SERVICE_TIME_S = 0.0001
 # Answers that the estimate is based on, by number and by age in seconds.
 MAX_ANSWERS = 100
 ANSWER_WINDOW_S = 10.0
@@ -34,8 +41,8 @@
 class ServiceEstimate:
     """The estimates of one service.
 
-    Until there are answers, the service time is the route's target latency, and the service counts
-    as overloaded.
+    Until there are answers, the service time is the route's target latency, or a default if that
+    is about 0, and the service counts as overloaded.
     """
 
     __slots__ = (
@@ -50,7 +57,9 @@
     def __init__(self, target_latency: float) -> None:
         self._answers: deque[tuple[float, float]] = deque(maxlen=MAX_ANSWERS)
         self._home_answers: deque[tuple[float, float]] = deque(maxlen=MAX_ANSWERS)
-        self._own_time = target_latency
+        self._own_time = (
+            target_latency if _is_attainable(target_latency) else DEFAULT_SERVICE_TIME_S
+        )
         self._fleet_time: float | None = None
         self._target_latency = target_latency
         self._late_fraction = 1.0
@@ -79,6 +88,13 @@
         """Seconds after which an answer was most likely for a cold key."""
         return COLD_KEY_FACTOR * self.service_time
 
+    def late_after(self, target_latency: float) -> float:
+        """Return the seconds after which an answer of a route is late, as a sign of load.
+
+        Where no answer can be on time, only one that is slow for the service is such a sign.
+        """
+        return target_latency if _is_attainable(target_latency) else self.slow_after
+
     def record_answer(
         self, seconds: float, target_latency: float, now: float, is_home: bool
     ) -> None:
@@ -88,8 +104,9 @@
         if is_home:
             self._home_answers.append((now, seconds))
         self._drop_old(now)
-        self._own_time = low_expectile([seconds for _, seconds in self._answers])
-        self._record_late(seconds > target_latency)
+        expectile = low_expectile([seconds for _, seconds in self._answers])
+        self._own_time = max(expectile, MIN_SERVICE_TIME_S)
+        self._record_late(seconds > self.late_after(target_latency))
 
     def record_timeout(self) -> None:
         """Count an attempt that reached its deadline as late."""
@@ -131,6 +148,10 @@
         self._late_fraction += LATE_FRACTION_WEIGHT * (is_late - self._late_fraction)
 
 
+def _is_attainable(target_latency: float) -> bool:
+    return target_latency >= MIN_TARGET_LATENCY_S
+
+
 def low_expectile(values: list[float]) -> float:
     """Return the value at which weighted distances to the values above and below are equal.
 
--- a/src/finchway/gateway/_selector.py
+++ b/src/finchway/gateway/_selector.py
@@ -118,7 +118,7 @@
         held for them.
         """
         outliers = plan.outliers(now)
-        patience_s = context.route.target_latency
+        patience_s = plan.estimate.late_after(context.route.target_latency)
         for region in order:
             records = regions[region].records
             names = [
--- a/tests/unit/test_estimates.py
+++ b/tests/unit/test_estimates.py
@@ -40,6 +40,27 @@
     assert estimate.slow_after > estimate.cold_key_after > estimate.service_time
 
 
+# Guards against rates divided by an estimate of 0 s, and against a load that no answer shows.
+@pytest.mark.parametrize("target_latency", [0.0, 5e-324, -1.0])
+def test_a_target_that_no_answer_attains_says_neither_time_nor_load(target_latency):
+    estimate = ServiceEstimate(target_latency)
+    assert estimate.service_time > 0.01
+    for _ in range(500):
+        estimate.record_answer(0.1, target_latency, 0.0, True)
+    assert estimate.service_time == pytest.approx(0.1)
+    assert not estimate.is_overloaded
+    for _ in range(30):
+        estimate.record_answer(0.5, target_latency, 0.0, True)
+    assert estimate.is_overloaded
+
+
+def test_answers_that_take_no_time_leave_an_estimate_to_divide_by():
+    estimate = ServiceEstimate(0.25)
+    for _ in range(500):
+        estimate.record_answer(0.0, 0.25, 0.0, True)
+    assert 0.0 < estimate.service_time < 0.001
+
+
 def fleet_report(gateways: int, lying: int = 0) -> RegionDemand:
     """Return the fleet's estimates after a time of load that is the same whatever its size.
 
