Answer errors of our own with 500 in place of a closed connection

Cause: HttpServer logged whatever a handler raised, and closed.

Change: it answers 500 unless an answer was begun, then closes; the forwarder logs and counts the request's end. 500 promises nothing, since the request may have been sent upstream. Calls of operators and the directory are answered alike, so that their callers move on at once.

--- a/src/finchway/gateway/_forward.py
+++ b/src/finchway/gateway/_forward.py
@@ -93,6 +93,11 @@
         self._in_flight.add(context)
         try:
             await self._serve_request(connection, context)
+        except CallerLeftError:
+            raise
+        except Exception as error:
+            self._log.record_ended(context, 500, f"internal error: {_name_of(error)}")
+            raise
         finally:
             self._in_flight.discard(context)
 
@@ -548,6 +553,13 @@
             upstream.close()
 
 
+def _name_of(error: Exception) -> str:
+    """Return the name of an error's type, of the first one if a nursery raised several."""
+    while isinstance(error, ExceptionGroup):
+        error = error.exceptions[0]
+    return type(error).__name__
+
+
 def _retry_later(status: int, available_in: float = 0.0, on_time_in: float = 0.0) -> Reply:
     """Return a refusal with a Retry-After that spreads the callers' returns."""
     return _retry_after(status, return_after(available_in, on_time_in, _RANDOM))
--- a/src/finchway/gateway/_http.py
+++ b/src/finchway/gateway/_http.py
@@ -51,6 +51,9 @@
 # Part of an answer for which its caller may take as long as it may remain idle.
 _SEND_BYTES = 64 * 1024
 _CLOSE_TIMEOUT_S = 0.5
+# Answer to a request that an error of this process ended. It promises nothing: the request may have
+# been sent to an upstream.
+_INTERNAL_ERROR = 500
 _REFUSAL_REASONS = {
     408: "the body did not arrive in time",
     413: "the body is too long",
@@ -587,10 +590,10 @@
         except (CallerLeftError, trio.BrokenResourceError, trio.ClosedResourceError):
             pass
         except h11.RemoteProtocolError as error:
-            with trio.move_on_after(_CLOSE_TIMEOUT_S):
-                await self._refuse_malformed(connection, error)
+            await self._answer_error(connection, error.error_status_hint)
         except Exception:
             _LOG.exception("unexpected error on a caller's connection")
+            await self._answer_error(connection, _INTERNAL_ERROR)
         finally:
             # It counts as open until closed, since an exit before that would reset its last answer.
             with trio.CancelScope(shield=True):
@@ -609,12 +612,12 @@
             if not await connection.finish():
                 return
 
-    async def _refuse_malformed(
-        self, connection: CallerConnection, error: h11.RemoteProtocolError
-    ) -> None:
+    async def _answer_error(self, connection: CallerConnection, status: int) -> None:
+        """Answer a request that failed, unless an answer was begun."""
         if connection.has_answered:
             return
         try:
-            await connection.reply(Reply(error.error_status_hint), close=True)
+            with trio.move_on_after(_CLOSE_TIMEOUT_S):
+                await connection.reply(Reply(status), close=True)
         except (CallerLeftError, h11.LocalProtocolError):
-            _LOG.debug("could not answer a malformed request: %s", error)
+            _LOG.debug("could not answer a failed request with %s", status)
