Take late requests in a stop only by their own deadline

Callers saw: requests sent late in the grace, to a gateway with a history of quick answers, were passed on and answered with a 502 of ours at the end while the upstream was at work, unsafe ones among them (LOST).

Cause: a late request was taken if twice the time of the slowest recent answer was left. That is learned before the stop and bounds nothing. Entries guessed from the mean.

Change: only a deadline within the stop lets a late request in, at both. The guess, and what was kept for it, is gone.

Three cases of the new gateway test and the entries' test failed before.

Changed tests, each replaced by one as strict or stricter: two stated the guess (a late request is taken if twice the needed time is left; it is passed on if it is expected to be served); now it is refused however quick earlier answers were, and the handed time is checked on an earlier request.

--- a/src/finchway/entry/_app.py
+++ b/src/finchway/entry/_app.py
@@ -38,8 +38,6 @@
 # Digits of a caller's timeout in milliseconds; a longer one is beyond every service's deadline.
 MAX_TIMEOUT_DIGITS = 15
 MAX_CONCURRENT_REQUESTS = 4_000
-# Multiple of a service's mean time that a slow request may need.
-SLOW_FACTOR = 2.0
 
 
 class SteerPoint(Struct, frozen=True):
@@ -331,11 +329,8 @@
 
     def _fit_into_stop(self, stop: PlannedStop, call: Call, body: CallerBody) -> None:
         """Shorten a request's deadline to the end of the stop; refuse it if it may not be done."""
-        needed_s = SLOW_FACTOR * self._view.gate.mean_hold_s(call.service)
         now = trio.current_time()
-        if not stop.may_take(
-            deadline=call.deadline, needed_s=needed_s, now=now, is_complete=body.is_whole
-        ):
+        if not stop.may_take(deadline=call.deadline, now=now, is_complete=body.is_whole):
             detail = "this entry is stopping and may end before the request is answered"
             raise CallError("stopping", 503, Outcome.NOT_RUN, detail)
         call.deadline = stop.upstream_deadline(call.deadline)
--- a/src/finchway/gateway/_estimates.py
+++ b/src/finchway/gateway/_estimates.py
@@ -134,11 +134,6 @@
             self._home_answers
         )
 
-    def slowest_answer(self, now: float) -> float:
-        """Return the time of the slowest recent answer in seconds; 0 if there is none."""
-        self._drop_old(now)
-        return max((seconds for _, seconds in self._answers), default=0.0)
-
     def _drop_old(self, now: float) -> None:
         for answers in (self._answers, self._home_answers):
             while answers and answers[0][0] < now - ANSWER_WINDOW_S:
--- a/src/finchway/gateway/_forward.py
+++ b/src/finchway/gateway/_forward.py
@@ -185,7 +185,7 @@
             self._log.record_ended(context, 0, "the caller had left")
             raise CallerLeftError
         now = trio.current_time()
-        if self._stop.has_begun and self._may_outlast_stop(context, now):
+        if self._stop.may_outlast(context, now):
             self._log.record_ended(context, 503, "may outlast the gateway's stop")
             await connection.reply(self._refusal_at_stop(), close=True)
             return
@@ -237,10 +237,6 @@
             return STOP_OVER
         return ""
 
-    def _may_outlast_stop(self, context: RequestContext, now: float) -> bool:
-        """Return whether the gateway may end before it has answered a request."""
-        return self._stop.may_outlast(context, self._router.needed_time(context, now), now)
-
     def _refusal_at_stop(self) -> Reply:
         """Return the refusal of a request that other gateways can serve, if there are any."""
         if self._has_other_gateways():
--- a/src/finchway/gateway/_router.py
+++ b/src/finchway/gateway/_router.py
@@ -171,11 +171,6 @@
         due_at = context.request.arrived_at + context.route.target_latency
         return due_at - now - self._plan(context).estimate.service_time
 
-    def needed_time(self, context: RequestContext, now: float) -> float:
-        """Return the seconds that an upstream may need for a request, by recent answers."""
-        slowest_s = self._plan(context).estimate.slowest_answer(now)
-        return max(slowest_s, context.route.target_latency)
-
     def _allowed_regions(self, context: RequestContext, now: float) -> dict[str, RegionUpstreams]:
         """Return the upstreams that may serve a request by region."""
         allowed = context.route.allowed_regions
--- a/src/finchway/gateway/_stop.py
+++ b/src/finchway/gateway/_stop.py
@@ -17,11 +17,6 @@
         self._schedule: PlannedStop | None = None
         self._cut_off = 0
 
-    @property
-    def has_begun(self) -> bool:
-        """Whether the gateway was told to stop."""
-        return self._schedule is not None
-
     @property
     def cut_off(self) -> int:
         """Number of requests that the end of the stop has cut off."""
@@ -38,16 +33,12 @@
         if self._schedule is not None:
             context.scope.deadline = self._schedule.ends_at
 
-    def may_outlast(self, context: RequestContext, needed_s: float, now: float) -> bool:
-        """Return whether the gateway may end before a request is answered.
-
-        `needed_s` is the time that an upstream may need for it.
-        """
+    def may_outlast(self, context: RequestContext, now: float) -> bool:
+        """Return whether the gateway may end before a request is answered."""
         if self._schedule is None:
             return False
         return not self._schedule.may_take(
             deadline=context.deadline,
-            needed_s=needed_s,
             now=now,
             is_complete=not context.request.is_streamed,
         )
--- a/src/finchway/policy/_planned_stop.py
+++ b/src/finchway/policy/_planned_stop.py
@@ -2,10 +2,11 @@
 
 The process ends at a fixed time, and whoever still waits then gets no upstream's answer. A request
 that is refused before it is sent upstream can be repeated elsewhere at once; one that is cut off
-cannot, unless it may run twice.
+cannot, unless it may run twice. How long an upstream takes is known only afterwards, so a late
+request is taken only if its own deadline lies within the stop.
 
     stop = PlannedStop.begin(told_at=now, ends_at=now + 5.8, serve_for=3.0)
-    stop.may_take(deadline=now + 2.0, needed_s=0.4, now=now)
+    stop.may_take(deadline=now + 2.0, now=now)
     # True
 """
 
@@ -21,8 +22,6 @@
 MAX_TAKEN_FOR_S = 3.0
 # How much later than it was sent the stop signal may be noticed.
 SIGNAL_MARGIN_S = 0.25
-# A late request is taken if this multiple of the time that it may need is left.
-NEEDED_TIME_FACTOR = 2.0
 
 
 class PlannedStop(Struct, frozen=True, kw_only=True):
@@ -49,19 +48,13 @@
         """The time by which upstreams must have answered."""
         return self.ends_at - ANSWER_MARGIN_S
 
-    def may_take(
-        self, *, deadline: float, needed_s: float, now: float, is_complete: bool = True
-    ) -> bool:
+    def may_take(self, *, deadline: float, now: float, is_complete: bool = True) -> bool:
         """Return whether to take a request.
 
-        `needed_s` is the time that its upstream may need. The end of a request that is not complete
-        yet may come at any time, so only its deadline tells when it is over.
+        The end of a request that is not complete yet may come at any time, so only its deadline
+        tells when it is over.
         """
-        if deadline <= self.answer_by:
-            return True
-        if not is_complete:
-            return False
-        return now < self.late_from or now + NEEDED_TIME_FACTOR * needed_s <= self.answer_by
+        return deadline <= self.answer_by or (is_complete and now < self.late_from)
 
     def upstream_deadline(self, deadline: float) -> float:
         """Return the deadline to send upstream, so that upstreams end what the stop would cut off.
--- a/tests/gateway/test_late_requests.py
+++ b/tests/gateway/test_late_requests.py
@@ -17,6 +17,9 @@
 # A request that is sent then, on a connection opened shortly before accepting ended.
 LATE_S = ACCEPTED_UNTIL_S + 0.1
 CONNECT_S = ACCEPTED_UNTIL_S - 0.1
+# A time in the first part of the stop, in which requests are taken whatever their deadline.
+EARLY_S = 0.5
+QUICK_ANSWERS = 5
 # Work that a late request does not finish before the end, and a deadline beyond the end.
 WORK_S = 0.9
 DEADLINE_MS = b"1900"
@@ -179,16 +182,41 @@
 
 
 @on_trio
-async def test_late_request_that_is_expected_to_be_served_in_time_is_passed_on_with_what_is_left():
+async def test_request_before_the_late_part_is_passed_on_with_no_more_time_than_is_left():
     upstream = Upstream("i-1", serve_ok)
     async with stopping_gateway(upstream, target_latency=0.05) as subject:
         subject.signal_stop()
-        await subject.until(CONNECT_S)
+        await subject.until(EARLY_S)
         caller = await subject.connect()
-        await subject.until(LATE_S)
-        assert (await caller.request(deadline_ms=b"2000"))[0] == 200
+        assert (await caller.request(deadline_ms=b"3000"))[0] == 200
         handed_s = int(header_of(upstream.requests[0], b"finchway-deadline-ms")) / 1000
-        assert handed_s <= ENDS_AT_S - LATE_S
+        assert handed_s <= ENDS_AT_S - EARLY_S
+
+
+# Late requests were taken since earlier answers had come quickly, and broken off at the end of the
+# stop while their upstream was at work.
+@pytest.mark.parametrize("sender", SENDERS)
+def test_quick_answers_before_a_stop_let_in_no_late_request_that_may_be_broken_off(sender):
+    async def serve(upstream, stream, request):
+        if len(upstream.requests) > QUICK_ANSWERS:
+            await never(upstream, stream, request)
+        await serve_ok(upstream, stream, request)
+
+    async def test():
+        upstream = Upstream("i-1", serve)
+        route = {"type": RouteType.UNSAFE, "timeout": 5.0, "target_latency": 0.05}
+        async with stopping_gateway(upstream, **route) as subject:
+            caller = await subject.connect()
+            for _ in range(QUICK_ANSWERS):
+                assert (await caller.request())[0] == 200
+            subject.signal_stop()
+            late = await SENDERS[sender](subject)
+            received = await late.receive()
+            assert received is not None, "the connection ended without an answer"
+            assert received[0] == 503
+            assert len(upstream.requests) == QUICK_ANSWERS
+
+    trio.run(test)
 
 
 # Callers whose requests the end of a stop cut off saw a closed connection.
--- a/tests/process/test_late_requests.py
+++ b/tests/process/test_late_requests.py
@@ -16,7 +16,8 @@
 pytestmark = pytest.mark.xdist_group("late-requests")
 # Less than the service's deadline after the last request of the tests.
 DRAIN_LIMIT_S = 5.0
-SENT_AT_S = (0.5, 3.0, 3.9)
+EARLY_S = 0.5
+LATE_S = (3.0, 3.9)
 # Larger than what an entry buffers, so that it is streamed.
 LONG_BODY = b"x" * 200_000
 
@@ -56,19 +57,21 @@
             return None
 
 
-# Requests that came late in a stop were passed on and cut off at its end without an answer.
-def test_late_requests_at_an_entry_are_answered_before_it_ends(deployment):
+# Requests that came late in a stop were passed on and broken off at its end.
+def test_late_requests_that_may_outlast_an_entrys_stop_are_refused_as_not_run(deployment):
+    for _ in range(5):
+        assert status_of(send(deployment, "e1")) == 200
     for _, _, config in deployment.upstreams:
         fetch(config.address, "/fake/mode", {"mode": "silent"})
     stopped_at = stop_entry(deployment, "e1")
     sent = []
-    for at in SENT_AT_S:
+    for at in (EARLY_S, *LATE_S):
         time.sleep(max(0.0, stopped_at + at - time.monotonic()))
         sent.append(send(deployment, "e1"))
-    statuses = [status_of(connection) for connection in sent]
-    assert None not in statuses
+    early, *late = [status_of(connection) for connection in sent]
     # No promise is made for what an upstream has got.
-    assert set(statuses) <= {502, 504}
+    assert early in (502, 504)
+    assert late == [503] * len(LATE_S)
     assert deployment.processes["e1"].wait(timeout=5.0) == 0
     assert time.monotonic() - stopped_at < DRAIN_LIMIT_S + 1.5
 
@@ -76,5 +79,5 @@
 # A long body whose end may come late was passed on and cut off at the end of the stop.
 def test_streamed_request_that_may_outlast_an_entrys_stop_is_refused_as_not_run(deployment):
     stopped_at = stop_entry(deployment, "e2")
-    time.sleep(max(0.0, stopped_at + SENT_AT_S[1] - time.monotonic()))
+    time.sleep(max(0.0, stopped_at + LATE_S[0] - time.monotonic()))
     assert status_of(send(deployment, "e2", LONG_BODY)) == 503
--- a/tests/unit/test_planned_stop.py
+++ b/tests/unit/test_planned_stop.py
@@ -10,22 +10,17 @@
 
 
 def test_early_request_is_taken_whatever_its_deadline():
-    assert STOP.may_take(deadline=140.0, needed_s=30.0, now=BEFORE)
+    assert STOP.may_take(deadline=140.0, now=BEFORE)
 
 
-def test_late_request_is_taken_if_its_deadline_lies_within_the_stop():
-    assert STOP.may_take(deadline=105.55, needed_s=30.0, now=LATE)
-    assert not STOP.may_take(deadline=105.6, needed_s=30.0, now=LATE)
-
-
-def test_late_request_is_taken_if_twice_the_time_that_it_may_need_is_left():
-    assert STOP.may_take(deadline=107.0, needed_s=1.2, now=LATE)
-    assert not STOP.may_take(deadline=107.0, needed_s=1.3, now=LATE)
+def test_late_request_is_taken_only_if_its_deadline_lies_within_the_stop():
+    assert STOP.may_take(deadline=105.55, now=LATE)
+    assert not STOP.may_take(deadline=105.6, now=LATE)
 
 
 def test_incomplete_request_is_taken_only_if_its_deadline_lies_within_the_stop():
-    assert STOP.may_take(deadline=105.0, needed_s=0.1, now=BEFORE, is_complete=False)
-    assert not STOP.may_take(deadline=107.0, needed_s=0.1, now=BEFORE, is_complete=False)
+    assert STOP.may_take(deadline=105.0, now=BEFORE, is_complete=False)
+    assert not STOP.may_take(deadline=107.0, now=BEFORE, is_complete=False)
 
 
 def test_upstreams_get_no_more_time_than_the_stop_leaves():
