End answers without an end at the deadline; do not read on bytes that are none

Informational heads, or the body of a stray answer, that came without end took the gateway's processor for the whole timeout.

Cause: the rest of a long answer was passed on outside the scope of the request's deadline, and its caller's leaving was heard only where bytes came. The other loops had no bound but the deadline and did not hand back the loop.

Change: a long answer is cut at the deadline, or when its caller leaves, with a reset so that it does not look complete; 600 informational heads and 1 MiB or 1,000 parts of a stray body are the most that is read; parts of answers take turns at the loop as parts of callers' bodies do.

--- a/src/finchway/gateway/_connection.py
+++ b/src/finchway/gateway/_connection.py
@@ -15,7 +15,7 @@
 
 from finchway.gateway._body_buffer import READ_BYTES
 from finchway.gateway._http import Headers
-from finchway.transport import FoldedLineDetector, find_fault
+from finchway.transport import EVENTS_PER_TURN, FoldedLineDetector, Turns, find_fault
 
 CONNECT_TIMEOUT_S = 0.4
 USER_TIMEOUT_MS = 3_000
@@ -33,6 +33,11 @@
 _MAX_INLINE_SEND_BYTES = 16 * 1024
 # Stray answers that are skipped for each request that a connection has carried.
 _MAX_STRAYS_PER_REQUEST = 2
+# Bytes and parts of the body of a stray answer that are read to get to the next answer.
+_MAX_STRAY_BYTES = 1024 * 1024
+_MAX_STRAY_PARTS = 1_000
+# Informational heads before an answer: one a second in the longest time that a route may allow.
+_MAX_INFORMATIONAL_HEADS = 600
 _MAX_COUNT_DIGITS = 9
 
 
@@ -90,8 +95,12 @@
 
     _numbers = itertools.count(1)
 
-    def __init__(self, stream: trio.SocketStream, instance: str) -> None:
+    def __init__(
+        self, stream: trio.SocketStream, instance: str, turns: Turns | None = None
+    ) -> None:
         self._number = next(self._numbers)
+        self._turns = turns or Turns()
+        self._events = 0
         self._requests = 0
         self._stray_answers = 0
         self._stream = stream
@@ -109,8 +118,13 @@
         self._on_head = _ignore_head
 
     @classmethod
-    async def open(cls, address: str, instance: str) -> UpstreamConnection:
-        """Connect; raises `AttemptError` on failure or timeout."""
+    async def open(
+        cls, address: str, instance: str, turns: Turns | None = None
+    ) -> UpstreamConnection:
+        """Connect; raises `AttemptError` on failure or timeout.
+
+        Connections with the same `turns` take turns with answers of very many parts.
+        """
         host, _, port = address.rpartition(":")
         sock = trio.socket.socket()
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -133,7 +147,7 @@
         except BaseException:
             sock.close()
             raise
-        return cls(trio.SocketStream(sock), instance)
+        return cls(trio.SocketStream(sock), instance, turns)
 
     @property
     def instance(self) -> str:
@@ -261,11 +275,22 @@
             if not answer.is_stray:
                 return answer
             self._stray_answers += 1
-            while not answer.complete:
-                answer.complete = await self.read_part() is None
+            await self._skip_body()
             self._restart()
         raise AttemptError(Failure.BROKEN, "received only answers to other requests")
 
+    async def _skip_body(self) -> None:
+        """Read the body of a stray answer."""
+        size = 0
+        for _ in range(_MAX_STRAY_PARTS):
+            part = await self.read_part()
+            if part is None:
+                return
+            size += len(part)
+            if size > _MAX_STRAY_BYTES:
+                break
+        raise AttemptError(Failure.BROKEN, "an answer to another request does not end")
+
     def _is_awaited(self, answered_id: str | None, request_id: str) -> bool:
         """Return whether an answer is the one to the current request.
 
@@ -294,18 +319,24 @@
         if closed:
             self._http.receive_data(b"")
 
-    async def _read_answer(self, id_header: bytes, request_id: str) -> Answer:
-        while True:
+    async def _read_head(self) -> h11.Response:
+        for _ in range(_MAX_INFORMATIONAL_HEADS + 1):
             event = await self._next_event()
             if not isinstance(event, h11.Response | h11.InformationalResponse):
                 raise AttemptError(Failure.BROKEN, "closed without an answer")
             _check_head(event)
             if isinstance(event, h11.Response):
-                break
-        answer = Answer(event.status_code, bytes(event.reason), list(event.headers))
+                return event
+        raise AttemptError(Failure.BROKEN, "not an answer: informational heads do not end")
+
+    async def _read_answer(self, id_header: bytes, request_id: str) -> Answer:
+        head = await self._read_head()
+        answer = Answer(head.status_code, bytes(head.reason), list(head.headers))
         answer.is_stray = not self._is_awaited(answer.header(id_header), request_id)
         self._record_keep_alive(answer)
         self._on_head(answer)
+        if answer.is_stray:
+            return answer
         parts = []
         size = 0
         while size <= BUFFERED_ANSWER_BYTES:
@@ -334,6 +365,7 @@
                 if isinstance(event, h11.EndOfMessage):
                     self._check_end()
                 if event is not h11.NEED_DATA:
+                    await self._count_event()
                     return event
                 self._feed(await self._stream.receive_some(READ_BYTES))
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
@@ -341,6 +373,12 @@
         except h11.RemoteProtocolError as error:
             raise AttemptError(Failure.BROKEN, f"not an answer: {error}") from error
 
+    async def _count_event(self) -> None:
+        """Let others run between the events of an answer that has very many."""
+        self._events += 1
+        if self._events % EVENTS_PER_TURN == 0:
+            await self._turns.wait()
+
     def _feed(self, data: bytes) -> None:
         """Pass received bytes on to the parser; none mean that the connection has ended."""
         if self._folded_lines.feed(data):
--- a/src/finchway/gateway/_forward.py
+++ b/src/finchway/gateway/_forward.py
@@ -40,6 +40,7 @@
 
 _RANDOM = random.Random()
 CANCELLED = "cancelled: out of time, or the caller left"
+LEFT_MIDWAY = "the caller left, or took nothing for too long"
 CUT_OFF = "no upstream can be reached from this gateway any more"
 # Time that must be left before the deadline for a further attempt: a round trip within a region and
 # some work.
@@ -503,8 +504,7 @@
         self, connection: CallerConnection, context: RequestContext, outcome: Outcome
     ) -> None:
         if outcome.answer is not None:
-            self._log.record_ended(context, outcome.answer.status, "answered")
-            await self._relay_answer(connection, outcome)
+            await self._relay_answer(connection, context, outcome)
             return
         out_of_time = trio.current_time() >= context.deadline
         if outcome.verdict is Verdict.NOT_RUN and not (out_of_time and context.attempts):
@@ -526,27 +526,69 @@
         """Return whether other gateways are listed that callers can be sent to."""
         return any(name != self._table.name for name in self._view.serving)
 
-    async def _relay_answer(self, connection: CallerConnection, outcome: Outcome) -> None:
+    async def _relay_answer(
+        self, connection: CallerConnection, context: RequestContext, outcome: Outcome
+    ) -> None:
         answer = outcome.answer
         headers = [(n, v) for n, v in answer.headers if n not in HOP_HEADERS]
         if answer.complete:
+            self._log.record_ended(context, answer.status, "answered")
             if not any(name == b"content-length" for name, _ in headers):
                 headers.append((b"content-length", str(len(answer.body)).encode()))
             await connection.send_whole(answer.status, answer.reason, headers, answer.body)
             return
-        upstream = outcome.connection
+        try:
+            cut_by = await self._relay_long_answer(connection, context, outcome, headers)
+        finally:
+            outcome.connection.close()
+        self._log.record_ended(
+            context, answer.status, f"cut short: {cut_by}" if cut_by else "answered"
+        )
+        if cut_by:
+            await connection.abort()
+            raise CallerLeftError
+
+    async def _relay_long_answer(
+        self,
+        connection: CallerConnection,
+        context: RequestContext,
+        outcome: Outcome,
+        headers: Headers,
+    ) -> str:
+        """Pass on an answer as it arrives, until the request's deadline or its caller leaves.
+
+        Return what cut it short; empty if nothing did.
+        """
+        cut_by = LEFT_MIDWAY
+        left = trio.Event()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                self._cancel_when_left, connection, context, left, nursery.cancel_scope
+            )
+            with trio.move_on_at(context.deadline) as in_time:
+                cut_by = await self._relay_parts(connection, outcome, headers)
+            if in_time.cancelled_caught:
+                cut_by = "not whole at its deadline"
+            nursery.cancel_scope.cancel()
+        return cut_by
+
+    async def _relay_parts(
+        self, connection: CallerConnection, outcome: Outcome, headers: Headers
+    ) -> str:
+        """Pass on an answer to its end; return what cut it short."""
+        answer = outcome.answer
         try:
             await connection.send_head(answer.status, answer.reason, headers)
             await connection.send_part(answer.body)
             answer.body = b""
-            while (part := await upstream.read_part()) is not None:
+            while (part := await outcome.connection.read_part()) is not None:
                 await connection.send_part(part)
             await connection.send_end()
         except AttemptError as error:
-            await connection.abort()
-            raise CallerLeftError from error
-        finally:
-            upstream.close()
+            return error.detail
+        except CallerLeftError:
+            return LEFT_MIDWAY
+        return ""
 
 
 def _name_of(error: Exception) -> str:
--- a/src/finchway/gateway/_table.py
+++ b/src/finchway/gateway/_table.py
@@ -20,6 +20,7 @@
 from finchway.policy import Pacer, UpstreamReach, rank
 from finchway.pushback import BackoffTable, LimitReports, Pushback
 from finchway.registry import Registration, UpstreamState
+from finchway.transport import Turns
 
 # Fraction of the allowed rate sent to a cold upstream, since two gateways may both believe for a
 # moment that they are its only sender.
@@ -86,6 +87,7 @@
         self._refreshed_at = float("-inf")
         self._applied_changes = -1
         self._opened = 0
+        self._turns = Turns()
         self._reach = UpstreamReach()
         self._unreachable = trio.Event()
         self._limits = LimitTracker(name, view, self._region_of, decisions)
@@ -341,7 +343,9 @@
         self._opened += 1
         registration = record.registration
         try:
-            connection = await UpstreamConnection.open(registration.address, registration.instance)
+            connection = await UpstreamConnection.open(
+                registration.address, registration.instance, self._turns
+            )
         except AttemptError:
             self._reach.record_unreachable(registration.instance, trio.current_time())
             self._unreachable.set()
