Bound informational heads at entries too, in the scanner that both clients use

Callers saw: informational heads without end kept an entry's processor until the call's deadline, as at gateways.

Cause: httpcore passes over them in a loop without a bound.

Change: FoldedLineDetector, which walks these heads already, counts them; it is HeadScanner now and names the fault. The gateway's own count goes.

Evidence: test_informational_heads_without_end_are_no_answer failed at the entry's client before (5 s without an end) and passes; the gateway's tests pass unchanged.

--- a/src/finchway/entry/_upstream.py
+++ b/src/finchway/entry/_upstream.py
@@ -23,7 +23,7 @@
 from finchway.entry._call import Headers, ResponseMetadata, UpstreamError
 from finchway.policy import Outcome
 from finchway.pushback import read_pushback
-from finchway.transport import FoldedLineDetector, find_fault
+from finchway.transport import HeadScanner, find_fault
 
 _CONNECT_TIMEOUT_S = 1.0
 _KEEPALIVE_S = 30.0
@@ -66,25 +66,26 @@
 
 
 class _CheckedStream(httpcore.AsyncNetworkStream):
-    """A connection's stream that refuses heads with a line that begins with a blank.
+    """A connection's stream that refuses heads which no answer may have.
 
     Each write belongs to a new request, since an answer is read only once its request is sent.
     """
 
     def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
         self._stream = stream
-        self._folded_lines = FoldedLineDetector()
+        self._heads = HeadScanner()
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Receive data; raises `httpcore.RemoteProtocolError` if it is no answer."""
         data = await self._stream.read(max_bytes, timeout)
-        if self._folded_lines.feed(data):
-            raise httpcore.RemoteProtocolError("a line of the head begins with a blank")
+        fault = self._heads.feed(data)
+        if fault:
+            raise httpcore.RemoteProtocolError(fault)
         return data
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Send data, as in `httpcore.AsyncNetworkStream`."""
-        self._folded_lines = FoldedLineDetector()
+        self._heads = HeadScanner()
         await self._stream.write(buffer, timeout)
 
     async def aclose(self) -> None:
--- a/src/finchway/gateway/_connection.py
+++ b/src/finchway/gateway/_connection.py
@@ -15,7 +15,7 @@
 
 from finchway.gateway._body_buffer import READ_BYTES
 from finchway.gateway._http import Headers
-from finchway.transport import EVENTS_PER_TURN, FoldedLineDetector, Turns, find_fault
+from finchway.transport import EVENTS_PER_TURN, HeadScanner, Turns, find_fault
 
 CONNECT_TIMEOUT_S = 0.4
 USER_TIMEOUT_MS = 3_000
@@ -36,8 +36,6 @@
 # Bytes and parts of the body of a stray answer that are read to get to the next answer.
 _MAX_STRAY_BYTES = 1024 * 1024
 _MAX_STRAY_PARTS = 1_000
-# Informational heads before an answer: one a second in the longest time that a route may allow.
-_MAX_INFORMATIONAL_HEADS = 600
 _MAX_COUNT_DIGITS = 9
 
 
@@ -112,7 +110,7 @@
         self._request_sent = False
         self._has_failed_write = False
         self._has_ended = False
-        self._folded_lines = FoldedLineDetector()
+        self._heads = HeadScanner()
         self._unsent: list[bytes] = []
         self._is_reused = False
         self._on_head = _ignore_head
@@ -251,7 +249,7 @@
         if not (whole and self._is_reusable and self._request_sent) or self._http.trailing_data[0]:
             return False
         self._http.start_next_cycle()
-        self._folded_lines = FoldedLineDetector()
+        self._heads = HeadScanner()
         self._request_sent = False
         self._is_reused = True
         self._idle_until = now + self._idle_timeout * IDLE_FRACTION
@@ -313,21 +311,20 @@
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES)
         self._http.send(h11.Request(method="GET", target="/", headers=[("Host", "stray")]))
         self._http.send(h11.EndOfMessage())
-        self._folded_lines = FoldedLineDetector()
+        self._heads = HeadScanner()
         if rest:
             self._feed(rest)
         if closed:
             self._http.receive_data(b"")
 
     async def _read_head(self) -> h11.Response:
-        for _ in range(_MAX_INFORMATIONAL_HEADS + 1):
+        while True:
             event = await self._next_event()
             if not isinstance(event, h11.Response | h11.InformationalResponse):
                 raise AttemptError(Failure.BROKEN, "closed without an answer")
             _check_head(event)
             if isinstance(event, h11.Response):
                 return event
-        raise AttemptError(Failure.BROKEN, "not an answer: informational heads do not end")
 
     async def _read_answer(self, id_header: bytes, request_id: str) -> Answer:
         head = await self._read_head()
@@ -381,8 +378,9 @@
 
     def _feed(self, data: bytes) -> None:
         """Pass received bytes on to the parser; none mean that the connection has ended."""
-        if self._folded_lines.feed(data):
-            raise AttemptError(Failure.BROKEN, "not an answer: a line begins with a blank")
+        fault = self._heads.feed(data)
+        if fault:
+            raise AttemptError(Failure.BROKEN, f"not an answer: {fault}")
         self._has_ended = self._has_ended or not data
         self._http.receive_data(data)
 
--- a/src/finchway/transport/__init__.py
+++ b/src/finchway/transport/__init__.py
@@ -5,7 +5,7 @@
 
 from typing import Any
 
-from finchway.transport._answer_heads import FoldedLineDetector, find_fault
+from finchway.transport._answer_heads import HeadScanner, find_fault
 from finchway.transport._arrivals import AcceptedStream, CallOrigin, origin_of
 from finchway.transport._client_budget import (
     DEFAULT_DESCRIPTORS,
@@ -47,7 +47,7 @@
     "CallOrigin",
     "ClientBudget",
     "ClientLimitLog",
-    "FoldedLineDetector",
+    "HeadScanner",
     "Handler",
     "Holding",
     "Keys",
--- a/src/finchway/transport/_answer_heads.py
+++ b/src/finchway/transport/_answer_heads.py
@@ -8,6 +8,8 @@
 
 import re
 
+# Informational heads before an answer: one a second in the longest time that a route may allow.
+MAX_INFORMATIONAL_HEADS = 600
 _HEAD_END = re.compile(rb"\n\r?\n")
 _FOLDED_LINE = re.compile(rb"\n[ \t]")
 _INFORMATIONAL = re.compile(rb"HTTP/\d\.\d 1")
@@ -41,29 +43,34 @@
     return ""
 
 
-class FoldedLineDetector:
-    """Looks for lines that begin with a blank or a tab in the heads before and of one answer.
+class HeadScanner:
+    """Looks for faults of the informational heads before an answer, and of its own head.
 
-    It is fed the bytes as they arrive and ignores those after the head.
+    These are lines that begin with a blank or a tab, and too many heads. It is fed the bytes as
+    they arrive and ignores those after the head.
     """
 
-    __slots__ = ("_head", "_is_done")
+    __slots__ = ("_head", "_informational", "_is_done")
 
     def __init__(self) -> None:
         self._head = b""
+        self._informational = 0
         self._is_done = False
 
-    def feed(self, data: bytes) -> bool:
-        """Take in further bytes; return whether one of the heads has such a line."""
+    def feed(self, data: bytes) -> str:
+        """Take in further bytes; return what is wrong with the heads, empty if nothing is."""
         if self._is_done:
-            return False
+            return ""
         self._head += data
         while (end := _HEAD_END.search(self._head)) is not None:
             if _FOLDED_LINE.search(self._head, 0, end.start()) is not None:
-                return True
+                return "a line begins with a blank"
             if _INFORMATIONAL.match(self._head) is None:
                 self._is_done = True
                 self._head = b""
-                return False
+                return ""
+            self._informational += 1
+            if self._informational > MAX_INFORMATIONAL_HEADS:
+                return "informational heads do not end"
             self._head = self._head[end.end() :]
-        return False
+        return ""
--- a/tests/entry/test_broken_answers.py
+++ b/tests/entry/test_broken_answers.py
@@ -62,3 +62,23 @@
 
     with pytest.raises(UpstreamError):
         play(script, "POST", UPLOAD)
+
+
+# An upstream that sent informational heads without end took an entry's processor.
+def test_informational_heads_without_end_are_no_answer():
+    sent = 0
+
+    async def script(upstream, stream, request):
+        nonlocal sent
+        while True:
+            await stream.send_all(b"HTTP/1.1 102 Processing\r\n\r\n" * 1_000)
+            sent += 1
+
+    with pytest.raises(UpstreamError):
+        play(script)
+    assert sent < 100
+
+
+def test_an_answer_after_a_few_informational_heads_is_one():
+    head = b"HTTP/1.1 102 Processing\r\n\r\n" * 50 + SOUND_HEADS["no reason"]
+    assert play(script_of(head)) == (200, b"ok")
