Reset connections whose answer is not sent completely

Found while looking for heads that are cut midway.

Cause: close knew of requests that are not read, not of answers that are not sent.

Change: the connection remembers that an answer was begun and not ended, and is reset then.

Evidence: both cases of test_an_answer_that_a_gateway_ends_midway_is_reset failed before and pass.

--- a/src/finchway/gateway/_http.py
+++ b/src/finchway/gateway/_http.py
@@ -150,6 +150,7 @@
         self._closing = False
         self._close_announced = False
         self._head_sent = False
+        self._is_answering = False
         self._in_request = False
         self._idle_since = trio.current_time()
 
@@ -345,6 +346,7 @@
             parts = [b"".join(parts)]
         for part in parts:
             await self._write(part)
+        self._is_answering = False
 
     async def send_head(self, status: int, reason: bytes, headers: Headers) -> None:
         """Send the head of an answer with a streamed body."""
@@ -358,6 +360,7 @@
     async def send_end(self) -> None:
         """End a streamed body."""
         await self._send(h11.EndOfMessage())
+        self._is_answering = False
 
     async def _reserve_answer(self, size: int) -> None:
         """Draw what an answer needs until its caller has taken it; without room, it is cut off.
@@ -376,7 +379,7 @@
         if self._closing:
             self._close_announced = True
             headers = [*headers, (b"Connection", b"close")]
-        self._head_sent = True
+        self._head_sent = self._is_answering = True
         return self._http.send(h11.Response(status_code=status, reason=reason, headers=headers))
 
     async def finish(self) -> bool:
@@ -396,7 +399,13 @@
         return True
 
     async def close(self) -> None:
-        """Close gracefully, so that the answer arrives even if the caller is still sending."""
+        """Close gracefully, so that the answer arrives even if the caller is still sending.
+
+        An answer that is not sent completely is cut off by a reset.
+        """
+        if self._is_answering:
+            await self.abort()
+            return
         unread = self._head_sent and self._http.their_state is h11.SEND_BODY
         with trio.move_on_after(_CLOSE_TIMEOUT_S if unread else 0.05):
             try:
