Do not reset a connection twice

Cause: resets a connection whose answer is unfinished as it is closed, also one that abort has closed already; setting an option on a closed socket fails (Bad file descriptor), in eleven tests.

Change: abort ends the answer.

--- a/src/finchway/gateway/_http.py
+++ b/src/finchway/gateway/_http.py
@@ -418,6 +418,7 @@
 
     async def abort(self) -> None:
         """Reset the connection, so that a truncated answer does not look complete."""
+        self._is_answering = False
         self._reset_on_close()
         await trio.aclose_forcefully(self._stream)
 
