Answer a body that is malformed midway with 400

Cause: the parser's error comes out of a nursery, in a group, which nothing looked into.

Change: the first error of a group decides the status; the request's line names it.

--- a/src/finchway/gateway/_forward.py
+++ b/src/finchway/gateway/_forward.py
@@ -26,6 +26,8 @@
     CallerRequest,
     Headers,
     Reply,
+    cause_of,
+    status_of_error,
 )
 from finchway.gateway._outcome import Outcome, Verdict
 from finchway.gateway._record import SHED_BACKOFF_S, UpstreamRecord
@@ -97,7 +99,8 @@
         except CallerLeftError:
             raise
         except Exception as error:
-            self._log.record_ended(context, 500, f"internal error: {_name_of(error)}")
+            reason = f"failed with {type(cause_of(error)).__name__}"
+            self._log.record_ended(context, status_of_error(error), reason)
             raise
         finally:
             self._in_flight.discard(context)
@@ -591,13 +594,6 @@
         return ""
 
 
-def _name_of(error: Exception) -> str:
-    """Return the name of an error's type, of the first one if a nursery raised several."""
-    while isinstance(error, ExceptionGroup):
-        error = error.exceptions[0]
-    return type(error).__name__
-
-
 def _retry_later(status: int, available_in: float = 0.0, on_time_in: float = 0.0) -> Reply:
     """Return a refusal with a Retry-After that spreads the callers' returns."""
     return _retry_after(status, return_after(available_in, on_time_in, _RANDOM))
--- a/src/finchway/gateway/_http.py
+++ b/src/finchway/gateway/_http.py
@@ -483,6 +483,21 @@
             raise CallerLeftError from error
 
 
+def cause_of(error: Exception) -> Exception:
+    """Return the error itself, or the first one of those that a nursery has raised."""
+    while isinstance(error, ExceptionGroup):
+        error = error.exceptions[0]
+    return error
+
+
+def status_of_error(error: Exception) -> int:
+    """Return the status that answers a request which an error has ended."""
+    cause = cause_of(error)
+    if isinstance(cause, h11.RemoteProtocolError):
+        return cause.error_status_hint
+    return _INTERNAL_ERROR
+
+
 def _declared_length(request: CallerRequest) -> int | None:
     """Return the length of a request's body; None if it comes in chunks."""
     if request.header(b"transfer-encoding") is not None:
@@ -599,11 +614,11 @@
                 await self._serve_all(connection)
         except (CallerLeftError, trio.BrokenResourceError, trio.ClosedResourceError):
             pass
-        except h11.RemoteProtocolError as error:
-            await self._answer_error(connection, error.error_status_hint)
-        except Exception:
-            _LOG.exception("unexpected error on a caller's connection")
-            await self._answer_error(connection, _INTERNAL_ERROR)
+        except Exception as error:
+            status = status_of_error(error)
+            if status == _INTERNAL_ERROR:
+                _LOG.exception("unexpected error on a caller's connection")
+            await self._answer_error(connection, status)
         finally:
             # It counts as open until closed, since an exit before that would reset its last answer.
             with trio.CancelScope(shield=True):
